Lay out the design, the interfaces of all dependencies and their stand-ins

Cause: the repository was empty. Change: design page, toolchain, core interfaces, simulated clock, in-process stand-ins for the key-value service, engines, plain services and the network between entries, engine timing model with fixed parameters, and baseline dispatcher and router. Conclusion: parts can now be built in parallel against these interfaces.

--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,40 @@
+import { execFileSync } from 'node:child_process';
+import {
+  chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync,
+} from 'node:fs';
+import { join } from 'node:path';
+import process from 'node:process';
+import { fileURLToPath, URL } from 'node:url';
+import { build } from 'esbuild';
+import { inject } from 'postject';
+
+const SENTINEL_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+const root = fileURLToPath(new URL('..', import.meta.url));
+const dist = join(root, 'dist');
+const bundle = join(dist, 'catkinscale.cjs');
+const blob = join(dist, 'catkinscale.blob');
+const config = join(dist, 'sea.json');
+const binary = join(dist, 'catkinscale');
+
+mkdirSync(dist, { recursive: true });
+
+// yargs reads import.meta.url, which a CommonJS bundle does not have.
+await build({
+  entryPoints: [join(root, 'src/cli/main.ts')],
+  outfile: bundle,
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  legalComments: 'none',
+  define: { 'import.meta.url': 'importMetaUrl' },
+  banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;" },
+});
+
+writeFileSync(config, JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true }));
+execFileSync(process.execPath, ['--experimental-sea-config', config], { stdio: 'inherit' });
+copyFileSync(process.execPath, binary);
+chmodSync(binary, 0o755);
+await inject(binary, 'NODE_SEA_BLOB', readFileSync(blob), { sentinelFuse: SENTINEL_FUSE });
+execFileSync(process.execPath, [join(root, 'node_modules/typescript/bin/tsc'), '-p', join(root, 'tsconfig.lib.json')], { stdio: 'inherit' });
--- /dev/null
+++ b/src/bench/registry.ts
@@ -0,0 +1,5 @@
+import type { Experiment } from './experiment.js';
+
+/** All experiments of `npm run bench`, one import and one line each. */
+export const EXPERIMENTS: readonly Experiment[] = [
+];
--- /dev/null
+++ b/src/core/refusals.ts
@@ -0,0 +1,58 @@
+import { assertNever } from './result.js';
+
+/** Whether the refused call was run. `No` is given only where that is certain. */
+export enum Ran {
+  No = 'no',
+  Unknown = 'unknown',
+  Yes = 'yes',
+}
+
+/** Reasons for a refusal, with the certainty that each one carries. */
+export type Refusal = | { readonly code: 'invalid_request'; readonly path: string; readonly expected: string }
+    | { readonly code: 'unknown_model'; readonly model: string }
+    | { readonly code: 'unknown_service'; readonly service: string }
+    | { readonly code: 'unknown_workspace'; readonly workspace: string }
+    | { readonly code: 'idempotency_key_required'; readonly operation: string }
+    | { readonly code: 'idempotency_key_reused'; readonly ran: Ran }
+    | { readonly code: 'queue_full'; readonly retryAfterMs: number }
+    | { readonly code: 'deadline_unreachable'; readonly retryAfterMs: number }
+    | { readonly code: 'no_engine'; readonly retryAfterMs: number }
+    | { readonly code: 'no_server'; readonly retryAfterMs: number }
+    | { readonly code: 'not_ready'; readonly retryAfterMs: number }
+    | { readonly code: 'draining' }
+    | { readonly code: 'record_store_unavailable'; readonly ran: Ran; readonly retryAfterMs: number }
+    | { readonly code: 'outcome_unknown' }
+    | { readonly code: 'engine_failed'; readonly ran: Ran }
+    | { readonly code: 'deadline_exceeded'; readonly ran: Ran }
+    | { readonly code: 'stream_lost' }
+    | { readonly code: 'invalid_event_id' };
+
+/** Certainty that goes with a refusal. */
+export function ranOf(refusal: Refusal): Ran {
+  switch (refusal.code) {
+    case 'invalid_request':
+    case 'unknown_model':
+    case 'unknown_service':
+    case 'unknown_workspace':
+    case 'idempotency_key_required':
+    case 'queue_full':
+    case 'deadline_unreachable':
+    case 'no_engine':
+    case 'no_server':
+    case 'not_ready':
+    case 'draining':
+    case 'invalid_event_id':
+      return Ran.No;
+    case 'outcome_unknown':
+      return Ran.Unknown;
+    case 'stream_lost':
+      return Ran.Yes;
+    case 'idempotency_key_reused':
+    case 'record_store_unavailable':
+    case 'engine_failed':
+    case 'deadline_exceeded':
+      return refusal.ran;
+    default:
+      return assertNever(refusal);
+  }
+}
--- /dev/null
+++ b/src/core/streams.ts
@@ -0,0 +1,96 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { z } from 'zod';
+import type { EngineEvent } from './edges.js';
+import { fail, ok } from './result.js';
+import type { Result } from './result.js';
+
+/** Where a running answer can be read again. */
+const ticketSchema = z.strictObject({
+  engine: z.string().min(1),
+  requestId: z.string().min(1),
+  attemptId: z.string().min(1),
+  workspace: z.string().min(1),
+});
+
+export type StreamTicket = z.infer<typeof ticketSchema>;
+
+/** Position of a caller in an answer. */
+export interface StreamPosition {
+  readonly ticket: StreamTicket;
+  /** Index of the last token that the caller has received. */
+  readonly index: number;
+}
+
+/** Signs and checks event ids under a key that all entries share. */
+export class TicketSigner {
+  public constructor(private readonly key: string) {}
+
+  /** Signed text form of a ticket, made once for each attempt. */
+  public sign(ticket: StreamTicket): string {
+    const parts = [ticket.engine, ticket.requestId, ticket.attemptId, ticket.workspace];
+    const body = Buffer.from(JSON.stringify(parts)).toString('base64url');
+    return `${body}.${this.mac(body)}`;
+  }
+
+  /** Checks an event id `<ticket>.<index>`. */
+  public safeParse(eventId: string): Result<StreamPosition, 'invalid_event_id'> {
+    const [body, mac, index, ...rest] = eventId.split('.');
+    if (body === undefined || mac === undefined || index === undefined || rest.length > 0) return fail('invalid_event_id');
+    const expected = Buffer.from(this.mac(body));
+    const given = Buffer.from(mac);
+    if (expected.length !== given.length || !timingSafeEqual(expected, given)) return fail('invalid_event_id');
+    if (!/^\d{1,9}$/.test(index)) return fail('invalid_event_id');
+    // The signature proves that an entry wrote the body, so it is well formed.
+    const [engine, requestId, attemptId, workspace] = JSON.parse(Buffer.from(body, 'base64url').toString()) as string[];
+    const ticket = ticketSchema.safeParse({
+      engine, requestId, attemptId, workspace,
+    });
+    if (!ticket.success) return fail('invalid_event_id');
+    return ok({ ticket: ticket.data, index: Number(index) });
+  }
+
+  private mac(body: string): string {
+    return createHmac('sha256', this.key).update(body).digest('base64url').slice(0, 22);
+  }
+}
+
+/** What to do with an engine event. */
+export enum EventVerdict {
+  Deliver = 'deliver',
+  /** Belongs to another request or attempt, or was delivered before. */
+  Drop = 'drop',
+  /** A token is missing before this one. */
+  Gap = 'gap',
+}
+
+/** Accepts each token of one attempt exactly once and in order. */
+export class StreamAssembler {
+  private next: number;
+
+  /** Events that were dropped. */
+  public dropped = 0;
+
+  public constructor(
+    private readonly requestId: string,
+    private readonly attemptId: string,
+    firstIndex: number,
+  ) {
+    this.next = firstIndex;
+  }
+
+  /** Index of the next token to deliver. */
+  public get nextIndex(): number {
+    return this.next;
+  }
+
+  public accept(event: EngineEvent): EventVerdict {
+    const foreign = event.requestId !== this.requestId || event.attemptId !== this.attemptId;
+    if (foreign || event.index < this.next) {
+      this.dropped += 1;
+      return EventVerdict.Drop;
+    }
+    if (event.index > this.next) return EventVerdict.Gap;
+    if (event.type === 'token') this.next += 1;
+    return EventVerdict.Deliver;
+  }
+}
--- /dev/null
+++ b/src/emulator/keyvalue.ts
@@ -0,0 +1,316 @@
+import {
+  KEY_VALUE_MAX_BYTES, KEY_VALUE_MAX_OPERATIONS, KeyValueErrorCode,
+} from '../core/edges.js';
+import type {
+  CallOptions, CasOperation, CasResult, Clock, KeyValue, KeyValueEntry, KeyValueError, WatchEvent,
+} from '../core/edges.js';
+import { fail, ok } from '../core/result.js';
+import type { Result } from '../core/result.js';
+import { sleep } from '../core/time.js';
+
+interface Lease {
+  readonly ttlMs: number;
+  expiresAt: number;
+}
+
+interface Watcher {
+  readonly prefix: string;
+  readonly pending: WatchEvent[];
+  wake: () => void;
+  broken: boolean;
+}
+
+const HISTORY_KEPT = 10_000;
+
+function matches(event: WatchEvent, prefix: string): boolean {
+  return (event.type === 'put' ? event.entry.key : event.key).startsWith(prefix);
+}
+
+function versionOf(event: WatchEvent): number {
+  return event.type === 'put' ? event.entry.version : event.version;
+}
+
+/** Contents of the key-value service stand-in, shared by all of its clients. */
+export class KeyValueStore {
+  private readonly entries = new Map<string, KeyValueEntry>();
+
+  private readonly leases = new Map<string, Lease>();
+
+  private readonly watchers = new Set<Watcher>();
+
+  private readonly history: WatchEvent[] = [];
+
+  private version = 0;
+
+  private leaseCount = 0;
+
+  /** Every call fails while true. */
+  public down = false;
+
+  /** Delay before each answer, in ms; half of it passes before the call takes effect. */
+  public latencyMs = 2;
+
+  /** Number of coming writes whose answer is lost after the write has taken effect. */
+  public loseAnswers = 0;
+
+  /** Calls since the start by method; a waiting watch is one. */
+  public readonly calls: Record<string, number> = {};
+
+  public constructor(private readonly clock: Clock) {}
+
+  /** Current value of a key, for tests. */
+  public peek(key: string): KeyValueEntry | undefined {
+    this.expireLeases();
+    return this.entries.get(key);
+  }
+
+  /** Ends all watches, as a restart of the service does. */
+  public breakWatches(): void {
+    for (const watcher of this.watchers) {
+      watcher.broken = true;
+      watcher.wake();
+    }
+  }
+
+  /** Lets a lease lapse at once. */
+  public expireLease(leaseId: string): void {
+    const lease = this.leases.get(leaseId);
+    if (lease !== undefined) lease.expiresAt = this.clock.monotonic();
+    this.expireLeases();
+  }
+
+  /** Ids of all leases that have not expired. */
+  public leaseIds(): string[] {
+    this.expireLeases();
+    return [...this.leases.keys()];
+  }
+
+  public read(key: string): KeyValueEntry | null {
+    this.expireLeases();
+    return this.entries.get(key) ?? null;
+  }
+
+  public list(prefix: string): KeyValueEntry[] {
+    this.expireLeases();
+    return [...this.entries.values()]
+      .filter((entry) => entry.key.startsWith(prefix))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+  }
+
+  public apply(operation: CasOperation): CasResult {
+    this.expireLeases();
+    const current = this.entries.get(operation.key) ?? null;
+    if ((current?.version ?? 0) !== operation.expected) return { applied: false, current };
+    if (operation.value === null) this.remove(operation.key);
+    else this.put(operation.key, operation.value, operation.leaseId);
+    return { applied: true, version: this.version };
+  }
+
+  public grant(ttlMs: number): string {
+    this.leaseCount += 1;
+    const leaseId = String(this.leaseCount);
+    this.leases.set(leaseId, { ttlMs, expiresAt: this.clock.monotonic() + ttlMs });
+    this.clock.after(ttlMs, () => this.expireLeases());
+    return leaseId;
+  }
+
+  public renew(leaseId: string): boolean {
+    this.expireLeases();
+    const lease = this.leases.get(leaseId);
+    if (lease === undefined) return false;
+    lease.expiresAt = this.clock.monotonic() + lease.ttlMs;
+    this.clock.after(lease.ttlMs, () => this.expireLeases());
+    return true;
+  }
+
+  public hasLease(leaseId: string): boolean {
+    this.expireLeases();
+    return this.leases.has(leaseId);
+  }
+
+  public revoke(leaseId: string): void {
+    this.expireLease(leaseId);
+  }
+
+  public addWatcher(prefix: string, fromVersion: number): Watcher {
+    const watcher: Watcher = {
+      prefix,
+      pending: this.history.filter((event) => matches(event, prefix) && versionOf(event) >= fromVersion),
+      wake: () => {},
+      broken: false,
+    };
+    this.watchers.add(watcher);
+    return watcher;
+  }
+
+  public removeWatcher(watcher: Watcher): void {
+    this.watchers.delete(watcher);
+  }
+
+  private put(key: string, value: string, leaseId: string | undefined): void {
+    this.version += 1;
+    const entry: KeyValueEntry = {
+      key, value, version: this.version, ...(leaseId === undefined ? {} : { leaseId }),
+    };
+    this.entries.set(key, entry);
+    this.notify({ type: 'put', entry });
+  }
+
+  private remove(key: string): void {
+    this.version += 1;
+    this.entries.delete(key);
+    this.notify({ type: 'delete', key, version: this.version });
+  }
+
+  private notify(event: WatchEvent): void {
+    this.history.push(event);
+    if (this.history.length > HISTORY_KEPT) this.history.splice(0, HISTORY_KEPT / 2);
+    for (const watcher of this.watchers) {
+      if (!matches(event, watcher.prefix)) continue;
+      watcher.pending.push(event);
+      watcher.wake();
+    }
+  }
+
+  private expireLeases(): void {
+    const time = this.clock.monotonic();
+    for (const [leaseId, lease] of this.leases) {
+      if (lease.expiresAt > time) continue;
+      this.leases.delete(leaseId);
+      for (const entry of [...this.entries.values()]) {
+        if (entry.leaseId === leaseId) this.remove(entry.key);
+      }
+    }
+  }
+}
+
+function unavailable(): KeyValueError {
+  return { code: KeyValueErrorCode.Unavailable, message: 'the key-value service did not answer' };
+}
+
+function outcomeUnknown(): KeyValueError {
+  return { code: KeyValueErrorCode.OutcomeUnknown, message: 'the answer to the write was lost' };
+}
+
+/** One client's connection to the stand-in; `cut` simulates a partition of this client only. */
+export class EmulatedKeyValue implements KeyValue {
+  /** While true, this client's calls fail. */
+  public cut = false;
+
+  /** Number of coming writes of this client whose answer is lost after the write has taken effect. */
+  public loseAnswers = 0;
+
+  public constructor(private readonly store: KeyValueStore, private readonly clock: Clock) {}
+
+  public get(key: string, opts: CallOptions): Promise<Result<KeyValueEntry | null, KeyValueError>> {
+    return this.perform('get', opts, () => ok(this.store.read(key)));
+  }
+
+  public range(prefix: string, opts: CallOptions): Promise<Result<readonly KeyValueEntry[], KeyValueError>> {
+    return this.perform('range', opts, () => ok(this.store.list(prefix)));
+  }
+
+  public transact(
+    operations: readonly CasOperation[],
+    opts: CallOptions,
+  ): Promise<Result<readonly CasResult[], KeyValueError>> {
+    return this.perform('transact', opts, () => {
+      const tooLarge = operations.length > KEY_VALUE_MAX_OPERATIONS
+        || operations.some((operation) => Buffer.byteLength(operation.value ?? '') > KEY_VALUE_MAX_BYTES);
+      if (tooLarge) return fail({ code: KeyValueErrorCode.TooLarge, message: 'the request is too large' });
+      const missing = operations.some(({ leaseId }) => leaseId !== undefined && !this.store.hasLease(leaseId));
+      if (missing) return fail({ code: KeyValueErrorCode.LeaseNotFound, message: 'the lease has expired' });
+      return ok(operations.map((operation) => this.store.apply(operation)));
+    }, true);
+  }
+
+  public leaseGrant(ttlMs: number, opts: CallOptions): Promise<Result<string, KeyValueError>> {
+    return this.perform('leaseGrant', opts, () => ok(this.store.grant(ttlMs)), true);
+  }
+
+  public leaseRenew(leaseId: string, opts: CallOptions): Promise<Result<void, KeyValueError>> {
+    return this.perform('leaseRenew', opts, () => (this.store.renew(leaseId)
+      ? ok(undefined)
+      : fail({ code: KeyValueErrorCode.LeaseNotFound, message: 'the lease has expired' })), true);
+  }
+
+  public leaseRevoke(leaseId: string, opts: CallOptions): Promise<Result<void, KeyValueError>> {
+    return this.perform('leaseRevoke', opts, () => {
+      this.store.revoke(leaseId);
+      return ok(undefined);
+    }, true);
+  }
+
+  public async* watch(prefix: string, fromVersion: number, signal: AbortSignal): AsyncIterable<WatchEvent> {
+    this.count('watch');
+    if (this.unreachable()) return;
+    const watcher = this.store.addWatcher(prefix, fromVersion);
+    const wake = (): void => watcher.wake();
+    signal.addEventListener('abort', wake);
+    try {
+      while (!signal.aborted && !watcher.broken && !this.unreachable()) {
+        const event = watcher.pending.shift();
+        if (event !== undefined) {
+          yield event;
+          continue;
+        }
+        await new Promise<void>((resolve) => {
+          watcher.wake = resolve;
+        });
+      }
+    } finally {
+      signal.removeEventListener('abort', wake);
+      this.store.removeWatcher(watcher);
+    }
+  }
+
+  private async perform<T>(
+    method: string,
+    opts: CallOptions,
+    action: () => Result<T, KeyValueError>,
+    write = false,
+  ): Promise<Result<T, KeyValueError>> {
+    this.count(method);
+    const delayMs = this.store.latencyMs;
+    if (this.unreachable()) {
+      await sleep(this.clock, Math.min(delayMs, opts.timeoutMs), opts.signal);
+      return fail(unavailable());
+    }
+    if (delayMs > opts.timeoutMs) {
+      // The call still takes effect later, as it does when a client gives up on a slow server.
+      if (write) this.clock.after(delayMs / 2, action);
+      await sleep(this.clock, opts.timeoutMs, opts.signal);
+      return fail(write ? outcomeUnknown() : unavailable());
+    }
+    await sleep(this.clock, delayMs / 2, opts.signal);
+    if (this.unreachable()) return fail(write ? outcomeUnknown() : unavailable());
+    const result = action();
+    if (write && this.takeLostAnswer()) {
+      await sleep(this.clock, opts.timeoutMs, opts.signal);
+      return fail(outcomeUnknown());
+    }
+    await sleep(this.clock, delayMs / 2, opts.signal);
+    if (this.unreachable()) return fail(write ? outcomeUnknown() : unavailable());
+    return result;
+  }
+
+  private takeLostAnswer(): boolean {
+    if (this.loseAnswers > 0) {
+      this.loseAnswers -= 1;
+      return true;
+    }
+    if (this.store.loseAnswers > 0) {
+      this.store.loseAnswers -= 1;
+      return true;
+    }
+    return false;
+  }
+
+  private unreachable(): boolean {
+    return this.cut || this.store.down;
+  }
+
+  private count(method: string): void {
+    this.store.calls[method] = (this.store.calls[method] ?? 0) + 1;
+  }
+}
--- /dev/null
+++ b/src/emulator/platform.ts
@@ -0,0 +1,35 @@
+import type {
+  CallOptions, EdgeError, HostList, HostRecord, WeightStore,
+} from '../core/edges.js';
+import { HostState } from '../core/edges.js';
+import { fail, ok } from '../core/result.js';
+import type { Result } from '../core/result.js';
+
+/** In-process host list; tests set records directly, so the lag is theirs to choose. */
+export class EmulatedHostList implements HostList {
+  public down = false;
+
+  private readonly records = new Map<string, HostRecord>();
+
+  public set(host: string, failureDomain: string, state: HostState = HostState.Live): void {
+    this.records.set(host, { host, failureDomain, state });
+  }
+
+  public list(): Promise<Result<readonly HostRecord[], EdgeError>> {
+    if (this.down) return Promise.resolve(fail({ code: 'unavailable', message: 'no answer from the host list' }));
+    return Promise.resolve(ok([...this.records.values()]));
+  }
+}
+
+/** In-process weight store. */
+export class EmulatedWeightStore implements WeightStore {
+  public constructor(private readonly concurrentLoads = 2, private readonly bytes = 140e9) {}
+
+  public describe(
+    _model: string,
+    _version: string,
+    _opts: CallOptions,
+  ): Promise<Result<{ readonly bytes: number; readonly concurrentLoads: number }, EdgeError>> {
+    return Promise.resolve(ok({ bytes: this.bytes, concurrentLoads: this.concurrentLoads }));
+  }
+}
