--- /dev/null
+++ b/src/adapters/platform.ts
@@ -0,0 +1,67 @@
+import { z } from 'zod';
+import { HostState } from '../core/edges.js';
+import type {
+  CallOptions, EdgeError, HostList, HostRecord, WeightStore,
+} from '../core/edges.js';
+import { fail, ok } from '../core/result.js';
+import type { Result } from '../core/result.js';
+import { HttpConnection } from './http.js';
+
+const hostsSchema = z.array(z.object({
+  host: z.string(),
+  failureDomain: z.string(),
+  state: z.enum(HostState),
+}));
+
+const weightsSchema = z.object({ bytes: z.number(), concurrentLoads: z.number() });
+
+async function read<T>(
+  connection: HttpConnection,
+  path: string,
+  schema: z.ZodType<T>,
+  opts: CallOptions,
+): Promise<Result<T, EdgeError>> {
+  const answer = await connection.json({ ...opts, method: 'GET', path });
+  if (!answer.success) return fail({ code: 'unavailable', message: answer.error.message });
+  const parsed = schema.safeParse(answer.data.body);
+  return parsed.success ? ok(parsed.data) : fail({ code: 'unavailable', message: 'unexpected answer' });
+}
+
+/** Host list over HTTP: `GET /hosts`. */
+export class HttpHostList implements HostList {
+  private readonly connection: HttpConnection;
+
+  public constructor(address: string) {
+    this.connection = new HttpConnection(address, 1);
+  }
+
+  public list(opts: CallOptions): Promise<Result<readonly HostRecord[], EdgeError>> {
+    return read(this.connection, '/hosts', hostsSchema, opts);
+  }
+
+  public dispose(): void {
+    void this.connection.close();
+  }
+}
+
+/** Weight store over HTTP: `GET /weights/<model>/<version>`. */
+export class HttpWeightStore implements WeightStore {
+  private readonly connection: HttpConnection;
+
+  public constructor(address: string) {
+    this.connection = new HttpConnection(address, 1);
+  }
+
+  public describe(
+    model: string,
+    version: string,
+    opts: CallOptions,
+  ): Promise<Result<{ readonly bytes: number; readonly concurrentLoads: number }, EdgeError>> {
+    const path = `/weights/${encodeURIComponent(model)}/${encodeURIComponent(version)}`;
+    return read(this.connection, path, weightsSchema, opts);
+  }
+
+  public dispose(): void {
+    void this.connection.close();
+  }
+}
--- a/src/core/edges.ts
+++ b/src/core/edges.ts
@@ -284,6 +284,16 @@
   readonly block: string;
 }
 
+/** Where to read a generation again. */
+export interface ResumePosition {
+  readonly requestId: string;
+  /** Any attempt id under which the stream has been read. */
+  readonly attemptId: string;
+  readonly newAttemptId: string;
+  /** Index of the first token to read. */
+  readonly fromIndex: number;
+}
+
 /** Options of {@link Engine.order}. */
 export interface OrderOptions extends CallOptions {
   /** Sender's guard; the adapter evaluates it in the same synchronous turn as the socket write. */
@@ -295,14 +305,15 @@
   readonly name: string;
   /** Starts a generation. The stream ends early if the connection breaks; `signal` stops reading only. */
   generate(call: GenerateCall, opts: CallOptions): Promise<Result<AsyncIterable<EngineEvent>, EngineError>>;
-  /** Reads a generation again from `fromIndex`, without running the prompt. */
+  /**
+   * Reads a generation again without running the prompt. The reader becomes attempt `position.newAttemptId`; earlier
+   * attempt ids of the stream can still be resumed, but no longer cancel it.
+   */
   resume(
-    requestId: string,
-    attemptId: string,
-    fromIndex: number,
+    position: ResumePosition,
     opts: CallOptions,
   ): Promise<Result<AsyncIterable<EngineEvent>, EngineError>>;
-  /** Cancels a generation and frees its memory. */
+  /** Cancels a generation and frees its memory, if `attemptId` is its latest reader. */
   cancel(requestId: string, attemptId: string, opts: CallOptions): Promise<Result<void, EngineError>>;
   /** Sends an order; success means accepted, and {@link Engine.status} shows its progress. */
   order(order: Order, opts: OrderOptions): Promise<Result<OrderState, EngineError>>;
--- a/src/emulator/engine.ts
+++ b/src/emulator/engine.ts
@@ -3,7 +3,7 @@
 } from '../core/edges.js';
 import type {
   CacheEvent, CacheHandle, CallOptions, Clock, Engine, EngineError, EngineEvent, EngineStatus, GenerateCall,
-  LoadedModel, LoadReport, Order, OrderOptions, Role,
+  LoadedModel, LoadReport, Order, OrderOptions, ResumePosition, Role,
 } from '../core/edges.js';
 import { Fencing } from '../core/fleet.js';
 import { prefixBlocks } from '../core/prefixes.js';
@@ -27,6 +27,8 @@
 
 interface Stream {
   readonly call: GenerateCall;
+  /** Attempt id of the latest reader. */
+  attemptId: string;
   readonly events: EngineEvent[];
   readonly readers: Set<() => void>;
   /** No more events will come. */
@@ -93,7 +95,7 @@
 
   /** Ids of the streams that are being generated. */
   public get running(): string[] {
-    return [...this.streams.values()].filter((stream) => !stream.closed).map((stream) => stream.call.requestId);
+    return [...new Set(this.streams.values())].filter(({ closed }) => !closed).map(({ call }) => call.requestId);
   }
 
   public async generate(
@@ -107,7 +109,7 @@
     if (!served || this.model.away) return fail(error(EngineErrorCode.NotServed, 'the model is not served now'));
     this.started.set(call.requestId, (this.started.get(call.requestId) ?? 0) + 1);
     const stream: Stream = {
-      call, events: [], readers: new Set(), closed: false,
+      call, attemptId: call.attemptId, events: [], readers: new Set(), closed: false,
     };
     this.streams.set(`${call.requestId}/${call.attemptId}`, stream);
     this.run(stream);
@@ -115,22 +117,22 @@
   }
 
   public async resume(
-    requestId: string,
-    attemptId: string,
-    fromIndex: number,
+    position: ResumePosition,
     opts: CallOptions,
   ): Promise<Result<AsyncIterable<EngineEvent>, EngineError>> {
     const blocked = await this.travel(opts);
     if (blocked !== null) return fail(blocked);
-    const stream = this.streams.get(`${requestId}/${attemptId}`);
+    const stream = this.streams.get(`${position.requestId}/${position.attemptId}`);
     if (stream === undefined) return fail(error(EngineErrorCode.NotFound, 'no such stream'));
-    return ok(this.read(stream, fromIndex, opts.signal));
+    stream.attemptId = position.newAttemptId;
+    this.streams.set(`${position.requestId}/${position.newAttemptId}`, stream);
+    return ok(this.read(stream, position.fromIndex, opts.signal));
   }
 
   public async cancel(requestId: string, attemptId: string, opts: CallOptions): Promise<Result<void, EngineError>> {
     const blocked = await this.travel(opts);
     if (blocked !== null) return fail(blocked);
-    this.stop(`${requestId}/${attemptId}`);
+    this.stop(requestId, attemptId);
     return ok(undefined);
   }
 
@@ -188,7 +190,7 @@
     if (blocked !== null) return fail(blocked);
     const stream = this.streams.get(`${requestId}/${attemptId}`);
     if (stream === undefined) return fail(error(EngineErrorCode.NotFound, 'no such stream'));
-    this.stop(`${requestId}/${attemptId}`);
+    this.stop(requestId, attemptId);
     return ok({
       engine: this.name, requestId, tokens: estimateTokens(stream.call.prompt) + stream.events.length,
     });
@@ -282,20 +284,21 @@
     for (const wake of stream.readers) wake();
   }
 
-  private stop(key: string): void {
-    const stream = this.streams.get(key);
-    if (stream === undefined) return;
-    this.model.cancel(key);
+  private stop(requestId: string, attemptId: string): void {
+    const stream = this.streams.get(`${requestId}/${attemptId}`);
+    if (stream === undefined || stream.attemptId !== attemptId) return;
+    this.model.cancel(`${requestId}/${stream.call.attemptId}`);
     this.close(stream);
   }
 
   private async* read(stream: Stream, fromIndex: number, signal?: AbortSignal): AsyncIterable<EngineEvent> {
+    const { attemptId } = stream;
     let position = 0;
     while (signal?.aborted !== true && !this.faults.cut) {
       const event = stream.events[position];
       if (event !== undefined) {
         position += 1;
-        if (event.index >= fromIndex) yield event;
+        if (event.index >= fromIndex) yield { ...event, attemptId };
         continue;
       }
       if (stream.closed) return;
--- a/src/emulator/keyvalue.ts
+++ b/src/emulator/keyvalue.ts
@@ -42,6 +42,8 @@
 
   private version = 0;
 
+  private batchVersion: number | null = null;
+
   private leaseCount = 0;
 
   /** Every call fails while true. */
@@ -97,8 +99,16 @@
       .sort((a, b) => (a.key < b.key ? -1 : 1));
   }
 
-  public apply(operation: CasOperation): CasResult {
+  /** Applies the operations of one call; all their writes share one version. */
+  public applyAll(operations: readonly CasOperation[]): CasResult[] {
     this.expireLeases();
+    this.batchVersion = this.version + 1;
+    const results = operations.map((operation) => this.apply(operation));
+    this.batchVersion = null;
+    return results;
+  }
+
+  private apply(operation: CasOperation): CasResult {
     const current = this.entries.get(operation.key) ?? null;
     if ((current?.version ?? 0) !== operation.expected) return { applied: false, current };
     if (operation.value === null) this.remove(operation.key);
@@ -148,7 +158,7 @@
   }
 
   private put(key: string, value: string, leaseId: string | undefined): void {
-    this.version += 1;
+    this.version = this.batchVersion ?? this.version + 1;
     const entry: KeyValueEntry = {
       key, value, version: this.version, ...(leaseId === undefined ? {} : { leaseId }),
     };
@@ -157,7 +167,7 @@
   }
 
   private remove(key: string): void {
-    this.version += 1;
+    this.version = this.batchVersion ?? this.version + 1;
     this.entries.delete(key);
     this.notify({ type: 'delete', key, version: this.version });
   }
@@ -220,7 +230,7 @@
       if (tooLarge) return fail({ code: KeyValueErrorCode.TooLarge, message: 'the request is too large' });
       const missing = operations.some(({ leaseId }) => leaseId !== undefined && !this.store.hasLease(leaseId));
       if (missing) return fail({ code: KeyValueErrorCode.LeaseNotFound, message: 'the lease has expired' });
-      return ok(operations.map((operation) => this.store.apply(operation)));
+      return ok(this.store.applyAll(operations));
     }, true);
   }
 
