--- a/src/daemon/api.ts
+++ b/src/daemon/api.ts
@@ -1,8 +1,10 @@
+import type { ApplyOutcome, InForce } from '../core/revisions.js';
 import type { FinishReason, Priority } from '../core/edges.js';
-import type { Issue } from '../core/issues.js';
 import type { Refusal } from '../core/refusals.js';
 import type { Result } from '../core/result.js';
 
+export type { ApplyOutcome, InForce } from '../core/revisions.js';
+
 /** Generation request after the caller's input has been checked. */
 export interface GenerateRequest {
   readonly workspace: string;
@@ -62,21 +64,6 @@
   readonly keepMs: number;
 }
 
-/** Fleet file in force. */
-export interface InForce {
-  readonly revision: number;
-  readonly hash: string;
-  readonly file: string;
-}
-
-/** Outcome of applying a fleet file. */
-export type ApplyOutcome = | { readonly type: 'accepted'; readonly revision: number; readonly hash: string }
-    | { readonly type: 'invalid'; readonly issues: readonly Issue[] }
-    /** Another file was accepted first. */
-    | { readonly type: 'conflict'; readonly revision: number; readonly hash: string }
-    | { readonly type: 'unavailable'; readonly message: string }
-    | { readonly type: 'unknown'; readonly message: string };
-
 /** Result of a planned stop. */
 export interface DrainReport {
   readonly finished: number;
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,3 +1,5 @@
+export * from './core/authority.js';
+export * from './core/configuration.js';
 export * from './core/directory.js';
 export * from './core/disposables.js';
 export * from './core/dispatch.js';
@@ -7,6 +9,7 @@
 export * from './core/placement.js';
 export * from './core/prefixes.js';
 export * from './core/refusals.js';
+export * from './core/rendezvous.js';
 export * from './core/result.js';
 export * from './core/routing.js';
 export * from './core/streams.js';
