Add admission queues, adaptive limits and PolicyDispatcher

Cause: the first-in first-out dispatcher sends everything to the engines at once and refuses only by count. Change: core/admission.ts (bounded queues per priority and workspace, deficit round-robin, aging), core/limits.ts (limits on prefill tokens and decode sequences per engine, learned from first-token and per-token times), core/lanes.ts (separate engines for long prompts) and core/policy.ts, which implements Dispatcher with them. Conclusion: first usable version; FifoDispatcher stays as the baseline.

--- /dev/null
+++ b/src/core/policy.ts
@@ -0,0 +1,215 @@
+import { AdmissionQueue } from './admission.js';
+import type { Queued } from './admission.js';
+import type { EngineDirectory } from './directory.js';
+import type { DispatchHandle, DispatchListener, Dispatcher } from './dispatch.js';
+import type { Clock, Disposable, Random } from './edges.js';
+import { Estimates } from './estimates.js';
+import { LanePlan } from './lanes.js';
+import { EngineLimits, SERVICE_TARGET, TOLERANCE } from './limits.js';
+import type { Held, ServiceTarget } from './limits.js';
+import { AttemptOutcome } from './placement.js';
+import type { Placement, PolicyRefusal, WorkItem } from './placement.js';
+import type { Router, RouterOptions } from './routing.js';
+
+/** Options of {@link PolicyDispatcher}. */
+export interface PolicyOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly directory: EngineDirectory;
+  /** Creates the router; `hasRoom` applies this dispatcher's limits. */
+  readonly createRouter: (hasRoom: RouterOptions['hasRoom']) => Router;
+  readonly maxQueued: number;
+  readonly target?: ServiceTarget;
+  readonly tolerance?: number;
+  readonly separateLanes?: boolean;
+}
+
+interface Request extends Queued {
+  readonly listener: DispatchListener;
+  placement: Placement | null;
+  held: Held | null;
+  placedAt: number;
+  produced: number;
+  windowStart: number;
+  windowProduced: number;
+  finished: boolean;
+}
+
+/** One output token costs an engine about as much time as this many prompt tokens. */
+const OUTPUT_TOKEN_COST = 16;
+const EXPIRY_PERIOD_MS = 25;
+const REBALANCE_PERIOD_MS = 500;
+const LANE_TIME_CONSTANT_MS = 10_000;
+/** Tokens over which the time per token of a running answer is averaged. */
+const TOKEN_WINDOW = 16;
+const NO_ENGINE_RETRY_AFTER_MS = 1_000;
+
+/** Dispatcher with bounded fair queues and adaptive limits. */
+export class PolicyDispatcher implements Dispatcher {
+  public readonly estimates = new Estimates();
+
+  public readonly limits: EngineLimits;
+
+  private readonly lanes: LanePlan;
+
+  private readonly queue: AdmissionQueue<Request>;
+
+  private readonly router: Router;
+
+  private expiry: Disposable | null = null;
+
+  private rebalancedAt: number;
+
+  private pumping = false;
+
+  public constructor(private readonly options: PolicyOptions) {
+    const { clock, directory, random } = options;
+    const target = options.target ?? SERVICE_TARGET;
+    this.lanes = new LanePlan({ directory, separate: options.separateLanes ?? true });
+    this.limits = new EngineLimits({
+      clock, directory, lanes: this.lanes, target, tolerance: options.tolerance ?? TOLERANCE,
+    });
+    this.queue = new AdmissionQueue<Request>({
+      clock, random, maxQueued: options.maxQueued, firstTokenMs: target.firstTokenMs,
+    });
+    this.router = options.createRouter((engine, item) => this.limits.hasRoom(engine, item));
+    this.rebalancedAt = clock.monotonic();
+  }
+
+  public submit(item: WorkItem, listener: DispatchListener): DispatchHandle {
+    const request = this.createRequest(item, listener);
+    const refusal = this.refusal(request);
+    if (refusal === null) this.pump();
+    else {
+      request.finished = true;
+      listener.refused(refusal);
+    }
+    return this.handle(request);
+  }
+
+  public pump(): void {
+    // A listener may submit or finish another request while it is told of a placement.
+    if (this.pumping) return;
+    this.pumping = true;
+    this.queue.pump((request) => this.place(request));
+    this.pumping = false;
+    if (this.queue.length > 0 && this.expiry === null) {
+      this.expiry = this.options.clock.after(EXPIRY_PERIOD_MS, () => this.expire());
+    }
+  }
+
+  /** State for the dump, under stable keys. */
+  public dump(): Record<string, unknown> {
+    return { queued: this.queue.length, limits: this.limits.dump() };
+  }
+
+  private createRequest(item: WorkItem, listener: DispatchListener): Request {
+    const now = this.options.clock.monotonic();
+    const lane = this.lanes.laneOf(item);
+    const cost = item.promptTokens + OUTPUT_TOKEN_COST * this.estimates.outputTokens(item);
+    this.lanes.arrived(lane, cost);
+    if (now - this.rebalancedAt >= REBALANCE_PERIOD_MS) {
+      this.lanes.rebalance(now - this.rebalancedAt, LANE_TIME_CONSTANT_MS);
+      this.limits.lanesMoved();
+      this.rebalancedAt = now;
+    }
+    return {
+      item,
+      listener,
+      group: `${item.model}/${lane}`,
+      cost,
+      firstTokenMs: this.estimates.firstTokenMs(item.promptTokens),
+      queuedAt: now,
+      placement: null,
+      held: null,
+      placedAt: 0,
+      produced: 0,
+      windowStart: 0,
+      windowProduced: 0,
+      finished: false,
+    };
+  }
+
+  private refusal(request: Request): PolicyRefusal | null {
+    const serving = this.options.directory.serving(request.item.model);
+    if (serving.length === 0) return { code: 'no_engine', retryAfterMs: NO_ENGINE_RETRY_AFTER_MS };
+    return this.queue.offer(request);
+  }
+
+  private place(request: Request): boolean {
+    const placement = this.router.choose(request.item);
+    if (placement === null) return false;
+    request.placement = placement;
+    request.placedAt = this.options.clock.monotonic();
+    request.held = this.limits.started(request.item, placement);
+    this.router.started(request.item, placement);
+    request.listener.placed(placement);
+    return true;
+  }
+
+  private expire(): void {
+    this.expiry = null;
+    this.pump();
+    for (const request of this.queue.expire()) {
+      request.finished = true;
+      request.listener.refused(this.queue.refusalOf(request));
+    }
+    this.pump();
+  }
+
+  private firstToken(request: Request): void {
+    if (request.placement === null || request.held === null || request.finished) return;
+    const now = this.options.clock.monotonic();
+    const latencyMs = now - request.placedAt;
+    request.windowStart = now;
+    request.windowProduced = 1;
+    request.produced = 1;
+    this.estimates.observeFirstToken(request.item.promptTokens, latencyMs);
+    this.limits.firstToken(request.held, latencyMs);
+    this.router.firstToken(request.item, request.placement, latencyMs);
+    this.pump();
+  }
+
+  private progress(request: Request, produced: number): void {
+    if (request.placement === null || request.finished) return;
+    request.produced = produced;
+    this.router.progress(request.item, request.placement, produced);
+    if (produced - request.windowProduced >= TOKEN_WINDOW) this.closeWindow(request);
+  }
+
+  private closeWindow(request: Request): void {
+    const tokens = request.produced - request.windowProduced;
+    if (tokens <= 0 || request.held === null) return;
+    const now = this.options.clock.monotonic();
+    const gapMs = (now - request.windowStart) / tokens;
+    request.windowStart = now;
+    request.windowProduced = request.produced;
+    this.estimates.observeTokenTime(gapMs);
+    this.limits.tokenTime(request.held, gapMs);
+  }
+
+  private finish(request: Request, outcome: AttemptOutcome): void {
+    if (request.placement === null || request.held === null || request.finished) return;
+    if (outcome === AttemptOutcome.Done) {
+      this.closeWindow(request);
+      this.estimates.observeLength(request.item, request.produced);
+    }
+    request.finished = true;
+    this.limits.finished(request.held);
+    this.router.finished(request.item, request.placement, outcome);
+    this.pump();
+  }
+
+  private handle(request: Request): DispatchHandle {
+    return {
+      cancel: () => {
+        if (request.placement !== null || request.finished) return;
+        request.finished = true;
+        this.queue.remove(request);
+      },
+      firstToken: () => this.firstToken(request),
+      progress: (produced) => this.progress(request, produced),
+      finish: (outcome) => this.finish(request, outcome),
+    };
+  }
+}
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,3 +1,4 @@
+export * from './core/admission.js';
 export * from './core/directory.js';
 export * from './core/disposables.js';
 export * from './core/dispatch.js';
@@ -5,7 +6,10 @@
 export * from './core/estimates.js';
 export * from './core/fleet.js';
 export * from './core/issues.js';
+export * from './core/lanes.js';
+export * from './core/limits.js';
 export * from './core/placement.js';
+export * from './core/policy.js';
 export * from './core/prefixes.js';
 export * from './core/refusals.js';
 export * from './core/result.js';
