Add the users' fleets to the bench

Cause: several experiments run the same mixes, fleet sizes and entries. Change: src/bench/fleets.ts. Conclusion: experiments share one set-up.

--- /dev/null
+++ b/src/bench/fleets.ts
@@ -0,0 +1,124 @@
+import type { Dispatcher } from '../core/dispatch.js';
+import { FifoDispatcher } from '../core/dispatch.js';
+import { EngineDirectory } from '../core/directory.js';
+import { Role } from '../core/edges.js';
+import { PolicyDispatcher } from '../core/policy.js';
+import type { PolicyOptions } from '../core/policy.js';
+import { LeastRequestsRouter } from '../core/routing.js';
+import { SimulatedClock } from '../emulator/clock.js';
+import { SeededRandom } from '../emulator/random.js';
+import { Simulation } from './simulation.js';
+import type { SimulatedEntry } from './simulation.js';
+import { GALINHEIRO, HALVORSEN, generateArrivals } from './workload.js';
+import type { Arrival, ClassRate, RequestClass } from './workload.js';
+
+/** Fleet and mix of one user. */
+export interface User {
+  readonly name: string;
+  readonly engines: number;
+  readonly failureDomains: readonly string[];
+  /** One-way delay from entry to engine in ms. */
+  readonly delayMs: number;
+  /** Classes with their share of the requests. */
+  readonly mix: readonly { readonly requestClass: RequestClass; readonly share: number }[];
+}
+
+function named(classes: readonly RequestClass[], shares: Readonly<Record<string, number>>): User['mix'] {
+  return classes.map((requestClass) => ({ requestClass, share: shares[requestClass.name]! }));
+}
+
+export const HALVORSEN_FLEET: User = {
+  name: 'halvorsen',
+  engines: 10,
+  failureDomains: ['regina', 'brandon', 'saskatoon'],
+  delayMs: 1.5,
+  mix: named(HALVORSEN, { catalogue: 0.3, reply: 0.7 }),
+};
+
+export const GALINHEIRO_FLEET: User = {
+  name: 'galinheiro',
+  engines: 8,
+  failureDomains: ['south-1', 'south-2', 'south-3', 'south-4'],
+  delayMs: 0.5,
+  mix: named(GALINHEIRO, { notes: 0.3, rental: 0.55, urgent: 0.15 }),
+};
+
+/** Both users. */
+export const USERS: readonly User[] = [HALVORSEN_FLEET, GALINHEIRO_FLEET];
+
+/** Entries of each user. */
+export const ENTRIES = 6;
+
+const MAX_QUEUED = 2_000;
+
+/** Dispatcher of one entry of a variant. */
+export type CreateDispatcher = (clock: SimulatedClock, random: SeededRandom, directory: EngineDirectory) => Dispatcher;
+
+/** Baseline: first in, first out, no limit on engines. */
+export const createFifo: CreateDispatcher = (clock, random, directory) => new FifoDispatcher({
+  clock,
+  router: new LeastRequestsRouter({ directory, random, hasRoom: () => true }),
+  maxQueued: MAX_QUEUED,
+});
+
+/** Policy with the same router as the baseline. */
+export function createPolicy(options: Partial<PolicyOptions> = {}): CreateDispatcher {
+  return (clock, random, directory) => new PolicyDispatcher({
+    clock,
+    random,
+    directory,
+    createRouter: (hasRoom) => new LeastRequestsRouter({ directory, random, hasRoom }),
+    maxQueued: MAX_QUEUED,
+    ...options,
+  });
+}
+
+/** Finished simulation of one seed. */
+export interface FleetRun {
+  readonly records: Simulation['records'];
+  readonly roleChanges: number;
+  readonly simulation: Simulation;
+}
+
+/** Plays arrivals on a user's fleet of mixed engines with six entries. */
+export function runFleet(
+  user: User,
+  seed: number,
+  create: CreateDispatcher,
+  arrivals: readonly Arrival[],
+  durationMs: number,
+): FleetRun {
+  const clock = new SimulatedClock();
+  const random = new SeededRandom(seed + 1_000_000);
+  const simulation = new Simulation({
+    clock,
+    random,
+    roles: Array.from({ length: user.engines }, () => Role.Mixed),
+    failureDomains: user.failureDomains,
+    entries: ENTRIES,
+    delayMs: user.delayMs,
+    createEntry: (index): SimulatedEntry => {
+      const directory = new EngineDirectory();
+      const own = new SeededRandom(seed * 100 + index);
+      return { directory, dispatcher: create(clock, own, directory) };
+    },
+  });
+  simulation.run(arrivals, durationMs, 20_000);
+  return { records: simulation.records, roleChanges: simulation.roleChanges, simulation };
+}
+
+/** Arrivals of a user's mix at a total rate in requests a second that depends on time. */
+export function mixArrivals(
+  user: User,
+  seed: number,
+  ratePerSecond: (timeMs: number) => number,
+  maxRatePerSecond: number,
+  durationMs: number,
+): Arrival[] {
+  const rates: ClassRate[] = user.mix.map(({ requestClass, share }) => ({
+    requestClass,
+    ratePerSecond: (timeMs) => share * ratePerSecond(timeMs),
+    maxRatePerSecond: share * maxRatePerSecond,
+  }));
+  return generateArrivals(new SeededRandom(seed), rates, durationMs);
+}
