Let the simulation report load late, move decodes and cancel attempts

Cause: the routing and role experiments need late load reports at each entry, role changes that move running streams by KV cache export, and attempts that can be cancelled for hedges. Change: one attempt of a request is a class of its own (src/bench/attempt.ts); SimulatedEntry.report is optional; changeRole takes moveDecodes. WorkItem gains the optional importedTokens. Callers of the earlier API need no change.

--- a/src/bench/simulation.ts
+++ b/src/bench/simulation.ts
@@ -1,12 +1,13 @@
 import { Role } from '../core/edges.js';
-import type { DispatchHandle, Dispatcher } from '../core/dispatch.js';
+import type { Dispatcher } from '../core/dispatch.js';
 import type { EngineDirectory } from '../core/directory.js';
-import { AttemptOutcome } from '../core/placement.js';
-import type { Placement, WorkItem } from '../core/placement.js';
+import type { WorkItem } from '../core/placement.js';
 import type { SimulatedClock } from '../emulator/clock.js';
 import { ENGINE_PARAMETERS, EngineModel } from '../emulator/enginemodel.js';
-import type { EngineParameters } from '../emulator/enginemodel.js';
+import type { EngineParameters, ModelLoad } from '../emulator/enginemodel.js';
 import type { SeededRandom } from '../emulator/random.js';
+import { Attempt } from './attempt.js';
+import type { AttemptOptions } from './attempt.js';
 import type { Arrival } from './workload.js';
 
 /** What became of one request. */
@@ -34,8 +35,14 @@
 export interface SimulatedEntry {
   readonly dispatcher: Dispatcher;
   readonly directory: EngineDirectory;
+  /** Receives a late load report of each engine every `REPORT_PERIOD_MS`. */
+  readonly report?: (engine: string, load: ModelLoad) => void;
 }
 
+const REPORT_PERIOD_MS = 1_000;
+
+const MOVE_PERIOD_MS = 100;
+
 /** Options of {@link Simulation}. */
 export interface SimulationOptions {
   readonly clock: SimulatedClock;
@@ -60,16 +67,17 @@
 
   public roleChanges = 0;
 
-  private readonly inFlight = new Map<string, number>();
+  private readonly attempts = new Map<string, Set<Attempt>>();
 
   private readonly idleListeners = new Map<string, () => void>();
 
   private requests = 0;
 
-  public constructor(private readonly options: SimulationOptions) {
+  public constructor(public readonly options: SimulationOptions) {
     options.roles.forEach((role, index) => {
       const name = `engine-${index}`;
       this.engines.set(name, new EngineModel(options.clock, role, options.parameters ?? ENGINE_PARAMETERS));
+      this.attempts.set(name, new Set());
     });
     for (let index = 0; index < options.entries; index += 1) {
       const entry = options.createEntry(index, this);
@@ -81,6 +89,14 @@
   /** Plays arrivals, then runs on until `extraMs` after the last one. */
   public run(arrivals: readonly Arrival[], durationMs: number, extraMs = 30_000): void {
     for (const arrival of arrivals) this.options.clock.after(arrival.at, () => this.arrive(arrival));
+    this.entries.forEach(({ report }, index) => {
+      if (report === undefined) return;
+      this.options.clock.after((index * REPORT_PERIOD_MS) / this.entries.length, () => {
+        this.every(REPORT_PERIOD_MS, durationMs + extraMs, () => {
+          for (const [name, engine] of this.engines) report(name, engine.lateLoad());
+        });
+      });
+    });
     this.options.clock.advanceSync(durationMs + extraMs);
   }
 
@@ -94,8 +110,13 @@
     clock.after(periodMs, tick);
   }
 
-  /** Stops new work on an engine, waits until it is idle, and changes its role. */
-  public changeRole(name: string, role: Role): void {
+  /** Attempts that run on an engine. */
+  public attemptsAt(name: string): Attempt[] {
+    return [...this.attempts.get(name)!];
+  }
+
+  /** Stops new work on an engine, waits until it is idle or moves its decodes away, and changes its role. */
+  public changeRole(name: string, role: Role, opts: { readonly moveDecodes?: boolean } = {}): void {
     const engine = this.engines.get(name)!;
     this.roleChanges += 1;
     this.publish(name, false);
@@ -106,8 +127,14 @@
         this.publish(name, true);
       });
     };
-    if ((this.inFlight.get(name) ?? 0) === 0) change();
-    else this.idleListeners.set(name, change);
+    this.idleListeners.set(name, change);
+    const move = (): void => {
+      if (!this.idleListeners.has(name)) return;
+      for (const attempt of this.attemptsAt(name)) attempt.moveFrom(name);
+      this.options.clock.after(MOVE_PERIOD_MS, move);
+    };
+    if (opts.moveDecodes === true) move();
+    if (this.attempts.get(name)!.size === 0) this.idleListeners.get(name)?.();
   }
 
   /** Sets the availability of an engine at every entry. */
@@ -145,92 +172,34 @@
       arrival: this.options.clock.monotonic(),
     };
     this.requests += 1;
-    this.attempt(entry, item, record, 0);
+    this.attempt({
+      entry, item, record, produced: 0, importedTokens: 0,
+    });
   }
 
-  private attempt(entry: SimulatedEntry, item: WorkItem, record: RequestRecord, produced: number): void {
-    Object.assign(record, { attempts: record.attempts + 1 });
-    let handle: DispatchHandle | null = null;
-    // The dispatcher may place the request before `submit` returns, so the work starts one event later.
-    handle = entry.dispatcher.submit(item, {
-      placed: (placement) => {
-        for (const name of [placement.engine, placement.prefill]) {
-          if (name !== null) this.inFlight.set(name, (this.inFlight.get(name) ?? 0) + 1);
-        }
-        this.options.clock.after(this.options.delayMs ?? 0, () => {
-          this.execute(entry, item, record, placement, handle!, produced);
-        });
+  /** Submits a request, or what is left of it, at an entry. */
+  public attempt(attempt: Omit<AttemptOptions, 'onRefused' | 'onLost'>): Attempt {
+    Object.assign(attempt.record, { attempts: attempt.record.attempts + 1 });
+    return new Attempt(this, {
+      ...attempt,
+      onRefused: () => {
+        Object.assign(attempt.record, { refusedAt: this.options.clock.monotonic() });
       },
-      refused: () => {
-        Object.assign(record, { refusedAt: this.options.clock.monotonic() });
+      onLost: (produced) => {
+        this.attempt({ ...attempt, produced, importedTokens: 0 });
       },
     });
   }
 
-  private execute(
-    entry: SimulatedEntry,
-    item: WorkItem,
-    record: RequestRecord,
-    placement: Placement,
-    handle: DispatchHandle,
-    alreadyProduced: number,
-  ): void {
-    const { clock } = this.options;
-    const decode = this.engines.get(placement.engine)!;
-    const total = record.arrival.outputTokens;
-    let produced = alreadyProduced;
-    const token = (): void => {
-      produced += 1;
-      if (record.firstTokenAt === null) Object.assign(record, { firstTokenAt: clock.monotonic() });
-      if (produced === alreadyProduced + 1) handle.firstToken();
-      handle.progress(produced - alreadyProduced);
-    };
-    const end = (outcome: 'done' | 'lost'): void => {
-      this.leave(placement.engine);
-      if (outcome === 'done') {
-        Object.assign(record, { endAt: clock.monotonic() });
-        handle.finish(AttemptOutcome.Done);
-        return;
-      }
-      handle.finish(AttemptOutcome.Failed);
-      this.attempt(entry, item, record, produced);
-    };
-    const job = { priority: item.priority, blocks: item.blocks, promptTokens: item.promptTokens + alreadyProduced };
-    if (placement.prefill === null) {
-      decode.submit({
-        ...job, id: item.requestId, outputTokens: total - alreadyProduced, onToken: token, onEnd: end,
-      });
-      return;
-    }
-    const prefillName = placement.prefill;
-    this.engines.get(prefillName)!.submit({
-      ...job,
-      id: item.requestId,
-      outputTokens: 1,
-      prefillOnly: true,
-      onToken: token,
-      onEnd: (outcome) => {
-        this.leave(prefillName);
-        if (outcome === 'lost' || total - produced <= 0) {
-          end(outcome);
-          return;
-        }
-        decode.submit({
-          ...job,
-          id: item.requestId,
-          imported: true,
-          outputTokens: total - produced,
-          onToken: token,
-          onEnd: end,
-        });
-      },
-    });
+  /** Counts an attempt at the engines of a placement. */
+  public enter(attempt: Attempt, name: string): void {
+    this.attempts.get(name)!.add(attempt);
   }
 
-  private leave(name: string): void {
-    const left = (this.inFlight.get(name) ?? 0) - 1;
-    this.inFlight.set(name, left);
-    if (left === 0) this.idleListeners.get(name)?.();
+  /** Ends what {@link enter} began. */
+  public leave(attempt: Attempt, name: string): void {
+    const attempts = this.attempts.get(name)!;
+    if (attempts.delete(attempt) && attempts.size === 0) this.idleListeners.get(name)?.();
   }
 }
 
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -16,6 +16,8 @@
   readonly deadline: number;
   /** Monotonic time in ms of arrival. */
   readonly arrival: number;
+  /** Prompt tokens whose KV cache is imported with the request, so that they need no prefill. */
+  readonly importedTokens?: number;
   /** Engines that must not be chosen again for this request. */
   readonly excluded?: ReadonlySet<string>;
 }
