Parse settings and fleet files from INI and report every issue at once

Cause: entries need settings and a fleet file; the ini library alone merges duplicates and ignores malformed lines.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,4 +1,11 @@
 import { z } from 'zod';
+import { KEY_VALUE_MAX_BYTES } from './edges.js';
+import { parseIni, safeParseSection } from './ini.js';
+import type { IniSection } from './ini.js';
+import { IssuesError } from './issues.js';
+import type { Issue } from './issues.js';
+import { fail, ok } from './result.js';
+import type { Result } from './result.js';
 
 /** Whether an engine refuses orders that carry an old fencing number. */
 export enum Fencing {
@@ -21,13 +28,35 @@
   Auto = 'auto',
 }
 
-const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'lowercase letters, digits and hyphens, at most 63');
-const address = z.string().regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'IP address and port, for example 10.0.0.7:8100');
+/** Largest fleet file, in bytes of UTF-8. */
+export const FLEET_MAX_BYTES = KEY_VALUE_MAX_BYTES;
+
+const NAME_EXPECTED = 'lowercase letters, digits and hyphens, at most 63';
+const ADDRESS_EXPECTED = 'IP address and port, for example 10.0.0.7:8100';
+
+/** Name of an entry, host, failure domain, engine, service, model or workspace. */
+export const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, NAME_EXPECTED).describe(NAME_EXPECTED);
+
+function isAddress(text: string): boolean {
+  const match = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$/.exec(text);
+  if (match === null) return false;
+  const [port, ...octets] = match.slice(1).map(Number).reverse();
+  return octets.every((octet) => octet <= 255) && port !== undefined && port >= 1 && port <= 65_535;
+}
+
+/** IP address and port. */
+export const addressSchema = z.string().refine(isAddress, ADDRESS_EXPECTED).describe(ADDRESS_EXPECTED);
+
+/** Larger ratios between workspaces would starve the smaller ones of whole seconds of service. */
+const MAX_WEIGHT = 1_000;
+
+const name = nameSchema;
+const address = addressSchema;
 
 /** One version of one model. */
 export const modelSchema = z.strictObject({
   name,
-  version: z.string().min(1),
+  version: z.string().min(1, 'a version').describe('a version'),
   adapters: z.array(name).default([]),
 });
 
@@ -37,9 +66,9 @@
   address,
   host: name,
   failureDomain: name,
-  models: z.array(name).min(1),
+  models: z.array(name).min(1).describe('names of models, separated by commas'),
   role: z.enum(DesiredRole).default(DesiredRole.Auto),
-  fencing: z.enum(Fencing),
+  fencing: z.enum(Fencing).describe('enforced | ignored'),
   state: z.enum(ServerState).default(ServerState.Active),
 });
 
@@ -63,7 +92,7 @@
 /** One workspace and its share of the fleet. */
 export const workspaceSchema = z.strictObject({
   name,
-  weight: z.number().positive().default(1),
+  weight: z.coerce.number('a number above 0').positive('a number above 0').max(MAX_WEIGHT, `at most ${MAX_WEIGHT}`).default(1),
 });
 
 /** Whole declarative fleet file. */
@@ -82,3 +111,121 @@
 export type ServerSpec = z.infer<typeof serverSchema>;
 export type Workspace = z.infer<typeof workspaceSchema>;
 export type Fleet = z.infer<typeof fleetSchema>;
+
+const headerSchema = fleetSchema.pick({ name: true });
+
+const KINDS = ['model', 'engine', 'service', 'server', 'workspace'] as const;
+type Kind = typeof KINDS[number];
+
+const SECTIONS_ACCEPTED = ['fleet', ...KINDS.map((kind) => `${kind}.NAME`)];
+const LISTS = ['adapters', 'models', 'idempotent', 'non-idempotent'];
+
+const SCHEMAS = {
+  model: modelSchema, engine: engineSchema, service: serviceSchema, server: serverSchema, workspace: workspaceSchema,
+} as const;
+
+/** Checks names that sections use for each other, addresses used twice and contradicting operations. */
+function checkReferences(fleet: Fleet): Issue[] {
+  const issues: Issue[] = [];
+  const models = fleet.models.map((model) => model.name);
+  const services = fleet.services.map((service) => service.name);
+  const owners = new Map<string, string>();
+  const claim = (section: string, found: string): void => {
+    const owner = owners.get(found);
+    if (owner === undefined) owners.set(found, section);
+    else {
+      issues.push({
+        code: 'invalid_value', path: [section, 'address'], found, expected: `an address that [${owner}] does not have`,
+      });
+    }
+  };
+  for (const engine of fleet.engines) {
+    const section = `engine.${engine.name}`;
+    claim(section, engine.address);
+    for (const found of engine.models.filter((model) => !models.includes(model))) {
+      issues.push({
+        code: 'unknown_reference', path: [section, 'models'], found, accepted: models,
+      });
+    }
+  }
+  for (const server of fleet.servers) {
+    const section = `server.${server.name}`;
+    claim(section, server.address);
+    if (!services.includes(server.service)) {
+      issues.push({
+        code: 'unknown_reference', path: [section, 'service'], found: server.service, accepted: services,
+      });
+    }
+  }
+  for (const service of fleet.services) {
+    for (const found of service.nonIdempotent.filter((operation) => service.idempotent.includes(operation))) {
+      issues.push({
+        code: 'invalid_value',
+        path: [`service.${service.name}`, 'non-idempotent'],
+        found,
+        expected: 'operations that are not in idempotent',
+      });
+    }
+  }
+  return issues;
+}
+
+/** Parses a fleet file and checks all of it; the error holds every issue. */
+export function safeParseFleet(text: string, file?: string): Result<Fleet, readonly Issue[]> {
+  const place = file === undefined ? {} : { file };
+  const bytes = Buffer.byteLength(text);
+  if (bytes > FLEET_MAX_BYTES) {
+    return fail([{
+      code: 'too_large', path: [], ...place, bytes, limitBytes: FLEET_MAX_BYTES,
+    }]);
+  }
+  const document = parseIni(text, file);
+  const issues: Issue[] = [...document.issues];
+  const take = <T>(result: Result<T, readonly Issue[]>): T | undefined => {
+    if (result.success) return result.data;
+    issues.push(...result.error);
+    return undefined;
+  };
+  const items = {
+    model: [] as Model[],
+    engine: [] as EngineSpec[],
+    service: [] as ServiceSpec[],
+    server: [] as ServerSpec[],
+    workspace: [] as Workspace[],
+  };
+  const read = <K extends Kind>(kind: K, itemName: string, section: IniSection): void => {
+    const item = take(safeParseSection(section.name, section, SCHEMAS[kind] as z.ZodObject, {
+      ...place, lists: LISTS, fields: { name: itemName },
+    }));
+    if (item !== undefined) (items[kind] as unknown[]).push(item);
+  };
+  for (const section of document.sections.values()) {
+    const dot = section.name.indexOf('.');
+    const kind = KINDS.find((candidate) => candidate === section.name.slice(0, Math.max(dot, 0)));
+    if (kind !== undefined) read(kind, section.name.slice(dot + 1), section);
+    else if (section.name !== 'fleet') {
+      issues.push({
+        code: 'unknown_key', path: [section.name], ...place, line: section.line, accepted: SECTIONS_ACCEPTED,
+      });
+    }
+  }
+  const header = take(safeParseSection('fleet', document.sections.get('fleet'), headerSchema, place));
+  const fleet: Fleet = {
+    name: header?.name ?? '',
+    models: items.model,
+    engines: items.engine,
+    services: items.service,
+    servers: items.server,
+    workspaces: items.workspace,
+  };
+  // References to a section that is itself wrong would be reported as dangling.
+  if (issues.length === 0) issues.push(...checkReferences(fleet).map((issue) => ({ ...issue, ...place })));
+  return issues.length === 0 ? ok(fleet) : fail(issues);
+}
+
+/** Parses a fleet file; throws {@link IssuesError} with every issue. */
+export function parseFleet(text: string, file?: string): Fleet {
+  const result = safeParseFleet(text, file);
+  if (!result.success) throw new IssuesError(result.error);
+  return result.data;
+}
