--- /dev/null
+++ b/src/daemon/backends.ts
@@ -0,0 +1,250 @@
+import type { EngineDirectory } from '../core/directory.js';
+import { EngineErrorCode, Role } from '../core/edges.js';
+import type {
+  CacheEvent, Clock, Engine, EngineStatus, LoadReport, Log, Meter, PlainService, Random,
+} from '../core/edges.js';
+import { DesiredRole, ServerState } from '../core/fleet.js';
+import type { EngineSpec, Fleet, ServerSpec } from '../core/fleet.js';
+import { sleep } from '../core/time.js';
+
+/** Opens connections to backend servers; one implementation for each protocol. */
+export interface BackendDriver {
+  engine(spec: EngineSpec): Engine & { dispose?(): void };
+  service(spec: ServerSpec): PlainService & { dispose?(): void };
+}
+
+/** What the monitor learns from the engines. */
+export interface EngineObserver {
+  status(spec: EngineSpec, status: EngineStatus): void;
+  load(report: LoadReport): void;
+  cacheEvents(engine: string, events: readonly CacheEvent[]): void;
+}
+
+/** Options of {@link Backends}. */
+export interface BackendsOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly meter: Meter;
+  readonly driver: BackendDriver;
+  readonly directory: EngineDirectory;
+  readonly observer: EngineObserver;
+  /** Whether a backend server may get new work, as the leaving signals and holds say. */
+  readonly accepts: (server: string) => boolean;
+  /** Called after each change of the directory. */
+  readonly changed: () => void;
+}
+
+interface MonitoredEngine {
+  readonly spec: EngineSpec;
+  readonly client: Engine & { dispose?(): void };
+  readonly stop: AbortController;
+  status: EngineStatus | null;
+  failures: number;
+  cacheSequence: number;
+}
+
+interface ConnectedServer {
+  readonly spec: ServerSpec;
+  readonly client: PlainService & { dispose?(): void };
+}
+
+const REPORT_PERIOD_MS = 1_000;
+/** Engine status changes only by orders and restarts, so it is read less often than the load. */
+const STATUS_EVERY_REPORTS = 2;
+const CALL_TIMEOUT_MS = 1_000;
+/** An engine that fails this many reports in a row gets no new work until it answers again. */
+const FAILURES_TO_UNAVAILABLE = 3;
+
+function initialRole(desired: DesiredRole): Role {
+  switch (desired) {
+    case DesiredRole.Prefill:
+      return Role.Prefill;
+    case DesiredRole.Decode:
+      return Role.Decode;
+    case DesiredRole.Mixed:
+    case DesiredRole.Auto:
+    default:
+      return Role.Mixed;
+  }
+}
+
+/** Connections to the backend servers of the fleet file, with one monitoring task for each engine. */
+export class Backends {
+  private readonly engines = new Map<string, MonitoredEngine>();
+
+  private readonly servers = new Map<string, ConnectedServer>();
+
+  public constructor(private readonly options: BackendsOptions) {}
+
+  /** Follows a new fleet file: opens what is new, closes what is gone, and keeps what stays. */
+  public follow(fleet: Fleet): void {
+    const engines = new Map(fleet.engines.map((spec) => [spec.name, spec]));
+    for (const [name, known] of this.engines) {
+      const spec = engines.get(name);
+      if (spec === undefined || spec.address !== known.spec.address) this.dropEngine(name);
+      else Object.assign(known, { spec });
+    }
+    for (const spec of fleet.engines) {
+      if (!this.engines.has(spec.name)) this.addEngine(spec);
+    }
+    this.followServers(fleet);
+    this.refresh();
+  }
+
+  /** Connection to an engine of the fleet file. */
+  public engine(name: string): Engine | undefined {
+    return this.engines.get(name)?.client;
+  }
+
+  public engineSpecs(): EngineSpec[] {
+    return [...this.engines.values()].map(({ spec }) => spec);
+  }
+
+  public status(name: string): EngineStatus | null {
+    return this.engines.get(name)?.status ?? null;
+  }
+
+  /** Connection to a backend server of a plain service. */
+  public server(name: string): PlainService | undefined {
+    return this.servers.get(name)?.client;
+  }
+
+  /** Backend servers of a plain service that may get new work. */
+  public serversOf(service: string): ServerSpec[] {
+    return [...this.servers.values()]
+      .map(({ spec }) => spec)
+      .filter((spec) => spec.service === service && spec.state === ServerState.Active)
+      .filter((spec) => this.options.accepts(spec.name));
+  }
+
+  /** Writes what is known of all engines into the directory. */
+  public refresh(): void {
+    for (const engine of this.engines.values()) this.publish(engine);
+    this.options.changed();
+  }
+
+  /** Facts for the dump. */
+  public dump(): Record<string, unknown> {
+    return {
+      engines: [...this.engines.values()].map(({ spec, status, failures }) => ({
+        engine: spec.name,
+        address: spec.address,
+        role: status?.role ?? null,
+        models: status?.models ?? [],
+        leaving: status?.leaving ?? null,
+        failures,
+        available: this.options.directory.get(spec.name)?.available ?? false,
+      })),
+      servers: [...this.servers.values()].map(({ spec }) => ({
+        server: spec.name, service: spec.service, accepts: this.options.accepts(spec.name),
+      })),
+    };
+  }
+
+  public dispose(): void {
+    for (const name of [...this.engines.keys()]) this.dropEngine(name);
+    for (const { client } of this.servers.values()) client.dispose?.();
+    this.servers.clear();
+  }
+
+  private addEngine(spec: EngineSpec): void {
+    const engine: MonitoredEngine = {
+      spec,
+      client: this.options.driver.engine(spec),
+      stop: new AbortController(),
+      status: null,
+      failures: 0,
+      cacheSequence: 0,
+    };
+    this.engines.set(spec.name, engine);
+    void this.monitor(engine);
+  }
+
+  private dropEngine(name: string): void {
+    const engine = this.engines.get(name);
+    if (engine === undefined) return;
+    engine.stop.abort();
+    engine.client.dispose?.();
+    this.engines.delete(name);
+    this.options.directory.remove(name);
+  }
+
+  private followServers(fleet: Fleet): void {
+    const wanted = new Map(fleet.servers.map((spec) => [spec.name, spec]));
+    for (const [name, { spec, client }] of this.servers) {
+      if (wanted.get(name)?.address === spec.address) continue;
+      client.dispose?.();
+      this.servers.delete(name);
+    }
+    for (const spec of fleet.servers) {
+      const client = this.servers.get(spec.name)?.client ?? this.options.driver.service(spec);
+      this.servers.set(spec.name, { spec, client });
+    }
+  }
+
+  private publish({ spec, status, failures }: MonitoredEngine): void {
+    const available = spec.state === ServerState.Active
+      && failures < FAILURES_TO_UNAVAILABLE
+      && status !== null
+      && !status.leaving
+      && this.options.accepts(spec.name);
+    this.options.directory.set({
+      name: spec.name,
+      failureDomain: spec.failureDomain,
+      models: status === null ? [] : status.models.map(({ model }) => model),
+      role: status?.role ?? initialRole(spec.role),
+      available,
+    });
+  }
+
+  private async monitor(engine: MonitoredEngine): Promise<void> {
+    const { clock, random } = this.options;
+    const { signal } = engine.stop;
+    for (let round = 0; !signal.aborted; round += 1) {
+      const before = this.options.directory.get(engine.spec.name);
+      if (round % STATUS_EVERY_REPORTS === 0 || engine.status === null) await this.readStatus(engine);
+      await this.readLoad(engine);
+      await this.readCacheEvents(engine);
+      if (signal.aborted) return;
+      this.publish(engine);
+      const after = this.options.directory.get(engine.spec.name);
+      if (before?.available !== after?.available || before?.role !== after?.role) this.options.changed();
+      await sleep(clock, REPORT_PERIOD_MS * (0.75 + random.float() / 2), signal);
+    }
+  }
+
+  private async readStatus(engine: MonitoredEngine): Promise<void> {
+    const status = await engine.client.status({ timeoutMs: CALL_TIMEOUT_MS, signal: engine.stop.signal });
+    if (!status.success) {
+      this.countFailure(engine, status.error.code);
+      return;
+    }
+    const restarted = engine.status !== null && engine.status.incarnation !== status.data.incarnation;
+    // A restarted engine numbers its cache events from the beginning.
+    Object.assign(engine, { status: status.data, failures: 0, ...(restarted ? { cacheSequence: 0 } : {}) });
+    this.options.observer.status(engine.spec, status.data);
+  }
+
+  private async readLoad(engine: MonitoredEngine): Promise<void> {
+    const load = await engine.client.loadReport({ timeoutMs: CALL_TIMEOUT_MS, signal: engine.stop.signal });
+    if (load.success) this.options.observer.load(load.data);
+    else this.countFailure(engine, load.error.code);
+  }
+
+  private async readCacheEvents(engine: MonitoredEngine): Promise<void> {
+    const opts = { timeoutMs: CALL_TIMEOUT_MS, signal: engine.stop.signal };
+    const events = await engine.client.cacheEvents(engine.cacheSequence, opts);
+    if (!events.success || events.data.length === 0) return;
+    Object.assign(engine, { cacheSequence: events.data.at(-1)!.sequence });
+    this.options.observer.cacheEvents(engine.spec.name, events.data);
+  }
+
+  private countFailure(engine: MonitoredEngine, code: EngineErrorCode): void {
+    Object.assign(engine, { failures: engine.failures + 1 });
+    this.options.meter.count('engine_report_failures_total', 1, { engine: engine.spec.name });
+    if (engine.failures === FAILURES_TO_UNAVAILABLE) {
+      this.options.log.warn('engine_unavailable', { engine: engine.spec.name, code });
+    }
+  }
+}
