--- /dev/null
+++ b/test/configuration.test.ts
@@ -0,0 +1,309 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { CONFIGURATION_KEY } from '../src/core/applying.js';
+import { Configuration } from '../src/core/configuration.js';
+import type { ApplyOutcome, FleetParser } from '../src/core/configuration.js';
+import type { Fleet } from '../src/core/fleet.js';
+import { fail, ok } from '../src/core/result.js';
+import { Revisions, decodeRecord, hashFile } from '../src/core/revisions.js';
+import { diffSections, joinSections } from '../src/core/sections.js';
+import { SimulatedClock } from '../src/emulator/clock.js';
+import { EmulatedKeyValue, KeyValueStore } from '../src/emulator/keyvalue.js';
+import { EmulatedNetwork } from '../src/emulator/peers.js';
+import { SeededRandom } from '../src/emulator/random.js';
+import { FixedMembers, Loop, silent } from './support/faults.js';
+
+const EMPTY: Omit<Fleet, 'name'> = {
+  models: [], engines: [], services: [], servers: [], workspaces: [],
+};
+
+const parse: FleetParser = (file) => (file.startsWith('[fleet]')
+  ? ok({ ...EMPTY, name: file })
+  : fail([{ code: 'missing', path: ['fleet'], expected: 'a fleet section' }]));
+
+const fileNamed = (name: string): string => `[fleet]\nname = ${name}\n\n[model a]\nversion = 1\n\n[model b]\nversion = 1\n`;
+
+class World {
+  public readonly clock = new SimulatedClock();
+
+  public readonly store = new KeyValueStore(this.clock);
+
+  public readonly network = new EmulatedNetwork(this.clock);
+
+  public readonly members = new FixedMembers();
+
+  public readonly loops: Loop[] = [];
+
+  public readonly entries: Configuration[] = [];
+
+  private readonly highest = new Map<Configuration, number>();
+
+  public constructor(count: number, private readonly seed = 1) {
+    for (let index = 0; index < count; index += 1) this.start(index);
+  }
+
+  public start(index: number): void {
+    const address = `10.0.0.${index}:1`;
+    const loop = new Loop(address, this.clock, this.network, new EmulatedKeyValue(this.store, this.clock));
+    const entry = new Configuration({
+      clock: loop.clock,
+      random: new SeededRandom(this.seed * 100 + this.highest.size),
+      keyValue: loop.gatedKeyValue(),
+      members: this.members.view(address, String(this.highest.size)),
+      peers: loop.gatedPeers(),
+      server: this.network.listen(address),
+      seeds: ['10.0.0.0:1', '10.0.0.1:1'],
+      parse,
+      log: silent,
+      meter: silent,
+    });
+    this.highest.set(entry, 0);
+    this.loops[index] = loop;
+    this.entries[index] = entry;
+    void entry.run(loop.stop.signal);
+  }
+
+  /** I9: no process ever goes back to a lower revision. */
+  public check(): void {
+    for (const [entry, revision] of this.highest) {
+      const now = entry.show()?.revision ?? 0;
+      expect(now).toBeGreaterThanOrEqual(revision);
+      this.highest.set(entry, now);
+    }
+  }
+
+  public async advance(durationMs: number): Promise<void> {
+    for (let elapsed = 0; elapsed < durationMs; elapsed += 50) {
+      await this.clock.advance(Math.min(50, durationMs - elapsed));
+      this.check();
+    }
+  }
+
+  public async apply(index: number, file: string, base?: number, timeoutMs = 3_000): Promise<ApplyOutcome> {
+    let outcome: ApplyOutcome | null = null;
+    void this.entries[index]!.apply(file, base, timeoutMs).then((result) => {
+      outcome = result;
+    });
+    while (outcome === null) await this.advance(10);
+    return outcome;
+  }
+
+  public revisions(): number[] {
+    return this.entries.map((entry) => entry.show()?.revision ?? 0);
+  }
+}
+
+describe('apply', () => {
+  it('puts a file in force and tells its revision', async () => {
+    const world = new World(1);
+    expect(await world.apply(0, fileNamed('a'))).toMatchObject({ type: 'accepted', revision: 1 });
+    expect(world.entries[0]!.show()).toMatchObject({ revision: 1, file: fileNamed('a') });
+  });
+
+  it('refuses an invalid file and one over the size limit before any call', async () => {
+    const world = new World(1);
+    const calls = { ...world.store.calls };
+    expect(await world.apply(0, 'nothing', undefined, 100)).toMatchObject({ type: 'invalid', issues: [{ code: 'missing' }] });
+    const large = `${fileNamed('a')}${'#'.repeat(1_000_000)}`;
+    expect(await world.apply(0, large, undefined, 100)).toMatchObject({ type: 'invalid', issues: [{ code: 'too_large' }] });
+    expect(world.store.calls.transact).toBe(calls.transact);
+  });
+
+  it('tells one of two racing operators the winning revision', async () => {
+    const world = new World(2);
+    await world.apply(0, fileNamed('a'));
+    const outcomes = [world.entries[0]!.apply(fileNamed('b'), 1, 3_000), world.entries[1]!.apply(fileNamed('c'), 1, 3_000)];
+    await world.advance(500);
+    const types = (await Promise.all(outcomes)).map(({ type }) => type);
+    expect(types.sort()).toEqual(['accepted', 'conflict']);
+    expect(await world.apply(0, fileNamed('d'), 1)).toMatchObject({ type: 'conflict', revision: 2 });
+  });
+
+  // Guards against an operator who is told `conflict` or `unknown` about a file that is in force.
+  it('settles a lost answer, also when a later file has replaced the attempt', async () => {
+    const world = new World(2);
+    world.loops[0]!.keyValue.loseAnswers = 1;
+    const first = world.entries[0]!.apply(fileNamed('a'), undefined, 5_000);
+    await world.advance(500);
+    expect(await world.apply(1, fileNamed('b'), 1)).toMatchObject({ type: 'accepted', revision: 2 });
+    await world.advance(5_000);
+    expect(await first).toMatchObject({ type: 'accepted', revision: 1, hash: hashFile(fileNamed('a')) });
+  });
+
+  it('says unknown when the service stays down after the write, and unavailable before it', async () => {
+    const world = new World(1);
+    world.loops[0]!.keyValue.loseAnswers = 1;
+    const outcome = world.entries[0]!.apply(fileNamed('a'), undefined, 3_000);
+    await world.advance(10);
+    world.store.down = true;
+    await world.advance(4_000);
+    expect((await outcome).type).toBe('unknown');
+    expect((await world.apply(0, fileNamed('b'))).type).toBe('unavailable');
+  });
+});
+
+describe('propagation', () => {
+  it('reaches every entry within two seconds', async () => {
+    const world = new World(6);
+    await world.advance(1_000);
+    await world.apply(0, fileNamed('a'));
+    await world.advance(2_000);
+    expect(world.revisions()).toEqual([1, 1, 1, 1, 1, 1]);
+  });
+
+  it('reaches entries that only peers can inform within five seconds', async () => {
+    const world = new World(6);
+    for (const index of [2, 3, 4, 5]) world.loops[index]!.keyValue.cut = true;
+    await world.advance(1_000);
+    await world.apply(0, fileNamed('a'));
+    await world.advance(5_000);
+    expect(world.revisions()).toEqual([1, 1, 1, 1, 1, 1]);
+  });
+
+  it('sends only the changed sections to a peer that has the base', async () => {
+    const world = new World(2);
+    await world.apply(0, fileNamed('a'));
+    await world.advance(1_000);
+    for (const { keyValue } of world.loops) keyValue.cut = true;
+    world.loops[0]!.keyValue.cut = false;
+    world.store.breakWatches();
+    await world.advance(1_500);
+    await world.apply(0, fileNamed('a').replace('version = 1', 'version = 2'));
+    await world.advance(2_000);
+    expect(world.revisions()).toEqual([2, 2]);
+    expect(world.entries[1]!.dump()).toMatchObject({ peer_messages: { sections: 1 } });
+  });
+
+  it('holds watches on three members only', async () => {
+    const world = new World(6);
+    await world.apply(0, fileNamed('a'));
+    await world.advance(3_000);
+    expect(world.entries.filter((entry) => entry.dump().watching === true)).toHaveLength(3);
+  });
+
+  it('lets a starting entry take the highest revision while the service is down', async () => {
+    const world = new World(3);
+    await world.apply(0, fileNamed('a'));
+    await world.advance(2_000);
+    world.store.down = true;
+    world.start(3);
+    await world.advance(1_500);
+    expect(world.revisions()[3]).toBe(1);
+  });
+
+  it('stays without a file while nothing answers', async () => {
+    const world = new World(0);
+    world.store.down = true;
+    world.start(0);
+    await world.advance(5_000);
+    expect(world.entries[0]!.show()).toBeNull();
+  });
+
+  // Guards against a malformed message from a peer that stops the process or is taken.
+  it('refuses malformed messages and files with a wrong hash', async () => {
+    const world = new World(2);
+    const server = world.network.listen('10.0.0.0:1');
+    server.register('configuration.pull', () => Promise.resolve(ok({
+      type: 'whole', revision: 9, hash: 'wrong', file: fileNamed('z'),
+    })));
+    const client = world.network.client('10.0.0.9:1');
+    const call = client.call('10.0.0.1:1', 'configuration.push', { revision: 'x' }, { timeoutMs: 50 });
+    await world.advance(50);
+    expect(await call).toMatchObject({ success: false, error: { code: 'rejected' } });
+    const push = { revision: 9, address: '10.0.0.0:1' };
+    void client.call('10.0.0.1:1', 'configuration.push', push, { timeoutMs: 50 });
+    await world.advance(500);
+    expect(world.revisions()[1]).toBe(0);
+  });
+});
+
+const section = fc.tuple(fc.constantFrom('a', 'b', 'c'), fc.string()).map(([name, text]) => `[${name}]\n${text}\n`);
+
+describe('sections', () => {
+  it('rebuild any file from any base', () => {
+    const file = fc.array(section).map((sections) => sections.join(''));
+    const rebuilds = (base: string, next: string) => joinSections(base, diffSections(base, next)) === next;
+    fc.assert(fc.property(file, file, rebuilds), { seed: 5 });
+  });
+});
+
+const faults: Record<string, (world: World, index: number) => void> = {
+  pause: (world, index) => world.loops[index]!.pause(),
+  resume: (world, index) => world.loops[index]!.resume(),
+  cut: (world, index) => Object.assign(world.loops[index]!.keyValue, { cut: true }),
+  mend: (world, index) => Object.assign(world.loops[index]!.keyValue, { cut: false }),
+  outage: ({ store }) => Object.assign(store, { down: true }),
+  recovery: ({ store }) => Object.assign(store, { down: false }),
+  lostAnswer: ({ store }) => Object.assign(store, { loseAnswers: 1 }),
+  brokenWatches: ({ store }) => store.breakWatches(),
+  staleReads: (world, index) => Object.assign(world.loops[index]!, { staleReads: true }),
+  freshReads: (world, index) => Object.assign(world.loops[index]!, { staleReads: false }),
+  slow: ({ store }) => Object.assign(store, { latencyMs: 1_200 }),
+  fast: ({ store }) => Object.assign(store, { latencyMs: 2 }),
+  partition: ({ network }, index) => {
+    for (let other = 0; other < 4; other += 1) network.setCut(`10.0.0.${index}:1`, `10.0.0.${other}:1`, true);
+  },
+  replace: (world, index) => {
+    world.loops[index]!.kill();
+    world.start(index);
+  },
+};
+
+const step = fc.record({
+  action: fc.constantFrom('apply', 'apply', 'apply', ...Object.keys(faults)),
+  index: fc.nat(3),
+  waitMs: fc.integer({ min: 1, max: 2_000 }),
+});
+
+/** Every accepted revision stays unique, no process goes back, and all agree once the faults are over. */
+const neverReverts = fc.asyncProperty(fc.array(step, { maxLength: 25, size: 'max' }), async (schedule) => {
+  const world = new World(4, 3);
+  const accepted = new Map<number, string>();
+  const pending: Promise<void>[] = [];
+  for (const [round, { action, index, waitMs }] of schedule.entries()) {
+    if (action === 'apply') {
+      const file = fileNamed(`n${round}`);
+      pending.push(world.entries[index]!.apply(file, undefined, 2_000).then((outcome) => {
+        if (outcome.type !== 'accepted') return;
+        expect(accepted.get(outcome.revision) ?? outcome.hash).toBe(outcome.hash);
+        accepted.set(outcome.revision, outcome.hash);
+      }));
+    } else faults[action]!(world, index);
+    await world.advance(waitMs);
+  }
+  for (let index = 0; index < 4; index += 1) {
+    world.loops[index]!.resume();
+    faults.mend!(world, index);
+    for (let other = 0; other < 4; other += 1) world.network.setCut(`10.0.0.${index}:1`, `10.0.0.${other}:1`, false);
+  }
+  Object.assign(world.store, { down: false, latencyMs: 2, loseAnswers: 0 });
+  await world.advance(20_000);
+  const latest = Math.max(0, ...accepted.keys());
+  const inForce = world.entries.map((entry) => entry.show());
+  for (const file of inForce) {
+    expect(file?.revision ?? 0).toBeGreaterThanOrEqual(latest);
+    expect(file?.hash).toBe(inForce[0]?.hash);
+    expect(accepted.get(file?.revision ?? 0) ?? file?.hash).toBe(file?.hash);
+  }
+  const stored = world.store.peek(CONFIGURATION_KEY);
+  expect(inForce[0]?.revision).toBe(decodeRecord(stored ?? null)?.revision);
+});
+
+describe('random faults', () => {
+  it('never revert a file, and all entries agree afterwards', async () => {
+    await fc.assert(neverReverts, { seed: 21, numRuns: 40 });
+  });
+
+  it('are caught when a process takes a lower revision', async () => {
+    const { adopt } = Revisions.prototype;
+    Revisions.prototype.adopt = function adoptAnything(candidate, source) {
+      Object.assign(this, { held: null });
+      return adopt.call(this, candidate, source);
+    };
+    try {
+      expect((await fc.check(neverReverts, { seed: 21, numRuns: 40, endOnFailure: true })).failed).toBe(true);
+    } finally {
+      Revisions.prototype.adopt = adopt;
+    }
+  });
+});
