Give each entry long-lane engines of its own

Cause: entries that do not talk choose the same engine for long prompts at the same time, and one prefill beside the last decodes of another pushes the time per token past 46 ms. Change: LanePlan takes the position of the entry among the entries and assigns it its own long-lane engines.

--- a/src/bench/fleets.ts
+++ b/src/bench/fleets.ts
@@ -52,7 +52,12 @@
 const MAX_QUEUED = 2_000;
 
 /** Dispatcher of one entry of a variant. */
-export type CreateDispatcher = (clock: SimulatedClock, random: SeededRandom, directory: EngineDirectory) => Dispatcher;
+export type CreateDispatcher = (
+  clock: SimulatedClock,
+  random: SeededRandom,
+  directory: EngineDirectory,
+  index: number,
+) => Dispatcher;
 
 /** Baseline: first in, first out, no limit on engines. */
 export const createFifo: CreateDispatcher = (clock, random, directory) => new FifoDispatcher({
@@ -63,12 +68,13 @@
 
 /** Policy with the same router as the baseline. */
 export function createPolicy(options: Partial<PolicyOptions> = {}): CreateDispatcher {
-  return (clock, random, directory) => new PolicyDispatcher({
+  return (clock, random, directory, index) => new PolicyDispatcher({
     clock,
     random,
     directory,
     createRouter: (hasRoom) => new LeastRequestsRouter({ directory, random, hasRoom }),
     maxQueued: MAX_QUEUED,
+    share: () => ({ index, count: ENTRIES }),
     ...options,
   });
 }
@@ -100,7 +106,7 @@
     createEntry: (index): SimulatedEntry => {
       const directory = new EngineDirectory();
       const own = new SeededRandom(seed * 100 + index);
-      return { directory, dispatcher: create(clock, own, directory) };
+      return { directory, dispatcher: create(clock, own, directory, index) };
     },
   });
   simulation.run(arrivals, durationMs, 20_000);
--- a/src/core/lanes.ts
+++ b/src/core/lanes.ts
@@ -9,6 +9,12 @@
   Long = 'long',
 }
 
+/** Position of this entry among the entries that use the same engines. */
+export interface EntryShare {
+  readonly index: number;
+  readonly count: number;
+}
+
 /** Options of {@link LanePlan}. */
 export interface LanePlanOptions {
   readonly directory: EngineDirectory;
@@ -16,6 +22,8 @@
   readonly longPromptTokens?: number;
   /** False gives every mixed engine to both lanes. */
   readonly separate?: boolean;
+  /** Gives each entry long-lane engines of its own; absent lets every entry use all of them. */
+  readonly share?: () => EntryShare;
 }
 
 const LONG_PROMPT_TOKENS = 1_000;
@@ -56,15 +64,15 @@
     if (this.options.separate === false || engine.role !== Role.Mixed || this.mixed < 2) return true;
     const rank = this.ranks.get(engine.name) ?? 0;
     const boundary = this.boundary();
-    return lane === Lane.Long ? rank < Math.ceil(boundary) : rank >= Math.floor(boundary);
+    if (lane === Lane.Short) return rank >= Math.min(boundary, this.mixed - 1);
+    return rank < Math.max(1, boundary) && this.owns(rank, Math.max(1, boundary));
   }
 
-  /** Engines of the long lane, as a share of a whole; the engine at a fraction serves both lanes. */
+  /** Number of engines in the long lane. */
   public boundary(): number {
     if (this.demand[Lane.Short] === 0) return this.mixed;
     if (this.demand[Lane.Long] === 0) return 0;
-    const boundary = Math.min(this.mixed - 1, Math.max(1, this.longShare * this.mixed));
-    return Math.round(boundary);
+    return Math.round(Math.min(this.mixed - 1, Math.max(1, this.longShare * this.mixed)));
   }
 
   /** Adds the expected engine time of one arrival in ms. */
@@ -84,6 +92,12 @@
     this.demand[Lane.Long] *= keep;
   }
 
+  private owns(rank: number, engines: number): boolean {
+    const share = this.options.share?.();
+    if (share === undefined || share.count <= 1) return true;
+    return engines >= share.count ? rank % share.count === share.index : rank === share.index % engines;
+  }
+
   private rank(): void {
     const mixed = this.options.directory.all()
       .filter((engine) => engine.role === Role.Mixed && engine.available)
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -5,6 +5,7 @@
 import type { Clock, Disposable, Random } from './edges.js';
 import { Estimates } from './estimates.js';
 import { LanePlan } from './lanes.js';
+import type { EntryShare } from './lanes.js';
 import { EngineLimits, SERVICE_TARGET, TOLERANCE } from './limits.js';
 import type { Held, ServiceTarget } from './limits.js';
 import { AttemptOutcome } from './placement.js';
@@ -22,6 +23,8 @@
   readonly target?: ServiceTarget;
   readonly tolerance?: number;
   readonly separateLanes?: boolean;
+  /** Position of this entry among all entries, from membership. */
+  readonly share?: () => EntryShare;
 }
 
 interface Request extends Queued {
@@ -65,7 +68,11 @@
   public constructor(private readonly options: PolicyOptions) {
     const { clock, directory, random } = options;
     const target = options.target ?? SERVICE_TARGET;
-    this.lanes = new LanePlan({ directory, separate: options.separateLanes ?? true });
+    this.lanes = new LanePlan({
+      directory,
+      separate: options.separateLanes ?? true,
+      ...(options.share === undefined ? {} : { share: options.share }),
+    });
     this.limits = new EngineLimits({
       clock, directory, lanes: this.lanes, target, tolerance: options.tolerance ?? TOLERANCE,
     });
