Keep engines for urgent and brief work

Cause: urgent questions wait for the decode steps of large batches and are refused together with other short work. Change: a third lane for short prompts that are urgent or whose 0.9 quantile of the output length is at most 16 tokens; work beyond its engines runs beside other short work. The time per token is averaged over 48 tokens instead of 16.

--- a/src/core/lanes.ts
+++ b/src/core/lanes.ts
@@ -2,13 +2,21 @@
 import type { EngineDirectory } from './directory.js';
 import { Role } from './edges.js';
 import type { EngineFacts, WorkItem } from './placement.js';
+import { assertNever } from './result.js';
 
-/** Work that is kept apart on mixed engines because long prefills delay the decodes beside them. */
+/** Work that is kept apart on mixed engines. */
 export enum Lane {
+  /** Short prompts. */
   Short = 'short',
+  /** Long prompts, whose prefill delays the decodes beside it. */
   Long = 'long',
+  /** Short prompts that are urgent or whose answers are expected to be short. */
+  Quick = 'quick',
 }
 
+/** All lanes. */
+export const LANES: readonly Lane[] = [Lane.Short, Lane.Long, Lane.Quick];
+
 /** Position of this entry among the entries that use the same engines. */
 export interface EntryShare {
   readonly index: number;
@@ -20,14 +28,18 @@
   readonly directory: EngineDirectory;
   /** Prompts of this many tokens or more are long. */
   readonly longPromptTokens?: number;
-  /** False gives every mixed engine to both lanes. */
+  /** False gives every mixed engine to all lanes. */
   readonly separate?: boolean;
+  /** Whether a request with a short prompt belongs to the quick lane; absent leaves the lane unused. */
+  readonly isQuick?: (item: WorkItem) => boolean;
   /** Gives each entry long-lane engines of its own; absent lets every entry use all of them. */
   readonly share?: () => EntryShare;
 }
 
 const LONG_PROMPT_TOKENS = 1_000;
-const INITIAL_LONG_SHARE = 0.5;
+
+/** Long prompts run one after another, so their engines are busy for a smaller part of the time. */
+const LONG_WEIGHT = 1.25;
 
 function hash(name: string): number {
   return createHash('sha256').update(name).digest().readUInt32BE(0);
@@ -43,9 +55,13 @@
 
   private stale = true;
 
-  private demand: Record<Lane, number> = { [Lane.Short]: 0, [Lane.Long]: 0 };
+  private readonly demand: Record<Lane, number> = { [Lane.Short]: 0, [Lane.Long]: 0, [Lane.Quick]: 0 };
+
+  private latest: { readonly item: WorkItem; readonly lane: Lane } | null = null;
+
+  private longEngines = 0;
 
-  private longShare = INITIAL_LONG_SHARE;
+  private quickEngines = 0;
 
   public constructor(private readonly options: LanePlanOptions) {
     this.longPromptTokens = options.longPromptTokens ?? LONG_PROMPT_TOKENS;
@@ -55,41 +71,63 @@
   }
 
   public laneOf(item: WorkItem): Lane {
-    return item.promptTokens >= this.longPromptTokens ? Lane.Long : Lane.Short;
+    if (item.promptTokens >= this.longPromptTokens) return Lane.Long;
+    // A choice asks for the lane of one request once for each engine.
+    if (this.latest?.item !== item) {
+      this.latest = { item, lane: this.options.isQuick?.(item) === true ? Lane.Quick : Lane.Short };
+    }
+    return this.latest.lane;
   }
 
   /** Whether an engine takes work of a lane. */
   public serves(engine: EngineFacts, lane: Lane): boolean {
     if (this.stale) this.rank();
-    if (this.options.separate === false || engine.role !== Role.Mixed || this.mixed < 2) return true;
+    if (this.options.separate === false || engine.role !== Role.Mixed) return true;
     const rank = this.ranks.get(engine.name) ?? 0;
-    const boundary = this.boundary();
-    if (lane === Lane.Short) return rank >= Math.min(boundary, this.mixed - 1);
-    return rank < Math.max(1, boundary) && this.owns(rank, Math.max(1, boundary));
-  }
-
-  /** Number of engines in the long lane. */
-  public boundary(): number {
-    if (this.demand[Lane.Short] === 0) return this.mixed;
-    if (this.demand[Lane.Long] === 0) return 0;
-    return Math.round(Math.min(this.mixed - 1, Math.max(1, this.longShare * this.mixed)));
+    const long = this.longEngines;
+    const quick = this.quickEngines;
+    switch (lane) {
+      case Lane.Long:
+        return long === 0 || (rank < long && this.owns(rank, long));
+      case Lane.Quick:
+        return quick === 0 ? rank >= long || long === this.mixed : rank >= this.mixed - quick;
+      case Lane.Short:
+        return long + quick >= this.mixed || (rank >= long && rank < this.mixed - quick);
+      default:
+        return assertNever(lane);
+    }
   }
 
-  /** Adds the expected engine time of one arrival in ms. */
-  public arrived(lane: Lane, engineMs: number): void {
-    this.demand[lane] += engineMs;
+  /** Adds the expected engine work of one arrival in tokens. */
+  public arrived(lane: Lane, tokens: number): void {
+    this.demand[lane] += tokens * (lane === Lane.Long ? LONG_WEIGHT : 1);
   }
 
-  /** Moves the division toward the demand of the last `elapsedMs`. */
+  /** Forgets old demand with this time constant and divides the engines by what remains. */
   public rebalance(elapsedMs: number, timeConstantMs: number): void {
-    const total = this.demand[Lane.Short] + this.demand[Lane.Long];
-    if (total > 0) {
-      const weight = 1 - Math.exp(-elapsedMs / timeConstantMs);
-      this.longShare += weight * (this.demand[Lane.Long] / total - this.longShare);
-    }
     const keep = Math.exp(-elapsedMs / timeConstantMs);
-    this.demand[Lane.Short] *= keep;
-    this.demand[Lane.Long] *= keep;
+    for (const lane of LANES) this.demand[lane] *= keep;
+    this.divide();
+  }
+
+  /** Engines per lane, for the state dump. */
+  public dump(): Record<string, number> {
+    return { mixed: this.mixed, long: this.longEngines, quick: this.quickEngines };
+  }
+
+  private divide(): void {
+    const { [Lane.Short]: short, [Lane.Long]: long, [Lane.Quick]: quick } = this.demand;
+    const engines = this.mixed;
+    this.longEngines = 0;
+    this.quickEngines = 0;
+    const present = [short, long, quick].filter((demand) => demand > 0).length;
+    if (present < 2 || engines < present) return;
+    const share = (part: number, of: number, parts: number, whole: number): number => (
+      part === 0 ? 0 : Math.max(1, Math.min(of - parts, Math.round((part / whole) * of)))
+    );
+    this.quickEngines = share(quick, engines, present - 1, short + long + quick);
+    const rest = engines - this.quickEngines;
+    this.longEngines = share(long, rest, short > 0 ? 1 : 0, short + long);
   }
 
   private owns(rank: number, engines: number): boolean {
@@ -106,5 +144,6 @@
     this.ranks = new Map(mixed.map((engine, index) => [engine.name, index]));
     this.mixed = mixed.length;
     this.stale = false;
+    this.divide();
   }
 }
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -1,7 +1,7 @@
 import type { EngineDirectory } from './directory.js';
 import type { Clock } from './edges.js';
 import { Priority, Role } from './edges.js';
-import { Lane } from './lanes.js';
+import { LANES, Lane } from './lanes.js';
 import type { LanePlan } from './lanes.js';
 import type { EngineFacts, Placement, WorkItem } from './placement.js';
 
@@ -146,7 +146,7 @@
 
 /** Share of the limit that each priority may use; the rest is reserved for higher ones. */
 const HEADROOM: Record<Priority, number> = {
-  [Priority.Urgent]: 1.25,
+  [Priority.Urgent]: 2,
   [Priority.Normal]: 1,
   [Priority.Bulk]: 0.85,
 };
@@ -172,8 +172,13 @@
   public hasRoom(name: string, item: WorkItem): boolean {
     const engine = this.options.directory.get(name);
     if (engine === undefined) return false;
-    const lane = this.options.lanes.laneOf(item);
-    if (!this.options.lanes.serves(engine, lane)) return false;
+    const { lanes } = this.options;
+    let lane = lanes.laneOf(item);
+    if (!lanes.serves(engine, lane)) {
+      // Quick work beyond its own engines runs beside other short work.
+      if (lane !== Lane.Quick || !this.isFull(engine.role, lane) || !lanes.serves(engine, Lane.Short)) return false;
+      lane = Lane.Short;
+    }
     const headroom = HEADROOM[item.priority];
     return (engine.role === Role.Decode || this.phaseHasRoom(engine, lane, Phase.Prefill, headroom))
       && (engine.role === Role.Prefill || this.phaseHasRoom(engine, lane, Phase.Decode, headroom));
@@ -181,7 +186,7 @@
 
   /** Counts a placed request; the returned record goes back to the methods below. */
   public started(item: WorkItem, placement: Placement): Held {
-    const lane = this.options.lanes.laneOf(item);
+    const lane = this.laneAt(item, placement.engine);
     const held: Held = {
       prefill: this.share(placement.prefill ?? placement.engine, lane),
       decode: this.share(placement.engine, lane),
@@ -235,6 +240,18 @@
     return room;
   }
 
+  private laneAt(item: WorkItem, name: string): Lane {
+    const lane = this.options.lanes.laneOf(item);
+    const engine = this.options.directory.get(name);
+    return lane === Lane.Quick && engine !== undefined && !this.options.lanes.serves(engine, lane) ? Lane.Short : lane;
+  }
+
+  private isFull(role: Role, lane: Lane): boolean {
+    const group = this.group(role, lane);
+    return [Phase.Prefill, Phase.Decode]
+      .some((phase) => group.inFlight[phase] >= group.limits[phase].value * Math.max(1, group.engines));
+  }
+
   private endPrefill(held: Held): void {
     if (held.prefilled) return;
     Object.assign(held, { prefilled: true });
@@ -309,7 +326,7 @@
     for (const group of this.groups.values()) group.engines = 0;
     for (const engine of this.options.directory.all()) {
       if (!engine.available) continue;
-      for (const lane of [Lane.Short, Lane.Long]) {
+      for (const lane of LANES) {
         const group = this.groups.get(`${engine.role}/${lane}`);
         if (group !== undefined && this.options.lanes.serves(engine, lane)) group.engines += 1;
       }
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -3,6 +3,7 @@
 import type { EngineDirectory } from './directory.js';
 import type { DispatchHandle, DispatchListener, Dispatcher } from './dispatch.js';
 import type { Clock, Disposable, Random } from './edges.js';
+import { Priority } from './edges.js';
 import { Estimates } from './estimates.js';
 import { LanePlan } from './lanes.js';
 import type { EntryShare } from './lanes.js';
@@ -23,6 +24,8 @@
   readonly target?: ServiceTarget;
   readonly tolerance?: number;
   readonly separateLanes?: boolean;
+  /** False lets urgent and brief work share the engines of other short prompts. */
+  readonly separateQuick?: boolean;
   /** Position of this entry among all entries, from membership. */
   readonly share?: () => EntryShare;
 }
@@ -40,11 +43,12 @@
 
 /** One output token costs an engine about as much time as this many prompt tokens. */
 const OUTPUT_TOKEN_COST = 16;
+const QUICK_OUTPUT_TOKENS = 16;
 const EXPIRY_PERIOD_MS = 25;
 const REBALANCE_PERIOD_MS = 500;
 const LANE_TIME_CONSTANT_MS = 10_000;
 /** Tokens over which the time per token of a running answer is averaged. */
-const TOKEN_WINDOW = 16;
+const TOKEN_WINDOW = 48;
 const NO_ENGINE_RETRY_AFTER_MS = 1_000;
 
 /** Dispatcher with bounded fair queues and adaptive limits. */
@@ -71,6 +75,7 @@
     this.lanes = new LanePlan({
       directory,
       separate: options.separateLanes ?? true,
+      ...(options.separateQuick === false ? {} : { isQuick: (item) => this.isQuick(item) }),
       ...(options.share === undefined ? {} : { share: options.share }),
     });
     this.limits = new EngineLimits({
@@ -107,7 +112,11 @@
 
   /** State for the dump, under stable keys. */
   public dump(): Record<string, unknown> {
-    return { queued: this.queue.length, limits: this.limits.dump() };
+    return { queued: this.queue.length, lanes: this.lanes.dump(), limits: this.limits.dump() };
+  }
+
+  private isQuick(item: WorkItem): boolean {
+    return item.priority === Priority.Urgent || this.estimates.outputTokens(item, 0.9) <= QUICK_OUTPUT_TOKENS;
   }
 
   private createRequest(item: WorkItem, listener: DispatchListener): Request {
