--- /dev/null
+++ b/src/core/candidates.ts
@@ -0,0 +1,83 @@
+import type { Random } from './edges.js';
+import { Role } from './edges.js';
+import { sharedOrder } from './affinity.js';
+import type { EngineDirectory } from './directory.js';
+import type { EngineFacts } from './placement.js';
+import { homeEngines } from './subset.js';
+
+interface RolePools {
+  readonly mixed: readonly EngineFacts[];
+  readonly decode: readonly EngineFacts[];
+  readonly prefill: readonly EngineFacts[];
+}
+
+/** Available engines of one model by role. */
+export interface ModelEngines extends RolePools {
+  /** Engines that all nodes prefer for short answers. */
+  readonly forShort: ReadonlySet<string>;
+  /** Those among them that this node prefers. */
+  readonly home: ReadonlySet<string>;
+}
+
+/** Options of {@link CandidatePools}. */
+export interface CandidateOptions {
+  readonly directory: EngineDirectory;
+  readonly random: Random;
+  readonly node: string;
+  readonly nodes: () => readonly string[];
+}
+
+/** Engines to choose from, kept until the directory or the nodes change. */
+export class CandidatePools {
+  private readonly models = new Map<string, RolePools>();
+
+  private readonly divided = new Map<string, { readonly count: number; readonly engines: ModelEngines }>();
+
+  private nodes: readonly string[] = [];
+
+  public constructor(private readonly options: CandidateOptions) {
+    options.directory.onChange(() => this.models.clear());
+  }
+
+  /** Available engines of a model; `shortEngines` gives how many of a number take short answers. */
+  public of(model: string, shortEngines: (total: number) => number): ModelEngines {
+    const nodes = this.options.nodes();
+    if (nodes !== this.nodes) {
+      this.nodes = nodes;
+      this.models.clear();
+    }
+    let roles = this.models.get(model);
+    if (roles === undefined) {
+      const serving = sharedOrder(this.options.directory.serving(model));
+      const ofRole = (role: Role): EngineFacts[] => serving.filter((engine) => engine.role === role);
+      roles = { mixed: ofRole(Role.Mixed), decode: ofRole(Role.Decode), prefill: ofRole(Role.Prefill) };
+      this.models.set(model, roles);
+      this.divided.delete(model);
+    }
+    const count = shortEngines(roles.mixed.length + roles.decode.length + roles.prefill.length);
+    const known = this.divided.get(model);
+    if (known !== undefined && known.count === count) return known.engines;
+    const names = (pool: readonly EngineFacts[]): string[] => pool.map((engine) => engine.name);
+    const mixedForShort = Math.max(0, count - roles.prefill.length);
+    const forShort = names([...roles.prefill, ...roles.mixed.slice(0, mixedForShort)]);
+    const engines = {
+      ...roles, forShort: new Set(forShort), home: homeEngines(this.options.node, nodes, forShort),
+    };
+    this.divided.set(model, { count, engines });
+    return engines;
+  }
+
+  /** Home engines, owners and `count` random engines of a pool; the whole pool if it is no larger than `count`. */
+  public sample(
+    pool: readonly EngineFacts[],
+    home: ReadonlySet<string>,
+    owners: readonly string[],
+    count: number,
+  ): readonly EngineFacts[] {
+    if (pool.length <= count) return pool;
+    const chosen = new Set(pool.filter(({ name }) => home.has(name) || owners.includes(name)));
+    const size = Math.min(pool.length, chosen.size + count);
+    while (chosen.size < size) chosen.add(pool[Math.floor(this.options.random.float() * pool.length)]!);
+    return [...chosen];
+  }
+}
--- /dev/null
+++ b/src/core/subset.ts
@@ -0,0 +1,123 @@
+/* eslint-disable no-bitwise -- hash functions work on bits */
+/** Engine as the subset selection sees it. */
+export interface SubsetEngine {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly models: readonly string[];
+}
+
+/** Options of {@link selectSubset}. */
+export interface SubsetOptions {
+  /** Nodes that follow each engine. */
+  readonly nodesPerEngine: number;
+  /** Fewest engines of each model that a node follows, as far as the fleet has them. */
+  readonly enginesPerModel: number;
+}
+
+/** Eight nodes for each engine: with 10,000 engines and 1,800 nodes a node follows about 45. */
+export const DEFAULT_SUBSET_OPTIONS: SubsetOptions = { nodesPerEngine: 8, enginesPerModel: 3 };
+
+function hashName(name: string): number {
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < name.length; index += 1) {
+    hash = Math.imul(hash ^ name.charCodeAt(index), 0x01000193);
+  }
+  return hash >>> 0;
+}
+
+function mix(left: number, right: number): number {
+  let hash = Math.imul(left ^ Math.imul(right, 0x9e3779b1), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 15), 0xc2b2ae35);
+  hash = Math.imul(hash ^ (hash >>> 13), 0x27d4eb2f);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/** Rendezvous weight of a pair; 32 bits, the same at every node. */
+export function rendezvousWeight(node: string, engine: string): number {
+  return mix(hashName(node), hashName(engine));
+}
+
+function isAmongFirst(self: number, nodes: readonly number[], engine: number, count: number): boolean {
+  const own = mix(self, engine);
+  let ahead = 0;
+  // Most engines are decided after a few nodes, so a change of one member does not cost engines times nodes.
+  for (const node of nodes) {
+    if (mix(node, engine) > own) {
+      ahead += 1;
+      if (ahead >= count) return false;
+    }
+  }
+  return true;
+}
+
+/**
+ * Engines that a node follows. Every engine is followed by `nodesPerEngine` nodes (all nodes when there are fewer),
+ * and each node covers every model and every failure domain.
+ */
+export function selectSubset(
+  node: string,
+  nodes: readonly string[],
+  engines: readonly SubsetEngine[],
+  opts: SubsetOptions = DEFAULT_SUBSET_OPTIONS,
+): string[] {
+  const self = hashName(node);
+  const others = nodes.filter((name) => name !== node).map(hashName);
+  const chosen = new Set<SubsetEngine>();
+  const byWeight = engines
+    .map((engine) => ({ engine, hash: hashName(engine.name) }))
+    .sort((a, b) => mix(self, b.hash) - mix(self, a.hash));
+  for (const { engine, hash } of byWeight) {
+    if (isAmongFirst(self, others, hash, opts.nodesPerEngine)) chosen.add(engine);
+  }
+  const perModel = new Map<string, number>();
+  const domains = new Set<string>();
+  const count = (engine: SubsetEngine): void => {
+    domains.add(engine.failureDomain);
+    for (const model of engine.models) perModel.set(model, (perModel.get(model) ?? 0) + 1);
+  };
+  for (const engine of chosen) count(engine);
+  for (const { engine } of byWeight) {
+    if (chosen.has(engine)) continue;
+    const lacking = engine.models.some((model) => (perModel.get(model) ?? 0) < opts.enginesPerModel);
+    if (!lacking && domains.has(engine.failureDomain)) continue;
+    chosen.add(engine);
+    count(engine);
+  }
+  return [...chosen].map((engine) => engine.name);
+}
+
+/** Most pairs for which homes are balanced; beyond it each engine goes to the node of the highest weight. */
+const MAX_BALANCED_PAIRS = 4_096;
+
+function spread(buckets: readonly string[], items: readonly string[]): Map<string, string> {
+  const pairs = buckets.flatMap((bucket) => items.map((item) => ({
+    bucket, item, weight: mix(hashName(bucket), hashName(item)),
+  }))).sort((a, b) => b.weight - a.weight || (a.bucket < b.bucket ? -1 : 1));
+  const result = new Map<string, string>();
+  const sizes = new Map<string, number>();
+  // Every bucket is filled to the even share first; the rest goes one to a bucket.
+  for (const size of [Math.floor(items.length / buckets.length), Math.ceil(items.length / buckets.length)]) {
+    for (const { bucket, item } of pairs) {
+      if (result.has(item) || (sizes.get(bucket) ?? 0) >= size) continue;
+      result.set(item, bucket);
+      sizes.set(bucket, (sizes.get(bucket) ?? 0) + 1);
+    }
+  }
+  return result;
+}
+
+/**
+ * Engines that a node prefers for work that suffers when two nodes send it to one engine at the same time. Engines are
+ * divided evenly among the nodes, or nodes among the engines when there are more nodes.
+ */
+export function homeEngines(node: string, nodes: readonly string[], engines: readonly string[]): Set<string> {
+  if (engines.length === 0 || !nodes.includes(node)) return new Set(engines);
+  if (engines.length < nodes.length) return new Set([spread(engines, nodes).get(node)!]);
+  if (engines.length * nodes.length <= MAX_BALANCED_PAIRS) {
+    const owners = spread(nodes, engines);
+    return new Set(engines.filter((engine) => owners.get(engine) === node));
+  }
+  const self = hashName(node);
+  const others = nodes.filter((name) => name !== node).map(hashName);
+  return new Set(engines.filter((engine) => isAmongFirst(self, others, hashName(engine), 1)));
+}
--- /dev/null
+++ b/src/core/tracker.ts
@@ -0,0 +1,138 @@
+import type { Clock } from './edges.js';
+import type { EngineSpeed, OwnWork, ReportedLoad } from './load.js';
+import { EngineLoad, SHORT_ANSWER_TOKENS } from './load.js';
+import type { Placement } from './placement.js';
+
+/** Options of {@link WorkTracker}. */
+export interface WorkTrackerOptions {
+  readonly clock: Clock;
+  readonly speed: EngineSpeed;
+  /** Receives each own observation of a time between tokens or to a first token, with its expectation. */
+  readonly onObservation: (engine: string, observedMs: number, expectedMs: number) => void;
+}
+
+interface Placed {
+  readonly engine: string;
+  readonly work: OwnWork;
+  /** The work ends at this engine with the first token. */
+  readonly prefillOnly: boolean;
+}
+
+/** Added to the expected first-token time, so that work of other nodes does not look like a slow engine. */
+const FIRST_TOKEN_ALLOWANCE_MS = 150;
+
+/** Counts the work of this node at each engine, and keeps the late reports. */
+export class WorkTracker {
+  private readonly loads = new Map<string, EngineLoad>();
+
+  private readonly placed = new Map<Placement, Placed[]>();
+
+  private reportedOthers = 0;
+
+  public constructor(private readonly options: WorkTrackerOptions) {}
+
+  /** Load of an engine; created on first use. */
+  public load(engine: string): EngineLoad {
+    let load = this.loads.get(engine);
+    if (load === undefined) {
+      load = new EngineLoad();
+      this.loads.set(engine, load);
+    }
+    return load;
+  }
+
+  /** Requests of other nodes that are expected to run at an engine. */
+  public others(engine: string): number {
+    return this.load(engine).others(this.options.clock.monotonic(), this.reportedOthers / this.loads.size);
+  }
+
+  /** Own prompt tokens that are expected to wait for prefill at an engine. */
+  public promptWaiting(engine: string): number {
+    return this.load(engine).promptWaiting(this.options.clock.monotonic(), this.options.speed.prefillTokensPerMs);
+  }
+
+  /** Expected duration of a decode step in ms, without prefill work. */
+  public stepMs(engine: string): number {
+    const { stepMs, stepPerSequenceMs } = this.options.speed;
+    return stepMs + stepPerSequenceMs * (this.load(engine).count + this.others(engine));
+  }
+
+  public report(engine: string, reported: ReportedLoad, ageMs: number): void {
+    const load = this.load(engine);
+    this.reportedOthers -= load.reportedOthers;
+    load.report(this.options.clock.monotonic(), reported, ageMs);
+    this.reportedOthers += load.reportedOthers;
+  }
+
+  public started(placement: Placement, prefillTokens: number, expectedOutput: number): void {
+    const placed: Placed[] = [];
+    const short = expectedOutput <= SHORT_ANSWER_TOKENS;
+    const add = (engine: string, promptLeft: number, outputLeft: number, prefillOnly: boolean): void => {
+      const load = this.load(engine);
+      const work: OwnWork = {
+        promptLeft,
+        outputLeft,
+        short: short && placement.prefill === null,
+        expectedFirstTokenMs: this.firstTokenMs(engine, this.promptWaiting(engine) + promptLeft),
+        lastTokenAt: this.options.clock.monotonic(),
+        produced: 0,
+      };
+      load.add(work, this.options.clock.monotonic());
+      placed.push({ engine, work, prefillOnly });
+    };
+    if (placement.prefill !== null) add(placement.prefill, prefillTokens, 0, true);
+    add(placement.engine, placement.prefill === null ? prefillTokens : 0, expectedOutput, false);
+    this.placed.set(placement, placed);
+  }
+
+  public firstToken(placement: Placement, latencyMs: number): void {
+    const placed = this.placed.get(placement) ?? [];
+    const now = this.options.clock.monotonic();
+    for (const { engine, work, prefillOnly } of placed) {
+      const load = this.load(engine);
+      if (work.promptLeft > 0) {
+        this.options.onObservation(engine, latencyMs, work.expectedFirstTokenMs + FIRST_TOKEN_ALLOWANCE_MS);
+      }
+      if (prefillOnly) load.remove(work, now);
+      else load.update(work, 0, work.outputLeft, now);
+    }
+    this.placed.set(placement, placed.filter((entry) => !entry.prefillOnly));
+  }
+
+  public progress(placement: Placement, produced: number): void {
+    const now = this.options.clock.monotonic();
+    for (const { engine, work } of this.placed.get(placement) ?? []) {
+      const load = this.load(engine);
+      const tokens = produced - work.produced;
+      // The first token is no gap, and after a handover the second one includes the transfer.
+      if (tokens > 0 && work.produced > 1) {
+        this.options.onObservation(engine, (now - work.lastTokenAt) / tokens, this.gapMs(engine));
+      }
+      const expected = work.produced + work.outputLeft;
+      Object.assign(work, { produced, lastTokenAt: now });
+      // An answer that outruns its estimate is expected to run on for a quarter of its length.
+      load.update(work, work.promptLeft, Math.max(expected - produced, produced / 4), now);
+    }
+  }
+
+  public finished(placement: Placement): void {
+    const now = this.options.clock.monotonic();
+    for (const { engine, work } of this.placed.get(placement) ?? []) this.load(engine).remove(work, now);
+    this.placed.delete(placement);
+  }
+
+  private firstTokenMs(engine: string, waitingTokens: number): number {
+    const { prefillTokensPerMs, chunkTokens } = this.options.speed;
+    const load = this.load(engine);
+    const decodes = load.count - load.shorts + this.others(engine) >= 1;
+    return waitingTokens / prefillTokensPerMs
+      + (decodes ? Math.ceil(waitingTokens / chunkTokens) * this.stepMs(engine) : 0);
+  }
+
+  private gapMs(engine: string): number {
+    const { prefillTokensPerMs, chunkTokens } = this.options.speed;
+    const load = this.load(engine);
+    const prefill = load.promptLeft > 0 || load.prefillShare > 0.05;
+    return this.stepMs(engine) + (prefill ? chunkTokens / prefillTokensPerMs : 0);
+  }
+}
