--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -42,6 +42,8 @@
     resumeWindow: durationSchema('0 ms', '10 min').prefault('15 s'),
     /** Unread answer text held for one caller. */
     buffer: sizeSchema('1 KiB', '16 MiB').prefault('16 KiB'),
+    /** Time after which a caller that reads nothing counts as disconnected. */
+    stall: durationSchema('100 ms', '10 min').prefault('30 s'),
   }),
   limits: z.strictObject({
     /** Largest request body of a caller. */
--- /dev/null
+++ b/src/daemon/operators.ts
@@ -0,0 +1,129 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ApplyOutcome, DrainReport, EntryApi } from './api.js';
+import {
+  listenHttp, readBody, sendJson, sendRefusal,
+} from './http.js';
+import type { HttpLimits, HttpListener, ListenError } from './http.js';
+import { httpRefusalAnswer, refusalAnswer } from './refusals.js';
+import type { Log } from '../core/edges.js';
+import { FLEET_MAX_BYTES } from '../core/fleet.js';
+import { issueText } from '../core/issues.js';
+import { assertNever } from '../core/result.js';
+import type { Result } from '../core/result.js';
+import type { Secret } from '../core/settings.js';
+
+const APPLY_TIMEOUT_MS = 10_000;
+
+const MAX_APPLY_TIMEOUT_MS = 60_000;
+
+const LIMITS: HttpLimits = { body: FLEET_MAX_BYTES, connections: 64, headerTimeout: 5_000 };
+
+/** What the operator listener needs beside the entry. */
+export interface OperatorOptions {
+  /** IP address and port to listen on. */
+  readonly address: string;
+  readonly token: Secret;
+  readonly log: Log;
+  /** Metrics in the Prometheus text format. */
+  readonly renderMetrics: () => string;
+  /** Starts the planned stop of the process; resolves with its report before the process exits. */
+  readonly drain: () => Promise<DrainReport>;
+}
+
+function digest(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
+}
+
+/** Status of the outcome of an apply. */
+function applyStatus(outcome: ApplyOutcome): number {
+  switch (outcome.type) {
+    case 'accepted':
+      return 200;
+    case 'invalid':
+      return 422;
+    case 'conflict':
+      return 409;
+    case 'unavailable':
+      return 503;
+    case 'unknown':
+      return 504;
+    default:
+      return assertNever(outcome);
+  }
+}
+
+function wholeNumber(text: string | null): number | undefined {
+  return text !== null && /^\d{1,15}$/.test(text) ? Number(text) : undefined;
+}
+
+/** Operator HTTP over one entry; every request shows the operator token. */
+class OperatorSurface {
+  private readonly expected: Buffer;
+
+  public constructor(private readonly entry: EntryApi, private readonly opts: OperatorOptions) {
+    this.expected = digest(`Bearer ${opts.token.reveal()}`);
+  }
+
+  public async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    // Digests have one length, so that the comparison takes the same time for every wrong token.
+    if (!timingSafeEqual(digest(req.headers.authorization ?? ''), this.expected)) {
+      this.opts.log.warn('operator_unauthorized', { remote: req.socket.remoteAddress });
+      sendRefusal(res, httpRefusalAnswer({ code: 'unauthorized' }));
+      return;
+    }
+    const [path, query] = (req.url ?? '').split('?', 2);
+    const route = `${req.method ?? ''} ${path ?? ''}`;
+    if (route === 'POST /apply') await this.apply(req, res, new URLSearchParams(query));
+    else if (route === 'GET /show') this.show(res);
+    else if (route === 'GET /dump') sendJson(res, 200, this.entry.dump());
+    else if (route === 'POST /drain') await this.drain(res);
+    else if (route === 'GET /metrics') {
+      res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' });
+      res.end(this.opts.renderMetrics());
+    } else sendRefusal(res, httpRefusalAnswer({ code: 'not_found', target: route.slice(0, 100) }));
+  }
+
+  private async apply(req: IncomingMessage, res: ServerResponse, query: URLSearchParams): Promise<void> {
+    const base = wholeNumber(query.get('base'));
+    const timeoutMs = Math.min(MAX_APPLY_TIMEOUT_MS, wholeNumber(query.get('timeout')) ?? APPLY_TIMEOUT_MS);
+    if (query.has('base') && base === undefined) {
+      sendRefusal(res, refusalAnswer({ code: 'invalid_request', path: 'base', expected: 'a revision' }));
+      return;
+    }
+    const body = await readBody(req);
+    if (!body.success) {
+      if (body.error.code === 'not_utf8') {
+        sendRefusal(res, refusalAnswer({ code: 'invalid_request', path: 'body', expected: 'UTF-8 text' }));
+      } else if (body.error.code !== 'aborted') sendRefusal(res, httpRefusalAnswer(body.error));
+      return;
+    }
+    const outcome = await this.entry.apply(body.data, base, timeoutMs);
+    this.opts.log.info('apply', {
+      outcome: outcome.type, ...('revision' in outcome ? { revision: outcome.revision } : {}),
+    });
+    const shown = outcome.type === 'invalid'
+      ? { ...outcome, issues: outcome.issues.map((issue) => ({ ...issue, text: issueText(issue) })) }
+      : outcome;
+    sendJson(res, applyStatus(outcome), shown);
+  }
+
+  private show(res: ServerResponse): void {
+    const inForce = this.entry.show();
+    if (inForce === null) sendRefusal(res, refusalAnswer({ code: 'not_ready', retryAfterMs: 1_000 }));
+    else sendJson(res, 200, inForce);
+  }
+
+  private async drain(res: ServerResponse): Promise<void> {
+    this.opts.log.info('drain_requested');
+    const report = await this.opts.drain();
+    res.setHeader('connection', 'close');
+    sendJson(res, 200, report);
+  }
+}
+
+/** Opens the operator listener of an entry. */
+export function listenOperators(entry: EntryApi, opts: OperatorOptions): Promise<Result<HttpListener, ListenError>> {
+  const surface = new OperatorSurface(entry, opts);
+  return listenHttp(opts.address, (req, res) => surface.handle(req, res), LIMITS);
+}
