Join admission, routing and health into the policy of an entry

Cause: the dispatcher and the router come from two modules and share estimates and health. Change: daemon/policy.ts creates both with one source of output estimates.

--- a/src/daemon/backends.ts
+++ b/src/daemon/backends.ts
@@ -1,4 +1,5 @@
 import type { EngineDirectory } from '../core/directory.js';
+import type { ServerDirectory } from '../core/servers.js';
 import { EngineErrorCode, Role } from '../core/edges.js';
 import type {
   CacheEvent, Clock, Engine, EngineStatus, LoadReport, Log, Meter, PlainService, Random,
@@ -28,9 +29,10 @@
   readonly meter: Meter;
   readonly driver: BackendDriver;
   readonly directory: EngineDirectory;
+  readonly servers: ServerDirectory;
   readonly observer: EngineObserver;
-  /** Whether a backend server may get new work, as the leaving signals and holds say. */
-  readonly accepts: (server: string) => boolean;
+  /** Whether an engine may get new work, as the leaving signals and the planner's drains say. */
+  readonly accepts: (engine: string) => boolean;
   /** Called after each change of the directory. */
   readonly changed: () => void;
 }
@@ -105,19 +107,6 @@
     return this.engines.get(name)?.status ?? null;
   }
 
-  /** Connection to a backend server of a plain service. */
-  public server(name: string): PlainService | undefined {
-    return this.servers.get(name)?.client;
-  }
-
-  /** Backend servers of a plain service that may get new work. */
-  public serversOf(service: string): ServerSpec[] {
-    return [...this.servers.values()]
-      .map(({ spec }) => spec)
-      .filter((spec) => spec.service === service && spec.state === ServerState.Active)
-      .filter((spec) => this.options.accepts(spec.name));
-  }
-
   /** Writes what is known of all engines into the directory. */
   public refresh(): void {
     for (const engine of this.engines.values()) this.publish(engine);
@@ -137,7 +126,7 @@
         available: this.options.directory.get(spec.name)?.available ?? false,
       })),
       servers: [...this.servers.values()].map(({ spec }) => ({
-        server: spec.name, service: spec.service, accepts: this.options.accepts(spec.name),
+        server: spec.name, service: spec.service, state: spec.state,
       })),
     };
   }
@@ -176,10 +165,15 @@
       if (wanted.get(name)?.address === spec.address) continue;
       client.dispose?.();
       this.servers.delete(name);
+      this.options.servers.remove(name);
     }
     for (const spec of fleet.servers) {
       const client = this.servers.get(spec.name)?.client ?? this.options.driver.service(spec);
       this.servers.set(spec.name, { spec, client });
+      const { name, service, host, failureDomain, state } = spec;
+      this.options.servers.set({
+        name, service, host, failureDomain, available: state === ServerState.Active, client,
+      });
     }
   }
 
--- /dev/null
+++ b/src/daemon/policy.ts
@@ -0,0 +1,78 @@
+import type { EngineDirectory } from '../core/directory.js';
+import type { Dispatcher } from '../core/dispatch.js';
+import type { Clock, LoadReport, Random } from '../core/edges.js';
+import { DEFAULT_HEALTH_OPTIONS, HealthTracker } from '../core/health.js';
+import { PolicyDispatcher } from '../core/policy.js';
+import { CostRouter } from '../core/routing.js';
+
+/** Options of {@link ServingPolicy}. */
+export interface ServingPolicyOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly directory: EngineDirectory;
+  readonly node: string;
+  readonly failureDomain: string;
+  /** Names of all entries that send work to the same engines; a new array after each change. */
+  readonly nodes: () => readonly string[];
+  readonly maxQueued: number;
+}
+
+/** Joins admission, routing and health into the policy of one entry. */
+export class ServingPolicy {
+  public readonly dispatcher: Dispatcher;
+
+  private readonly health: HealthTracker;
+
+  private readonly policy: PolicyDispatcher;
+
+  private router: CostRouter | null = null;
+
+  public constructor(private readonly options: ServingPolicyOptions) {
+    this.health = new HealthTracker({ clock: options.clock, ...DEFAULT_HEALTH_OPTIONS });
+    this.policy = new PolicyDispatcher({
+      clock: options.clock,
+      random: options.random,
+      directory: options.directory,
+      maxQueued: options.maxQueued,
+      createRouter: (hasRoom) => {
+        this.router = this.createRouter(hasRoom);
+        return this.router;
+      },
+    });
+    this.dispatcher = this.policy;
+  }
+
+  /** Takes in a late load report of an engine. */
+  public report({ engine, ageMs, ...load }: LoadReport): void {
+    this.router?.report(engine, load, ageMs);
+  }
+
+  /** Share of normal work that an engine gets. */
+  public follow(engine: string): void {
+    this.health.add(engine);
+  }
+
+  public forget(engine: string): void {
+    this.health.remove(engine);
+  }
+
+  public dump(): Record<string, unknown> {
+    return { ...this.policy.dump(), health: this.health.dump() };
+  }
+
+  private createRouter(hasRoom: ConstructorParameters<typeof CostRouter>[0]['hasRoom']): CostRouter {
+    const { options, health } = this;
+    return new CostRouter({
+      clock: options.clock,
+      random: options.random,
+      directory: options.directory,
+      hasRoom,
+      node: options.node,
+      failureDomain: options.failureDomain,
+      nodes: options.nodes,
+      expectedOutput: (item) => this.policy.estimates.outputTokens(item),
+      healthWeight: (engine) => health.weight(engine),
+      onObservation: (engine, observedMs, expectedMs) => health.observe(engine, observedMs, expectedMs),
+    });
+  }
+}
