--- /dev/null
+++ b/src/core/calls.ts
@@ -0,0 +1,118 @@
+import type {
+  Clock, Log, Random, ServiceAnswer, ServiceError,
+} from './edges.js';
+import type { Result } from './result.js';
+import type { ServerDirectory, ServerFacts } from './servers.js';
+import { sleep, within } from './time.js';
+
+/** Call of a plain service after the caller's input has been checked. */
+export interface ServiceRequest {
+  readonly workspace: string;
+  readonly service: string;
+  readonly operation: string;
+  readonly body: string;
+  readonly deadlineMs: number;
+  readonly idempotencyKey?: string;
+}
+
+/** Decides on further tries; implemented by the retry budget of the entry. */
+export interface RetryPolicy {
+  /** Pause in ms before the next try, or `null` for none. `tries` counts from 1. */
+  next(tries: number, remainingMs: number): number | null;
+  /** Reports a call that succeeded, which refills the budget. */
+  succeeded(): void;
+}
+
+/** What became of a call after all tries. */
+export type CallOutcome = | { readonly type: 'answered'; readonly answer: ServiceAnswer }
+    /** No try was sent, with certainty. */
+    | { readonly type: 'not_sent'; readonly reason: 'no_server' | 'deadline' }
+    /** A try was sent and its answer is missing; `late` resolves if an answer still arrives. */
+    | { readonly type: 'unknown'; readonly late: Promise<ServiceAnswer | null> };
+
+/** Options of {@link ServiceCaller.call}. */
+export interface CallPlan {
+  readonly requestId: string;
+  readonly attemptId: string;
+  /** Monotonic time in ms. */
+  readonly deadline: number;
+  /** True for idempotent operations, which may be sent again after a missing answer. */
+  readonly repeatable: boolean;
+}
+
+/** Edges of {@link ServiceCaller}. */
+export interface CallerEdges {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+}
+
+/** Sends calls to backend servers of plain services and tries others where that is safe. */
+export class ServiceCaller {
+  public constructor(
+    private readonly servers: ServerDirectory,
+    private readonly retries: RetryPolicy,
+    private readonly edges: CallerEdges,
+    /** Told when a server refuses because it leaves. */
+    private readonly onLeaving: (server: string) => void = () => {},
+  ) {}
+
+  public has(service: string): boolean {
+    return this.servers.has(service);
+  }
+
+  /** Calls until an answer, a missing answer that must not be repeated, or no further try. */
+  public async call(req: ServiceRequest, plan: CallPlan): Promise<CallOutcome> {
+    const { clock } = this.edges;
+    const excluded = new Set<string>();
+    let late: Promise<ServiceAnswer | null> | null = null;
+    for (let tries = 1; ; tries += 1) {
+      const remainingMs = plan.deadline - clock.monotonic();
+      if (remainingMs <= 0) return late === null ? { type: 'not_sent', reason: 'deadline' } : { type: 'unknown', late };
+      const server = this.servers.choose(req.service, excluded);
+      if (server === null) return late === null ? { type: 'not_sent', reason: 'no_server' } : { type: 'unknown', late };
+      const pending = this.send(server, req, plan, tries, remainingMs);
+      const result = await within(clock, remainingMs, pending);
+      if (result?.success === true) {
+        this.retries.succeeded();
+        return { type: 'answered', answer: result.data };
+      }
+      if (result === null || result.error.sent !== 'no') {
+        late = pending.then((final) => (final.success ? final.data : null));
+        if (!plan.repeatable) return { type: 'unknown', late };
+      } else if (result.error.code === 'leaving') this.onLeaving(server.name);
+      excluded.add(server.name);
+      const pauseMs = this.retries.next(tries, plan.deadline - clock.monotonic());
+      if (pauseMs === null) return late === null ? { type: 'not_sent', reason: 'no_server' } : { type: 'unknown', late };
+      await sleep(clock, pauseMs);
+    }
+  }
+
+  private async send(
+    server: ServerFacts,
+    req: ServiceRequest,
+    plan: CallPlan,
+    tries: number,
+    timeoutMs: number,
+  ): Promise<Result<ServiceAnswer, ServiceError>> {
+    const attemptId = `${plan.attemptId}-${tries}`;
+    const handle = this.servers.begin(server.name);
+    const result = await server.client.call({
+      requestId: plan.requestId,
+      attemptId,
+      workspace: req.workspace,
+      operation: req.operation,
+      body: req.body,
+      ...(req.idempotencyKey === undefined ? {} : { idempotencyKey: req.idempotencyKey }),
+    }, { timeoutMs });
+    handle.dispose();
+    if (!result.success) return result;
+    const { requestId, attemptId: answered } = result.data;
+    if (requestId === plan.requestId && answered === attemptId) return result;
+    this.edges.log.error('foreign_service_answer', { server: server.name, requestId });
+    return {
+      success: false,
+      error: { code: 'broken', sent: 'unknown', message: 'the answer belongs to another request' },
+    };
+  }
+}
--- /dev/null
+++ b/test/bookings.test.ts
@@ -0,0 +1,165 @@
+import { describe, expect, it } from 'vitest';
+import { BatchingKeyValue } from '../src/core/batching.js';
+import { Bookings } from '../src/core/bookings.js';
+import type { ServiceOutcome } from '../src/core/bookings.js';
+import { ServiceCaller } from '../src/core/calls.js';
+import type { Refusal } from '../src/core/refusals.js';
+import type { Result } from '../src/core/result.js';
+import { ServerDirectory } from '../src/core/servers.js';
+import { SimulatedClock } from '../src/emulator/clock.js';
+import { EmulatedKeyValue, KeyValueStore } from '../src/emulator/keyvalue.js';
+import { SeededRandom } from '../src/emulator/random.js';
+import { EmulatedService, ServiceLedger } from '../src/emulator/service.js';
+
+const log = { info: () => {}, warn: () => {}, error: () => {} };
+
+type Answer = Result<ServiceOutcome, Refusal>;
+
+/** Two entries over one key-value service and two backend servers. */
+class Rig {
+  public readonly clock = new SimulatedClock();
+
+  public readonly store = new KeyValueStore(this.clock);
+
+  public readonly ledger = new ServiceLedger();
+
+  public readonly servers = ['ledger-0', 'ledger-1'].map((name) => new EmulatedService(name, this.clock, this.ledger));
+
+  public readonly entries = [0, 1].map((index) => this.entry(index));
+
+  public runs(): number {
+    return [...this.ledger.runs.values()].reduce((sum, runs) => sum + runs, 0);
+  }
+
+  public book(entry: number, body = 'order', deadlineMs = 1_000, idempotencyKey = 'key'): Promise<Answer> {
+    return this.entries[entry]!.book({
+      workspace: 'shop', service: 'ledger', operation: 'book', body, deadlineMs, idempotencyKey,
+    });
+  }
+
+  public async settle(answer: Promise<Answer>, durationMs = 3_000): Promise<Answer> {
+    await this.clock.advance(durationMs);
+    return answer;
+  }
+
+  private entry(index: number): Bookings {
+    const random = new SeededRandom(index + 1);
+    const { clock } = this;
+    const directory = new ServerDirectory('regina', random);
+    for (const client of this.servers) {
+      directory.set({
+        name: client.name, service: 'ledger', host: client.name, failureDomain: 'regina', available: true, client,
+      });
+    }
+    const retries = { next: (tries: number) => (tries < 3 ? 10 : null), succeeded: () => {} };
+    const caller = new ServiceCaller(directory, retries, { clock, random, log });
+    const keyValue = new BatchingKeyValue(new EmulatedKeyValue(this.store, clock), clock);
+    return new Bookings(`entry-${index}`, caller, {
+      clock, random, keyValue, log,
+    });
+  }
+}
+
+describe('Bookings', () => {
+  // Guards against a repeat that runs the booking again or loses its outcome.
+  it('gives the stored outcome to a repeat at another entry', async () => {
+    const rig = new Rig();
+    const first = await rig.settle(rig.book(0));
+    const repeat = await rig.settle(rig.book(1));
+    expect(first).toMatchObject({ success: true, data: { status: 200, repeated: false } });
+    expect(repeat).toMatchObject({ success: true, data: { status: 200, repeated: true } });
+    expect(rig.runs()).toBe(1);
+  });
+
+  // Guards against a repeat that is refused, or run, while the first attempt is still running.
+  it('lets a repeat wait for the running attempt', async () => {
+    const rig = new Rig();
+    for (const server of rig.servers) server.latencyMs = 400;
+    const answers = [rig.book(0), rig.book(1), rig.book(0)];
+    await rig.clock.advance(2_000);
+    for (const answer of answers) expect(await answer).toMatchObject({ success: true });
+    expect(rig.runs()).toBe(1);
+  });
+
+  // Guards against a second run after the answer of the backend server was lost.
+  it('answers with `ran: unknown` when the outcome is lost, and to every repeat', async () => {
+    const rig = new Rig();
+    for (const server of rig.servers) server.loseAnswers = 1;
+    expect(await rig.settle(rig.book(0))).toMatchObject({ success: false, error: { code: 'outcome_unknown' } });
+    expect(await rig.settle(rig.book(1))).toMatchObject({ success: false, error: { code: 'outcome_unknown' } });
+    expect(rig.runs()).toBe(1);
+  });
+
+  // Guards against a key that stays blocked although its call was certainly not sent.
+  it('releases the key when no connection was made', async () => {
+    const rig = new Rig();
+    for (const server of rig.servers) server.unreachable = true;
+    expect(await rig.settle(rig.book(0))).toMatchObject({ success: false, error: { code: 'no_server' } });
+    for (const server of rig.servers) server.unreachable = false;
+    expect(await rig.settle(rig.book(1))).toMatchObject({ success: true, data: { repeated: false } });
+    expect(rig.runs()).toBe(1);
+  });
+
+  // Guards against a record whose owner does not recognise it after the answer to its creation was lost.
+  it('recognises its own record after a lost answer', async () => {
+    const rig = new Rig();
+    await rig.settle(rig.book(0, 'other', 1_000, 'other'));
+    rig.store.loseAnswers = 1;
+    expect(await rig.settle(rig.book(0, 'order', 3_000), 4_000)).toMatchObject({ success: true });
+    expect(rig.runs()).toBe(2);
+  });
+
+  // Guards against `ran: no` while the service that knows of earlier attempts is down.
+  it('runs nothing and says `ran: unknown` while the key-value service is down', async () => {
+    const rig = new Rig();
+    rig.store.down = true;
+    const answer = await rig.settle(rig.book(0));
+    expect(answer).toMatchObject({ success: false, error: { code: 'record_store_unavailable', ran: 'unknown' } });
+    expect(rig.runs()).toBe(0);
+  });
+
+  // Guards against an outcome that is lost because the service was down at the moment of storing it.
+  it('stores the outcome once the service is back', async () => {
+    const rig = new Rig();
+    for (const server of rig.servers) server.latencyMs = 200;
+    const first = rig.book(0);
+    await rig.clock.advance(100);
+    rig.store.down = true;
+    expect(await rig.settle(first, 10_000)).toMatchObject({ success: true });
+    rig.store.down = false;
+    await rig.clock.advance(5_000);
+    expect(await rig.settle(rig.book(1))).toMatchObject({ success: true, data: { repeated: true } });
+  });
+
+  // Guards against one key that stands for two different bookings.
+  it('refuses a key that was used with another body', async () => {
+    const rig = new Rig();
+    await rig.settle(rig.book(0, 'one'));
+    const answer = await rig.settle(rig.book(1, 'two'));
+    expect(answer).toMatchObject({ success: false, error: { code: 'idempotency_key_reused', ran: 'yes' } });
+    expect(rig.runs()).toBe(1);
+  });
+
+  // Guards against a write rate that grows with every booking in a burst.
+  it('groups the writes of bookings that meet', async () => {
+    const rig = new Rig();
+    await rig.settle(rig.book(0));
+    const before = rig.store.calls.transact ?? 0;
+    const answers = Array.from({ length: 50 }, (_, index) => rig.book(0, 'order', 1_000, `burst-${index}`));
+    await rig.clock.advance(3_000);
+    for (const answer of answers) expect(await answer).toMatchObject({ success: true });
+    expect((rig.store.calls.transact ?? 0) - before).toBe(2);
+  });
+
+  // Guards against a second call of an unsafe operation, and against idempotent calls that fail needlessly.
+  it('tries an idempotent call at another backend server', async () => {
+    const rig = new Rig();
+    rig.servers[0]!.unreachable = true;
+    for (let index = 0; index < 10; index += 1) {
+      const answer = rig.entries[0]!.callIdempotent({
+        workspace: 'shop', service: 'ledger', operation: 'stock', body: String(index), deadlineMs: 500,
+      });
+      expect(await rig.settle(answer, 500)).toMatchObject({ success: true });
+    }
+  });
+});
