--- a/src/core/calls.ts
+++ b/src/core/calls.ts
@@ -2,6 +2,8 @@
   Clock, Log, Random, ServiceAnswer, ServiceError,
 } from './edges.js';
 import type { Result } from './result.js';
+import { Sent } from './retries.js';
+import type { RetryPolicy } from './retries.js';
 import type { ServerDirectory, ServerFacts } from './servers.js';
 import { sleep, within } from './time.js';
 
@@ -15,13 +17,8 @@
   readonly idempotencyKey?: string;
 }
 
-/** Decides on further tries; implemented by the retry budget of the entry. */
-export interface RetryPolicy {
-  /** Pause in ms before the next try, or `null` for none. `tries` counts from 1. */
-  next(tries: number, remainingMs: number): number | null;
-  /** Reports a call that succeeded, which refills the budget. */
-  succeeded(): void;
-}
+/** Retry policy of the entry; one budget covers engines and plain services. */
+export type CallRetries = Pick<RetryPolicy, 'decide' | 'succeeded'>;
 
 /** What became of a call after all tries. */
 export type CallOutcome = | { readonly type: 'answered'; readonly answer: ServiceAnswer }
@@ -51,7 +48,7 @@
 export class ServiceCaller {
   public constructor(
     private readonly servers: ServerDirectory,
-    private readonly retries: RetryPolicy,
+    private readonly retries: CallRetries,
     private readonly edges: CallerEdges,
     /** Told when a server refuses because it leaves. */
     private readonly onLeaving: (server: string) => void = () => {},
@@ -66,25 +63,30 @@
     const { clock } = this.edges;
     const excluded = new Set<string>();
     let late: Promise<ServiceAnswer | null> | null = null;
-    for (let tries = 1; ; tries += 1) {
-      const remainingMs = plan.deadline - clock.monotonic();
-      if (remainingMs <= 0) return late === null ? { type: 'not_sent', reason: 'deadline' } : { type: 'unknown', late };
+    const stopped = (reason: 'no_server' | 'deadline'): CallOutcome => (
+      late === null ? { type: 'not_sent', reason } : { type: 'unknown', late }
+    );
+    for (let attempts = 1; ; attempts += 1) {
+      const startedAt = clock.monotonic();
+      if (startedAt >= plan.deadline) return stopped('deadline');
       const server = this.servers.choose(req.service, excluded);
-      if (server === null) return late === null ? { type: 'not_sent', reason: 'no_server' } : { type: 'unknown', late };
-      const pending = this.send(server, req, plan, tries, remainingMs);
-      const result = await within(clock, remainingMs, pending);
+      if (server === null) return stopped('no_server');
+      const pending = this.send(server, req, plan, attempts);
+      const result = await within(clock, plan.deadline - startedAt, pending);
       if (result?.success === true) {
         this.retries.succeeded();
         return { type: 'answered', answer: result.data };
       }
-      if (result === null || result.error.sent !== 'no') {
-        late = pending.then((final) => (final.success ? final.data : null));
-        if (!plan.repeatable) return { type: 'unknown', late };
-      } else if (result.error.code === 'leaving') this.onLeaving(server.name);
+      const sent = result?.error.sent === 'no' ? Sent.No : Sent.Unknown;
+      if (sent === Sent.Unknown) late = pending.then((final) => (final.success ? final.data : null));
+      if (result?.error.code === 'leaving') this.onLeaving(server.name);
       excluded.add(server.name);
-      const pauseMs = this.retries.next(tries, plan.deadline - clock.monotonic());
-      if (pauseMs === null) return late === null ? { type: 'not_sent', reason: 'no_server' } : { type: 'unknown', late };
-      await sleep(clock, pauseMs);
+      const decision = this.retries.decide({
+        attempts, sent, safe: plan.repeatable, deadline: plan.deadline, expectedMs: 0,
+      });
+      // An unsafe call is never sent again after a missing answer, whatever the policy says.
+      if (!decision.retry || (late !== null && !plan.repeatable)) return stopped('no_server');
+      await sleep(clock, decision.delayMs);
     }
   }
 
@@ -92,10 +94,9 @@
     server: ServerFacts,
     req: ServiceRequest,
     plan: CallPlan,
-    tries: number,
-    timeoutMs: number,
+    attempts: number,
   ): Promise<Result<ServiceAnswer, ServiceError>> {
-    const attemptId = `${plan.attemptId}-${tries}`;
+    const attemptId = `${plan.attemptId}-${attempts}`;
     const handle = this.servers.begin(server.name);
     const result = await server.client.call({
       requestId: plan.requestId,
@@ -104,7 +105,7 @@
       operation: req.operation,
       body: req.body,
       ...(req.idempotencyKey === undefined ? {} : { idempotencyKey: req.idempotencyKey }),
-    }, { timeoutMs });
+    }, { timeoutMs: plan.deadline - this.edges.clock.monotonic() });
     handle.dispose();
     if (!result.success) return result;
     const { requestId, attemptId: answered } = result.data;
--- a/test/bookings.test.ts
+++ b/test/bookings.test.ts
@@ -5,6 +5,7 @@
 import { ServiceCaller } from '../src/core/calls.js';
 import type { Refusal } from '../src/core/refusals.js';
 import type { Result } from '../src/core/result.js';
+import { RetryBudget, RetryPolicy } from '../src/core/retries.js';
 import { ServerDirectory } from '../src/core/servers.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 import { EmulatedKeyValue, KeyValueStore } from '../src/emulator/keyvalue.js';
@@ -51,7 +52,7 @@
         name: client.name, service: 'ledger', host: client.name, failureDomain: 'regina', available: true, client,
       });
     }
-    const retries = { next: (tries: number) => (tries < 3 ? 10 : null), succeeded: () => {} };
+    const retries = new RetryPolicy({ clock, random, budget: new RetryBudget() });
     const caller = new ServiceCaller(directory, retries, { clock, random, log });
     const keyValue = new BatchingKeyValue(new EmulatedKeyValue(this.store, clock), clock);
     return new Bookings(`entry-${index}`, caller, {
