--- a/src/daemon/backends.ts
+++ b/src/daemon/backends.ts
@@ -170,7 +170,9 @@
     for (const spec of fleet.servers) {
       const client = this.servers.get(spec.name)?.client ?? this.options.driver.service(spec);
       this.servers.set(spec.name, { spec, client });
-      const { name, service, host, failureDomain, state } = spec;
+      const {
+        name, service, host, failureDomain, state,
+      } = spec;
       this.options.servers.set({
         name, service, host, failureDomain, available: state === ServerState.Active, client,
       });
