Serve a request over loopback from socket to engine and back

Cause: the first run of the assembled entry. A booking hung: the remaining deadline was a fraction of a millisecond and AbortSignal.timeout takes whole ones, so the call threw. Ruled out: the key-value calls, which had answered.

--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -81,7 +81,9 @@
     const dispatcher = this.pool.compose((dispatch) => (options, handler) => (
       dispatch(options, new SendGuard(handler, state, guard))
     ));
-    const timeout = AbortSignal.timeout(opts.timeoutMs);
+    // Timers of Node.js take whole milliseconds; remaining deadlines are fractions.
+    const timeoutMs = Math.max(1, Math.ceil(opts.timeoutMs));
+    const timeout = AbortSignal.timeout(timeoutMs);
     const signals = [
       ...(opts.signal === undefined ? [] : [opts.signal]),
       ...(opts.streaming === true ? [] : [timeout]),
@@ -90,7 +92,7 @@
       const answer = await dispatcher.request({
         method: opts.method,
         path: opts.path,
-        headersTimeout: opts.timeoutMs,
+        headersTimeout: timeoutMs,
         ...(signals.length === 0 ? {} : { signal: AbortSignal.any(signals) }),
         ...(opts.body === undefined ? {} : { body: JSON.stringify(opts.body) }),
         headers: { ...(opts.body === undefined ? {} : { 'content-type': 'application/json' }), ...opts.headers },
--- /dev/null
+++ b/test/support/loopback.ts
@@ -0,0 +1,118 @@
+import type { Server } from 'node:http';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { SystemClock } from '../../src/adapters/system.js';
+import type { Log } from '../../src/core/edges.js';
+import { parseFleet } from '../../src/core/fleet.js';
+import { Secret, parseSettings } from '../../src/core/settings.js';
+import { startEntryProcess } from '../../src/daemon/process.js';
+import type { EntryProcess } from '../../src/daemon/process.js';
+import type { EngineParameters } from '../../src/emulator/enginemodel.js';
+import { ENGINE_PARAMETERS } from '../../src/emulator/enginemodel.js';
+import { createStandIns, serveStandIns } from '../../src/emulator/standins.js';
+import type { StandIns } from '../../src/emulator/standins.js';
+
+export const silentLog: Log = { info: () => {}, warn: () => {}, error: () => {} };
+
+const FAST_ENGINE: EngineParameters = { ...ENGINE_PARAMETERS, decodeBaseMs: 5, roleChangeMs: 200 };
+
+/** Takes free ports of the loopback interface. */
+export async function freeAddresses(count: number): Promise<string[]> {
+  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>(
+    (resolve) => {
+      const server = createServer();
+      server.listen(0, '127.0.0.1', () => resolve(server));
+    },
+  )));
+  const addresses = servers.map((server) => `127.0.0.1:${(server.address() as AddressInfo).port}`);
+  await Promise.all(servers.map((server) => new Promise((resolve) => {
+    server.close(resolve);
+  })));
+  return addresses;
+}
+
+export interface Loopback {
+  readonly callers: readonly string[];
+  readonly operators: readonly string[];
+  readonly processes: readonly EntryProcess[];
+  readonly standIns: StandIns;
+  readonly file: string;
+  readonly operatorToken: string;
+  stop(): Promise<void>;
+}
+
+function fleetFile(engines: readonly string[], servers: readonly string[]): string {
+  return [
+    '[fleet]', 'name = test',
+    '[model.advice]', 'version = 1',
+    ...engines.flatMap((address, index) => [
+      `[engine.e${index}]`, `address = ${address}`, `host = eh${index}`, `failure-domain = d${index % 2}`,
+      'models = advice', 'role = mixed', `fencing = ${index % 2 === 0 ? 'enforced' : 'ignored'}`,
+    ]),
+    '[service.ledger]', 'idempotent = stock', 'non-idempotent = order',
+    ...servers.flatMap((address, index) => [
+      `[server.s${index}]`, 'service = ledger', `address = ${address}`, `host = sh${index}`, `failure-domain = d${index % 2}`,
+    ]),
+    '[workspace.default]', 'weight = 1', '',
+  ].join('\n');
+}
+
+const SECRETS = {
+  operatorToken: new Secret('operator-token-for-tests'),
+  peerToken: new Secret('peer-token-for-tests'),
+  ticketKey: new Secret('ticket-key-for-tests'),
+};
+
+/** Starts stand-ins and entries over loopback in this process and applies a fleet file. */
+export async function startLoopback(entries: number, engines = 2): Promise<Loopback> {
+  const addresses = await freeAddresses(2 + engines + 2 + entries * 3);
+  const [keyValue, hostList] = addresses.splice(0, 2) as [string, string];
+  const file = fleetFile(addresses.splice(0, engines), addresses.splice(0, 2));
+  const fleet = parseFleet(file);
+  const standIns = createStandIns(new SystemClock(), fleet, FAST_ENGINE);
+  const servers: Server[] = await serveStandIns(standIns, fleet, { keyValue, hostList });
+  const callers = addresses.splice(0, entries);
+  const operators = addresses.splice(0, entries);
+  const peers = addresses.splice(0, entries);
+  const processes: EntryProcess[] = [];
+  for (let index = 0; index < entries; index += 1) {
+    const settings = parseSettings([
+      '[entry]', `name = n${index}`, `failure-domain = d${index % 2}`,
+      '[listen]', `callers = ${callers[index]}`, `operators = ${operators[index]}`, `peers = ${peers[index]}`,
+      '[peers]', `seeds = ${peers.join(', ')}`,
+      '[platform]', `key-value = ${keyValue}`, `host-list = ${hostList}`, `weight-store = ${hostList}`,
+      '[address]', 'keep = 200ms',
+    ].join('\n'), 'test.ini');
+    const process = await startEntryProcess(settings, SECRETS, silentLog);
+    if (!process.success) throw new Error(process.error.message);
+    processes.push(process.data);
+  }
+  const applied = await processes[0]!.entry.apply(file, undefined, 5_000);
+  if (applied.type !== 'accepted') throw new Error(JSON.stringify(applied));
+  return {
+    callers,
+    operators,
+    processes,
+    standIns,
+    file,
+    operatorToken: SECRETS.operatorToken.reveal(),
+    stop: async () => {
+      await Promise.all(processes.map((process) => process.stop()));
+      for (const server of servers) {
+        server.closeAllConnections();
+        server.close();
+      }
+    },
+  };
+}
+
+/** Waits until a condition holds, for at most `timeoutMs`. */
+export async function eventually(condition: () => boolean, timeoutMs = 5_000): Promise<void> {
+  const end = Date.now() + timeoutMs;
+  while (!condition()) {
+    if (Date.now() > end) throw new Error('the condition did not become true in time');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+  }
+}
