--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -103,7 +103,7 @@
     } catch {
       return createJSONRPCErrorResponse(null, JSONRPCErrorCode.ParseError, 'malformed JSON');
     }
-    if (typeof message !== 'object' || !isJSONRPCRequest(message) || message.id === undefined) {
+    if (typeof message !== 'object' || message === null || !isJSONRPCRequest(message) || message.id === undefined) {
       return createJSONRPCErrorResponse(null, JSONRPCErrorCode.InvalidRequest, 'one JSON-RPC request with an id is expected');
     }
     return await this.rpc.receive(message)
--- /dev/null
+++ b/test/peers.test.ts
@@ -0,0 +1,138 @@
+import { connect, createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import fc from 'fast-check';
+import { request } from 'undici';
+import {
+  afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import type { HttpListener } from '../src/daemon/http.js';
+import { PeerCaller, PeerListener } from '../src/daemon/peers.js';
+import { fail, ok } from '../src/core/result.js';
+import { Secret } from '../src/core/settings.js';
+import { quietLog, quietMeter } from './fakes.js';
+
+const SEED = 20_261_204;
+
+const OPTS = { token: new Secret('peer-token-of-the-test'), log: quietLog, meter: quietMeter };
+
+let server: PeerListener;
+let listener: HttpListener;
+let caller: PeerCaller;
+
+beforeEach(async () => {
+  server = new PeerListener(OPTS);
+  const result = await server.listen('127.0.0.1:0');
+  if (!result.success) throw new Error(result.error.message);
+  listener = result.data;
+  caller = new PeerCaller(OPTS);
+});
+
+afterEach(async () => {
+  await caller.close();
+  listener.destroy();
+});
+
+function call(method: string, params: unknown, timeoutMs = 2_000): ReturnType<PeerCaller['call']> {
+  return caller.call(listener.address, method, params, { timeoutMs });
+}
+
+/** Bytes of one request as the caller writes them. */
+async function captureRequest(method: string): Promise<string> {
+  let received = '';
+  const spy = createServer((socket) => {
+    socket.on('data', (chunk) => {
+      received += chunk.toString();
+      socket.destroy();
+    });
+  });
+  await new Promise<void>((resolve) => {
+    spy.listen(0, '127.0.0.1', () => resolve());
+  });
+  await caller.call(`127.0.0.1:${(spy.address() as AddressInfo).port}`, method, {}, { timeoutMs: 2_000 });
+  spy.close();
+  return received;
+}
+
+/** First bytes of the answer to raw bytes. */
+function replay(bytes: string): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = connect(Number(listener.address.split(':')[1]), '127.0.0.1', () => socket.write(bytes));
+    socket.once('data', (chunk) => {
+      resolve(chunk.toString());
+      socket.destroy();
+    });
+  });
+}
+
+describe('messages between entries', () => {
+  it('carry parameters and result', async () => {
+    server.register('probe', (params) => Promise.resolve(ok({ echo: params })));
+    expect(await call('probe', { revision: 3 })).toEqual(ok({ echo: { revision: 3 } }));
+  });
+
+  it('carry a whole fleet file', async () => {
+    server.register('pushRevision', (params) => Promise.resolve(ok((params as { file: string }).file.length)));
+    expect(await call('pushRevision', { file: '"'.repeat(1_000_000) })).toEqual(ok(1_000_000));
+  });
+
+  it('end as rejected when the handler refuses or the method is unknown', async () => {
+    server.register('abandon', () => Promise.resolve(fail({ code: 'rejected', message: 'still sending' })));
+    expect(await call('abandon', {})).toEqual(fail({ code: 'rejected', message: 'still sending' }));
+    expect(await call('__proto__', {})).toMatchObject({ error: { code: 'rejected' } });
+    expect(await call('constructor', {})).toMatchObject({ error: { code: 'rejected' } });
+  });
+
+  it('are rejected after the method is disposed', async () => {
+    server.register('probe', () => Promise.resolve(ok(1))).dispose();
+    expect(await call('probe', {})).toMatchObject({ error: { code: 'rejected' } });
+  });
+
+  it('are rejected with another token', async () => {
+    server.register('probe', () => Promise.resolve(ok(1)));
+    const stranger = new PeerCaller({ ...OPTS, token: new Secret('peer-token-of-another') });
+    expect(await stranger.call(listener.address, 'probe', {}, { timeoutMs: 2_000 }))
+      .toMatchObject({ error: { code: 'rejected', message: 'HTTP status 401' } });
+    await stranger.close();
+  });
+
+  it('time out, or are unreachable when nobody listens', async () => {
+    server.register('probe', () => new Promise(() => {}));
+    expect(await call('probe', {}, 50)).toMatchObject({ error: { code: 'timeout' } });
+    listener.destroy();
+    expect(await call('probe', {})).toMatchObject({ error: { code: 'unreachable' } });
+  });
+
+  // Guards against control traffic that outgrows 4 KB/s for each node, of which probes are the most frequent part.
+  it('cost at most 400 bytes for an empty request and its answer', async () => {
+    server.register('probe', () => Promise.resolve(ok(null)));
+    const sent = await captureRequest('probe');
+    const answer = await replay(sent);
+    expect(answer).toMatch(/^HTTP\/1\.1 200 OK/);
+    expect(sent.length + answer.length).toBeLessThan(400);
+  });
+
+  it('never stop the listener, whatever arrives (fuzzed)', async () => {
+    server.register('probe', () => Promise.resolve(ok(1)));
+    const token = /authorization: (.*)\r/.exec(await captureRequest('probe'))?.[1] ?? '';
+    const message = fc.record({
+      jsonrpc: fc.oneof(fc.constant('2.0'), fc.jsonValue()),
+      id: fc.jsonValue(),
+      method: fc.oneof(fc.constantFrom('probe', '__proto__', 'toString'), fc.jsonValue()),
+      params: fc.jsonValue(),
+    }, { requiredKeys: [] });
+    const body = fc.oneof(
+      message.map((value) => JSON.stringify(value)),
+      fc.array(message).map((value) => JSON.stringify(value)),
+      fc.json(),
+      fc.uint8Array({ maxLength: 100 }).map((bytes) => Buffer.from(bytes)),
+    );
+    await fc.assert(fc.asyncProperty(body, async (content) => {
+      const res = await request(`http://${listener.address}/`, {
+        method: 'POST', headers: { authorization: token }, body: content,
+      });
+      expect([200, 400]).toContain(res.statusCode);
+      await res.body.dump();
+    }), { seed: SEED, numRuns: 300 });
+    expect(await call('probe', {})).toEqual(ok(1));
+  });
+});
