Measure the peak; never refuse an answer that has begun

Cause: the peak target had no experiment, and a stream that continues after an engine was lost or drained could be refused for load, which would cut it. Change: src/bench/peak.ts; WorkItem.continuation and importedTokens put a request before all others, without bounds or limits; src/bench/simulation.ts marks continuations.

--- /dev/null
+++ b/src/bench/peak.ts
@@ -0,0 +1,137 @@
+import { Priority } from '../core/edges.js';
+import type { Experiment, RunOptions, Verdict } from './experiment.js';
+import {
+  USERS, createFifo, createPolicy, mixArrivals, runFleet,
+} from './fleets.js';
+import type { CreateDispatcher, FleetRun, User } from './fleets.js';
+import { firstTokenMs, isGood, quantile } from './simulation.js';
+import type { RequestRecord } from './simulation.js';
+import {
+  arrivedIn, goodput, round, seedsFrom, spread, variantLine,
+} from './summary.js';
+
+const STEADY_RATES = [15, 20, 25, 30, 40, 60];
+const STEADY_MS = 40_000;
+const STEADY_SEEDS = 2;
+const WARM_UP_MS = 10_000;
+
+const RISE_AT_MS = 20_000;
+const FALL_AT_MS = 45_000;
+const RAMP_MS = 3_000;
+const END_MS = 75_000;
+const BASE_LOAD = 0.5;
+const PEAK_LOAD = 2;
+
+const RECOVERY_WINDOW_MS = 5_000;
+const RECOVERED_SHARE = 0.95;
+
+const GOODPUT_TARGET = 0.9;
+const URGENT_TARGET = 1.2;
+const RECOVERY_TARGET_MS = 5_000;
+
+const VARIANTS: Readonly<Record<string, CreateDispatcher>> = { baseline: createFifo, policy: createPolicy() };
+
+/** Load as a share of capacity: rises within seconds, stays, and falls back. */
+export function peakLoad(timeMs: number): number {
+  const up = Math.min(1, Math.max(0, (timeMs - RISE_AT_MS) / RAMP_MS));
+  const down = Math.min(1, Math.max(0, (timeMs - FALL_AT_MS) / RAMP_MS));
+  return BASE_LOAD + (PEAK_LOAD - BASE_LOAD) * (up - down);
+}
+
+/** Highest goodput of any steady load, in answers per second. */
+function peakGoodput(user: User, seed: number, create: CreateDispatcher): number {
+  return Math.max(...STEADY_RATES.map((rate) => {
+    const seeds = seedsFrom(seed).slice(0, STEADY_SEEDS);
+    const sum = seeds.reduce((total, each) => {
+      const run = runFleet(user, each, create, mixArrivals(user, each, () => rate, rate, STEADY_MS), STEADY_MS);
+      return total + goodput(run.records, WARM_UP_MS, STEADY_MS);
+    }, 0);
+    return sum / seeds.length;
+  }));
+}
+
+function urgentP99(records: readonly RequestRecord[]): number {
+  const urgent = records.filter(({ arrival, firstTokenAt }) => (
+    arrival.priority === Priority.Urgent && firstTokenAt !== null
+  ));
+  return quantile(urgent.map(firstTokenMs), 0.99);
+}
+
+function goodShare(records: readonly RequestRecord[]): number {
+  return records.length === 0 ? 1 : records.filter((record) => isGood(record)).length / records.length;
+}
+
+/** Time in ms after the load has fallen until the share of good answers is back, over all seeds. */
+function recoveryMs(runs: readonly FleetRun[]): number {
+  const all = runs.flatMap(({ records }) => records);
+  const before = goodShare(arrivedIn(all, WARM_UP_MS, RISE_AT_MS));
+  const fallen = FALL_AT_MS + RAMP_MS;
+  for (let at = fallen; at + RECOVERY_WINDOW_MS <= END_MS; at += 500) {
+    if (goodShare(arrivedIn(all, at, at + RECOVERY_WINDOW_MS)) >= RECOVERED_SHARE * before) return at - fallen;
+  }
+  return Infinity;
+}
+
+interface PeakFigures {
+  readonly goodputOfPeak: number;
+  readonly urgentRatio: number;
+  readonly recoveryMs: number;
+}
+
+function runVariant(user: User, variant: string, opts: RunOptions, capacity: number): PeakFigures {
+  const create = VARIANTS[variant]!;
+  const own = variant === 'policy' ? capacity : peakGoodput(user, opts.seed, create);
+  const rate = (timeMs: number): number => capacity * peakLoad(timeMs);
+  const arrivals = (seed: number) => mixArrivals(user, seed, rate, capacity * PEAK_LOAD, END_MS);
+  const runs = seedsFrom(opts.seed).map((seed) => runFleet(user, seed, create, arrivals(seed), END_MS));
+  const hold: [number, number] = [RISE_AT_MS + RAMP_MS, FALL_AT_MS];
+  const held = runs.map(({ records }) => goodput(records, ...hold));
+  const alone = seedsFrom(opts.seed).map((seed) => {
+    const urgent = arrivals(seed).filter(({ priority }) => priority === Priority.Urgent);
+    return runFleet(user, seed, create, urgent, END_MS);
+  });
+  const uncontended = urgentP99(alone.flatMap(({ records }) => arrivedIn(records, ...hold)));
+  const contended = urgentP99(runs.flatMap(({ records }) => arrivedIn(records, ...hold)));
+  const urgentRatio = uncontended === 0 ? 0 : contended / uncontended;
+  const figures = {
+    goodputOfPeak: round(spread(held).median / own, 3),
+    urgentRatio: round(urgentRatio, 3),
+    recoveryMs: recoveryMs(runs),
+  };
+  opts.emit(variantLine(`${user.name}/${variant}`, runs, END_MS, {
+    capacity: round(capacity, 1),
+    peakGoodput: round(own, 1),
+    goodputAtPeak: spread(held),
+    urgentP99: { uncontended: round(uncontended, 1), contended: round(contended, 1) },
+    ...figures,
+    recoveryMs: Number.isFinite(figures.recoveryMs) ? figures.recoveryMs : 'not within the run',
+  }));
+  return figures;
+}
+
+/** Load that rises to twice the capacity within seconds and falls back. */
+export const peak: Experiment = {
+  name: 'peak',
+  shows: 'goodput, urgent work and recovery when the load rises to 2 x capacity; capacity is the highest steady goodput',
+  target: 'goodput >= 0.9 x its peak; urgent p99 TTFT <= 1.2 x uncontended; recovered within 5 s',
+  variants: Object.keys(VARIANTS),
+  async run(opts): Promise<Verdict> {
+    const results: PeakFigures[] = [];
+    for (const user of USERS) {
+      const capacity = peakGoodput(user, opts.seed, VARIANTS.policy!);
+      for (const variant of Object.keys(VARIANTS)) {
+        if (opts.variant !== undefined && opts.variant !== variant) continue;
+        const figures = runVariant(user, variant, opts, capacity);
+        if (variant === 'policy') results.push(figures);
+      }
+    }
+    const figure = {
+      goodputOfPeak: Math.min(...results.map(({ goodputOfPeak }) => goodputOfPeak)),
+      urgentRatio: Math.max(...results.map(({ urgentRatio }) => urgentRatio)),
+      recoveryMs: Math.max(...results.map((each) => each.recoveryMs)),
+    };
+    const pass = results.length > 0 && figure.goodputOfPeak >= GOODPUT_TARGET && figure.urgentRatio <= URGENT_TARGET
+      && figure.recoveryMs <= RECOVERY_TARGET_MS;
+    return { pass, figure };
+  },
+};
--- a/src/bench/simulation.ts
+++ b/src/bench/simulation.ts
@@ -186,7 +186,10 @@
         Object.assign(attempt.record, { refusedAt: this.options.clock.monotonic() });
       },
       onLost: (produced) => {
-        this.attempt({ ...attempt, produced, importedTokens: 0 });
+        const item = produced > 0 ? { ...attempt.item, continuation: true } : attempt.item;
+        this.attempt({
+          ...attempt, item, produced, importedTokens: 0,
+        });
       },
     });
   }
--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -12,6 +12,8 @@
   /** Expected time in ms from placement to first token. */
   readonly firstTokenMs: number;
   readonly queuedAt: number;
+  /** Waits before all others and is never refused for load. */
+  readonly mustRun?: boolean;
 }
 
 /** Options of {@link AdmissionQueue}. */
@@ -49,7 +51,8 @@
   idle: boolean;
 }
 
-const RANKS: Record<Priority, number> = { [Priority.Urgent]: 0, [Priority.Normal]: 1, [Priority.Bulk]: 2 };
+const RANKS: Record<Priority, number> = { [Priority.Urgent]: 1, [Priority.Normal]: 2, [Priority.Bulk]: 3 };
+const FIRST_RANK = 0;
 const QUANTUM_TOKENS = 4_096;
 const MAX_FAILED_PLACEMENTS = 4;
 const DRAIN_WINDOW_MS = 500;
@@ -59,6 +62,10 @@
 const AGED_INTERVAL = 4;
 const MIN_RETRY_AFTER_MS = 100;
 
+function rankOf(entry: Queued): number {
+  return entry.mustRun === true ? FIRST_RANK : RANKS[entry.item.priority];
+}
+
 /** Bounded queues per priority and workspace; workspaces share by deficit round-robin in tokens. */
 export class AdmissionQueue<T extends Queued> {
   private readonly classes: Class<T>[] = [];
@@ -77,6 +84,12 @@
 
   /** Queues a request, or tells why it is refused. */
   public offer(entry: T): PolicyRefusal | null {
+    const refusal = entry.mustRun === true ? null : this.refusalNow(entry);
+    if (refusal === null) this.insert(entry);
+    return refusal;
+  }
+
+  private refusalNow(entry: T): PolicyRefusal | null {
     const wait = this.expectedWaitMs(entry);
     const allowed = this.allowedWaitMs(entry);
     const untilDeadline = entry.item.deadline - this.options.clock.monotonic() - entry.firstTokenMs;
@@ -84,6 +97,10 @@
     if (this.count >= this.options.maxQueued || wait > allowed) {
       return { code: 'queue_full', retryAfterMs: this.retryAfterMs(wait - allowed) };
     }
+    return null;
+  }
+
+  private insert(entry: T): void {
     const queue = this.class(entry);
     let flow = queue.flows.get(entry.item.workspace);
     if (flow === undefined) {
@@ -97,7 +114,6 @@
     flow.tokens += entry.cost;
     queue.tokens += entry.cost;
     this.count += 1;
-    return null;
   }
 
   /** Removes a waiting request; false when it does not wait. */
@@ -144,7 +160,7 @@
   public expectedWaitMs(entry: T): number {
     const rate = this.drains.get(entry.group)?.ratePerMs ?? 0;
     if (rate === 0) return 0;
-    const rank = RANKS[entry.item.priority];
+    const rank = rankOf(entry);
     let ahead = 0;
     for (const queue of this.classes) {
       if (queue.group !== entry.group || queue.rank > rank) continue;
@@ -191,7 +207,8 @@
   }
 
   private tooLate(entry: T): boolean {
-    return this.options.clock.monotonic() - entry.item.arrival > this.allowedWaitMs(entry);
+    if (entry.mustRun === true) return false;
+    return this.options.clock.monotonic() - entry.queuedAt > this.allowedWaitMs(entry);
   }
 
   private retryAfterMs(excessMs: number): number {
@@ -203,7 +220,7 @@
     const now = this.options.clock.monotonic();
     const { agingMs = DEFAULT_AGING_MS } = this.options;
     for (const queue of this.classes) {
-      if (queue.rank === 0) continue;
+      if (queue.rank <= RANKS[Priority.Urgent]) continue;
       const flow = queue.ring.find(({ items }) => now - items[0]!.queuedAt > agingMs);
       if (flow === undefined || this.placements % AGED_INTERVAL !== 0) continue;
       // A request that has aged and still finds no room holds the others back until enough has drained for it.
@@ -250,7 +267,7 @@
   }
 
   private class(entry: T): Class<T> {
-    const rank = RANKS[entry.item.priority];
+    const rank = rankOf(entry);
     let queue = this.classes.find((candidate) => candidate.rank === rank && candidate.group === entry.group);
     if (queue === undefined) {
       queue = {
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -173,6 +173,8 @@
     const engine = this.options.directory.get(name);
     if (engine === undefined) return false;
     const { lanes } = this.options;
+    // An answer that has begun continues on any engine; holding it back would cut it.
+    if (item.continuation === true || (item.importedTokens ?? 0) > 0) return true;
     let lane = lanes.laneOf(item);
     if (!lanes.serves(engine, lane)) {
       // Quick work beyond its own engines runs beside other short work.
@@ -190,10 +192,10 @@
     const held: Held = {
       prefill: this.share(placement.prefill ?? placement.engine, lane),
       decode: this.share(placement.engine, lane),
-      promptTokens: item.promptTokens,
+      promptTokens: Math.max(0, item.promptTokens - (item.importedTokens ?? 0)),
       prefilled: false,
     };
-    this.add(held.prefill, Phase.Prefill, item.promptTokens);
+    this.add(held.prefill, Phase.Prefill, held.promptTokens);
     this.add(held.decode, Phase.Decode, 1);
     return held;
   }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -18,6 +18,8 @@
   readonly arrival: number;
   /** Prompt tokens whose KV cache is imported with the request, so that they need no prefill. */
   readonly importedTokens?: number;
+  /** The answer has begun; what is left of it is never refused for load. */
+  readonly continuation?: boolean;
   /** Engines that must not be chosen again for this request. */
   readonly excluded?: ReadonlySet<string>;
 }
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -122,7 +122,8 @@
   private createRequest(item: WorkItem, listener: DispatchListener): Request {
     const now = this.options.clock.monotonic();
     const lane = this.lanes.laneOf(item);
-    const cost = item.promptTokens + OUTPUT_TOKEN_COST * this.estimates.outputTokens(item);
+    const prefill = item.promptTokens - (item.importedTokens ?? 0);
+    const cost = Math.max(0, prefill) + OUTPUT_TOKEN_COST * this.estimates.outputTokens(item);
     this.lanes.arrived(lane, cost);
     if (now - this.rebalancedAt >= REBALANCE_PERIOD_MS) {
       this.lanes.rebalance(now - this.rebalancedAt, LANE_TIME_CONSTANT_MS);
@@ -134,8 +135,9 @@
       listener,
       group: `${item.model}/${lane}`,
       cost,
-      firstTokenMs: this.estimates.firstTokenMs(item.promptTokens),
+      firstTokenMs: this.estimates.firstTokenMs(Math.max(0, prefill)),
       queuedAt: now,
+      mustRun: item.continuation === true || (item.importedTokens ?? 0) > 0,
       placement: null,
       held: null,
       placedAt: 0,
@@ -148,7 +150,7 @@
 
   private refusal(request: Request): PolicyRefusal | null {
     const serving = this.options.directory.serving(request.item.model);
-    if (serving.length === 0) return { code: 'no_engine', retryAfterMs: NO_ENGINE_RETRY_AFTER_MS };
+    if (serving.length === 0 && request.mustRun !== true) return { code: 'no_engine', retryAfterMs: NO_ENGINE_RETRY_AFTER_MS };
     return this.queue.offer(request);
   }
 
@@ -180,7 +182,7 @@
     request.windowStart = now;
     request.windowProduced = 1;
     request.produced = 1;
-    this.estimates.observeFirstToken(request.item.promptTokens, latencyMs);
+    if (request.mustRun !== true) this.estimates.observeFirstToken(request.item.promptTokens, latencyMs);
     this.limits.firstToken(request.held, latencyMs);
     this.router.firstToken(request.item, request.placement, latencyMs);
     this.pump();
@@ -208,7 +210,7 @@
     if (request.placement === null || request.held === null || request.finished) return;
     if (outcome === AttemptOutcome.Done) {
       this.closeWindow(request);
-      this.estimates.observeLength(request.item, request.produced);
+      if (request.mustRun !== true) this.estimates.observeLength(request.item, request.produced);
     }
     request.finished = true;
     this.limits.finished(request.held);
