--- /dev/null
+++ b/src/bench/headofline.ts
@@ -0,0 +1,116 @@
+import { Priority } from '../core/edges.js';
+import { SeededRandom } from '../emulator/random.js';
+import type { Experiment, RunOptions, Verdict } from './experiment.js';
+import {
+  USERS, createFifo, createPolicy, mixArrivals, runFleet,
+} from './fleets.js';
+import type { CreateDispatcher, User } from './fleets.js';
+import { quantile } from './simulation.js';
+import type { RequestRecord } from './simulation.js';
+import {
+  goodput, round, seedsFrom, spread, variantLine,
+} from './summary.js';
+import { generateArrivals } from './workload.js';
+import type { Arrival, RequestClass } from './workload.js';
+
+const DURATION_MS = 75_000;
+const WARM_UP_MS = 25_000;
+const SHORT_RATE = 8;
+/** Rate of the user's mix in requests a second: about 0.7 of the capacity that `peak` measures. */
+const MIX_RATE = 17;
+const SHORT_TARGET = 1.5;
+const LONG_LOSS_TARGET = 0.1;
+
+/** Short question with a yes or no. */
+const YES_NO: RequestClass = {
+  name: 'yes-no',
+  workspace: 'checks',
+  priority: Priority.Normal,
+  promptMedian: 200,
+  promptSigma: 0.4,
+  outputMedian: 3,
+  outputSigma: 0.3,
+  stragglerShare: 0,
+  documents: 0,
+};
+
+const VARIANTS: Readonly<Record<string, CreateDispatcher>> = {
+  baseline: createFifo,
+  'no-separation': createPolicy({ separateLanes: false }),
+  'no-quick-lane': createPolicy({ separateQuick: false }),
+  policy: createPolicy(),
+};
+
+function shortArrivals(seed: number): Arrival[] {
+  return generateArrivals(new SeededRandom(seed + 500), [
+    { requestClass: YES_NO, ratePerSecond: () => SHORT_RATE, maxRatePerSecond: SHORT_RATE },
+  ], DURATION_MS);
+}
+
+function together(a: readonly Arrival[], b: readonly Arrival[]): Arrival[] {
+  return [...a, ...b].sort((left, right) => left.at - right.at);
+}
+
+/** Time in ms to the whole answer of short questions, at the 99th percentile; unanswered ones count as endless. */
+function shortP99(records: readonly RequestRecord[]): number {
+  const short = records.filter(({ arrival }) => arrival.requestClass === YES_NO.name && arrival.at >= WARM_UP_MS);
+  return quantile(short.map(({ arrival, endAt }) => (endAt === null ? Infinity : endAt - arrival.at)), 0.99);
+}
+
+function longGoodput(records: readonly RequestRecord[]): number {
+  return goodput(records.filter(({ arrival }) => arrival.requestClass !== YES_NO.name), WARM_UP_MS, DURATION_MS);
+}
+
+interface Measured {
+  readonly shortRatio: number;
+  readonly longGoodput: number;
+}
+
+function runVariant(user: User, variant: string, opts: RunOptions): Measured {
+  const create = VARIANTS[variant]!;
+  const seeds = seedsFrom(opts.seed);
+  const mix = (seed: number): Arrival[] => mixArrivals(user, seed, () => MIX_RATE, MIX_RATE, DURATION_MS);
+  const alone = seeds.map((seed) => runFleet(user, seed, create, shortArrivals(seed), DURATION_MS));
+  const both = (seed: number): Arrival[] => together(mix(seed), shortArrivals(seed));
+  const mixed = seeds.map((seed) => runFleet(user, seed, create, both(seed), DURATION_MS));
+  const ratios = seeds.map((_, index) => shortP99(mixed[index]!.records) / shortP99(alone[index]!.records));
+  const long = mixed.map(({ records }) => longGoodput(records));
+  const pooled = {
+    alone: shortP99(alone.flatMap(({ records }) => records)),
+    mixed: shortP99(mixed.flatMap(({ records }) => records)),
+  };
+  opts.emit(variantLine(`${user.name}/${variant}`, mixed, DURATION_MS, {
+    shortP99: { alone: round(pooled.alone, 1), withLong: round(pooled.mixed, 1) },
+    shortRatio: spread(ratios),
+    longGoodput: spread(long),
+  }));
+  return { shortRatio: pooled.mixed / pooled.alone, longGoodput: spread(long).median };
+}
+
+/** Short questions with and without long catalogues and stragglers. */
+export const headOfLine: Experiment = {
+  name: 'head-of-line',
+  shows: 'short yes/no questions beside the user\'s mix; long goodput is compared with the best variant without protection',
+  target: 'short p99 <= 1.5 x alone; long goodput loss <= 10%',
+  variants: Object.keys(VARIANTS),
+  async run(opts): Promise<Verdict> {
+    let shortRatio = 0;
+    let longLoss = 0;
+    for (const user of USERS) {
+      const measured = new Map<string, Measured>();
+      for (const variant of Object.keys(VARIANTS)) {
+        if (opts.variant !== undefined && opts.variant !== variant) continue;
+        measured.set(variant, runVariant(user, variant, opts));
+      }
+      const policy = measured.get('policy');
+      const unprotected = [...measured.values()].map((each) => each.longGoodput);
+      if (policy === undefined) return { pass: false, figure: { shortRatio: 'not run' } };
+      shortRatio = Math.max(shortRatio, policy.shortRatio);
+      longLoss = Math.max(longLoss, 1 - policy.longGoodput / Math.max(...unprotected));
+    }
+    return {
+      pass: shortRatio <= SHORT_TARGET && longLoss <= LONG_LOSS_TARGET,
+      figure: { shortRatio: Number.isFinite(shortRatio) ? round(shortRatio, 3) : 'unanswered', longLoss: round(longLoss, 3) },
+    };
+  },
+};
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,7 +1,11 @@
 import type { Experiment } from './experiment.js';
+import { fairness } from './fairness.js';
+import { headOfLine } from './headofline.js';
 import { peak } from './peak.js';
 
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
   peak,
+  headOfLine,
+  fairness,
 ];
--- a/src/core/lanes.ts
+++ b/src/core/lanes.ts
@@ -40,6 +40,7 @@
 
 /** Long prompts run one after another, so their engines are busy for a smaller part of the time. */
 const LONG_WEIGHT = 1.25;
+const QUICK_WEIGHT = Number(process.env.QW ?? 1);
 
 function hash(name: string): number {
   return createHash('sha256').update(name).digest().readUInt32BE(0);
@@ -100,7 +101,7 @@
 
   /** Adds the expected engine work of one arrival in tokens. */
   public arrived(lane: Lane, tokens: number): void {
-    this.demand[lane] += tokens * (lane === Lane.Long ? LONG_WEIGHT : 1);
+    this.demand[lane] += tokens * (lane === Lane.Long ? LONG_WEIGHT : lane === Lane.Quick ? QUICK_WEIGHT : 1);
   }
 
   /** Forgets old demand with this time constant and divides the engines by what remains. */
