Hold workspaces above their share behind the others

Cause: queues are short, so round-robin alone lets a workspace at ten times its share take as much as it asks for. Change: core/shares.ts keeps recent use per workspace; one that used three times the mean goes after the others of its priority and may use three quarters of the limits.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -14,6 +14,8 @@
   readonly queuedAt: number;
   /** Waits before all others and is never refused for load. */
   readonly mustRun?: boolean;
+  /** The workspace is above its share, so that others of the same priority go first. */
+  readonly aboveShare?: boolean;
 }
 
 /** Options of {@link AdmissionQueue}. */
@@ -53,6 +55,7 @@
 
 const RANKS: Record<Priority, number> = { [Priority.Urgent]: 1, [Priority.Normal]: 2, [Priority.Bulk]: 3 };
 const FIRST_RANK = 0;
+const ABOVE_SHARE_RANK = 0.5;
 const QUANTUM_TOKENS = 4_096;
 const MAX_FAILED_PLACEMENTS = 4;
 const DRAIN_WINDOW_MS = 500;
@@ -63,7 +66,8 @@
 const MIN_RETRY_AFTER_MS = 100;
 
 function rankOf(entry: Queued): number {
-  return entry.mustRun === true ? FIRST_RANK : RANKS[entry.item.priority];
+  if (entry.mustRun === true) return FIRST_RANK;
+  return RANKS[entry.item.priority] + (entry.aboveShare === true ? ABOVE_SHARE_RANK : 0);
 }
 
 /** Bounded queues per priority and workspace; workspaces share by deficit round-robin in tokens. */
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -151,6 +151,9 @@
   [Priority.Bulk]: 0.85,
 };
 
+/** Part of that share for workspaces above their own share; the rest is kept for the others. */
+const ABOVE_SHARE_HEADROOM = Number(process.env.AH ?? 0.75);
+
 /** Limits on the work in flight at each engine, learned from this entry's own observations. */
 export class EngineLimits {
   private readonly groups = new Map<string, Group>();
@@ -169,7 +172,7 @@
   }
 
   /** Whether the engine may take this request now. */
-  public hasRoom(name: string, item: WorkItem): boolean {
+  public hasRoom(name: string, item: WorkItem, aboveShare = false): boolean {
     const engine = this.options.directory.get(name);
     if (engine === undefined) return false;
     const { lanes } = this.options;
@@ -181,7 +184,7 @@
       if (lane !== Lane.Quick || !this.isFull(engine.role, lane) || !lanes.serves(engine, Lane.Short)) return false;
       lane = Lane.Short;
     }
-    const headroom = HEADROOM[item.priority];
+    const headroom = HEADROOM[item.priority] * (aboveShare ? ABOVE_SHARE_HEADROOM : 1);
     return (engine.role === Role.Decode || this.phaseHasRoom(engine, lane, Phase.Prefill, headroom))
       && (engine.role === Role.Prefill || this.phaseHasRoom(engine, lane, Phase.Decode, headroom));
   }
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -12,6 +12,7 @@
 import { AttemptOutcome } from './placement.js';
 import type { Placement, PolicyRefusal, WorkItem } from './placement.js';
 import type { Router, RouterOptions } from './routing.js';
+import { WorkspaceShares } from './shares.js';
 
 /** Options of {@link PolicyDispatcher}. */
 export interface PolicyOptions {
@@ -69,6 +70,11 @@
 
   private pumping = false;
 
+  /** Request whose placement is being chosen. */
+  private placing: Request | null = null;
+
+  private readonly shares: WorkspaceShares;
+
   public constructor(private readonly options: PolicyOptions) {
     const { clock, directory, random } = options;
     const target = options.target ?? SERVICE_TARGET;
@@ -84,7 +90,8 @@
     this.queue = new AdmissionQueue<Request>({
       clock, random, maxQueued: options.maxQueued, firstTokenMs: target.firstTokenMs,
     });
-    this.router = options.createRouter((engine, item) => this.limits.hasRoom(engine, item));
+    this.router = options.createRouter((engine, item) => this.limits.hasRoom(engine, item, this.placing?.aboveShare));
+    this.shares = new WorkspaceShares(clock);
     this.rebalancedAt = clock.monotonic();
   }
 
@@ -137,6 +144,7 @@
       cost,
       firstTokenMs: this.estimates.firstTokenMs(Math.max(0, prefill)),
       queuedAt: now,
+      aboveShare: this.shares.isAbove(item.workspace),
       mustRun: item.continuation === true || (item.importedTokens ?? 0) > 0,
       placement: null,
       held: null,
@@ -155,12 +163,15 @@
   }
 
   private place(request: Request): boolean {
+    this.placing = request;
     const placement = this.router.choose(request.item);
+    this.placing = null;
     if (placement === null) return false;
     request.placement = placement;
     request.placedAt = this.options.clock.monotonic();
     request.held = this.limits.started(request.item, placement);
     this.router.started(request.item, placement);
+    this.shares.used(request.item.workspace, request.cost);
     request.listener.placed(placement);
     return true;
   }
