--- a/src/bench/policy.ts
+++ b/src/bench/policy.ts
@@ -1,3 +1,4 @@
+import type { Demand } from '../core/affinity.js';
 import { FifoDispatcher } from '../core/dispatch.js';
 import { EngineDirectory } from '../core/directory.js';
 import type { Role } from '../core/edges.js';
@@ -93,6 +94,8 @@
 export interface PolicyEntry extends SimulatedEntry {
   readonly router: CostRouter;
   readonly health: HealthTracker;
+  /** Demand of the other entries as last published. */
+  readonly others: Demand;
 }
 
 /** Options of {@link createPolicyEntry}. */
@@ -112,6 +115,7 @@
   const { clock, random, user } = opts;
   const directory = new EngineDirectory();
   const health = new HealthTracker({ clock, ...DEFAULT_HEALTH_OPTIONS });
+  const others: Demand = { prefillMs: 0, decodeMs: 0 };
   const learner = new MeanOutput();
   const router = new CostRouter({
     clock,
@@ -122,6 +126,7 @@
     failureDomain: user.failureDomains[opts.index % user.failureDomains.length]!,
     hasRoom: () => true,
     expectedOutput: (item) => learner.expected(item),
+    othersDemand: () => others,
     ...(opts.health === false ? {} : {
       healthWeight: (engine: string) => health.weight(engine),
       onObservation: (engine: string, observedMs: number, expectedMs: number) => {
@@ -135,6 +140,7 @@
     directory,
     router,
     health,
+    others,
     dispatcher: new FifoDispatcher({ clock, router: learner, maxQueued: 10_000 }),
     report: (engine, load) => router.report(engine, load, clock.monotonic() - load.at),
   };
@@ -147,6 +153,22 @@
   return { directory, dispatcher: new FifoDispatcher({ clock, router, maxQueued: 10_000 }) };
 }
 
+const DEMAND_PERIOD_MS = 1_000;
+
+/** Lets entries publish their demand to each other every second, as they do with their heartbeats. */
+export function shareDemand(simulation: Simulation, entries: readonly PolicyEntry[], untilMs: number): void {
+  simulation.every(DEMAND_PERIOD_MS, untilMs, () => {
+    const published = entries.map((entry) => entry.router.demand());
+    entries.forEach((entry, index) => {
+      const others = published.filter((_, other) => other !== index);
+      Object.assign(entry.others, {
+        prefillMs: others.reduce((sum, demand) => sum + demand.prefillMs, 0),
+        decodeMs: others.reduce((sum, demand) => sum + demand.decodeMs, 0),
+      });
+    });
+  });
+}
+
 /** Simulation of a user's deployment. */
 export function createSimulation(
   user: User,
--- a/src/core/affinity.ts
+++ b/src/core/affinity.ts
@@ -11,6 +11,14 @@
 /** Share of time that an engine can spend on prefill work while first tokens stay in time. */
 const PREFILL_UTILIZATION = 0.6;
 
+/** Demand for one model in engine milliseconds over the smoothing time; the planner and the entries share it. */
+export interface Demand {
+  /** Prefill of long prompts with short answers, at the share of time that prefill work can use. */
+  readonly prefillMs: number;
+  /** Long answers at a typical batch. */
+  readonly decodeMs: number;
+}
+
 /** Distance of the wanted number from the current one at which it changes, in engines. */
 const HYSTERESIS = 0.7;
 
@@ -41,14 +49,26 @@
     }
   }
 
-  /** Engines of `total` that should take the short answers; the same for nearby demand. */
-  public shortEngines(total: number): number {
-    const sum = this.prefillMs + this.decodeMs;
+  /** Smoothed demand that this node sees. */
+  public demand(now: number): Demand {
+    this.decay(now);
+    return { prefillMs: this.prefillMs, decodeMs: this.decodeMs };
+  }
+
+  /**
+   * Engines of `total` that should take the short answers, given the demand of all nodes. With an engine of its own,
+   * a node's short answers never meet those of other nodes, so there are as many as nodes if the rest can spare them.
+   */
+  public shortEngines(total: number, nodes: number, demand: Demand): number {
+    const sum = demand.prefillMs + demand.decodeMs;
     if (sum === 0 || total < 2) return 0;
-    const wanted = (total * this.prefillMs) / sum;
+    const spare = total - Math.ceil(demand.decodeMs / SMOOTHING_MS);
+    const wanted = demand.prefillMs === 0
+      ? 0
+      : Math.max((total * demand.prefillMs) / sum, Math.min(nodes, spare));
     if (this.count === null || this.count > total || Math.abs(wanted - this.count) > HYSTERESIS) {
-      const least = this.prefillMs > 0 ? 1 : 0;
-      const most = this.decodeMs > 0 ? total - 1 : total;
+      const least = demand.prefillMs > 0 ? 1 : 0;
+      const most = demand.decodeMs > 0 ? total - 1 : total;
       this.count = Math.min(most, Math.max(least, Math.round(wanted)));
     }
     return this.count;
--- a/src/core/cost.ts
+++ b/src/core/cost.ts
@@ -48,6 +48,9 @@
 /** Price of a long answer on an engine for short ones, or the other way round. */
 const MISFIT_COST = 2;
 
+/** Price of a prompt that certainly meets short answers of another node. */
+const COLLISION_COST = 2;
+
 const MAX_PENALTY = 4;
 
 /** Least slack in ms between tokens that the harm is measured against. */
@@ -112,7 +115,10 @@
     ? 0
     : longs * Math.min(1, speed.stepPerSequenceMs / slackMs)
       + (longs < 1 ? load.prefillShare * (speed.stepMs / chunkMs) : 0);
-  const collisions = engine.home ? 0 : load.prefillShare * Math.min(1, delayMs / (target.perTokenMs - speed.stepMs));
+  // Work of the home node spoils this answer, and this prompt spoils the home node's answers.
+  const collisions = engine.home
+    ? 0
+    : COLLISION_COST * load.prefillShare * Math.min(1, delayMs / (target.perTokenMs - speed.stepMs));
   const misfit = short === engine.forShort ? 0 : MISFIT_COST;
   return {
     firstTokenMs, perTokenMs, shortHarm, harm: shortHarm + longHarm + decodeHarm + collisions + misfit,
--- a/src/core/health.ts
+++ b/src/core/health.ts
@@ -23,7 +23,7 @@
 
 /** Defaults of {@link HealthOptions}. */
 export const DEFAULT_HEALTH_OPTIONS = {
-  outlierRatio: 2,
+  outlierRatio: 2.5,
   maxEjectedShare: 1 / 3,
   ejectionMs: 1_000,
   probationWeight: 0.1,
@@ -130,7 +130,7 @@
 
   private limit(): number {
     this.refreshMedian();
-    return this.options.outlierRatio * Math.max(this.median, 0.5);
+    return this.options.outlierRatio * Math.max(this.median, 0.4);
   }
 
   private judge(health: EngineHealth, limit: number): void {
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -1,5 +1,6 @@
 import type { Clock, Random } from './edges.js';
 import { Role } from './edges.js';
+import type { Demand } from './affinity.js';
 import { WorkAffinity } from './affinity.js';
 import type { ModelEngines } from './candidates.js';
 import { CandidatePools } from './candidates.js';
@@ -103,6 +104,8 @@
   readonly healthWeight?: (engine: string) => number;
   /** Receives each own observation of a time between tokens or to a first token, with its expectation. */
   readonly onObservation?: (engine: string, observedMs: number, expectedMs: number) => void;
+  /** Sum of the demand that the other nodes published last. */
+  readonly othersDemand?: () => Demand;
   /** Extra delay in ms to another failure domain. */
   readonly distanceMs?: number;
   readonly speed?: EngineSpeed;
@@ -130,9 +133,6 @@
 
 const DEFAULT_DISTANCE_MS = 1;
 
-/** Share of the first-token limit by which the predicted first token of a held request must be early. */
-const HOLD_RESERVE = 0.15;
-
 function better(a: Choice | null, b: Choice | null): Choice | null {
   if (a === null || b === null) return a ?? b;
   return b.cost < a.cost ? b : a;
@@ -172,11 +172,16 @@
     return this.tracker.load(engine).count;
   }
 
+  /** Smoothed demand that this node sees, for the other nodes and the role planner. */
+  public demand(): Demand {
+    return this.affinity.demand(this.options.clock.monotonic());
+  }
+
   public choose(item: WorkItem): Placement | null {
     const { target } = this;
     const expectedOutput = this.options.expectedOutput(item);
     const importedTokens = item.importedTokens ?? 0;
-    const engines = this.pools.of(item.model, (total) => this.affinity.shortEngines(total));
+    const engines = this.engines(item.model);
     const elapsedMs = this.options.clock.monotonic() - item.arrival;
     const question: Question = {
       item,
@@ -238,7 +243,6 @@
         const { shorts } = this.tracker.load(facts.name);
         if (shorts === 0) continue;
         const later = afterShorts(estimate, shorts, this.speed);
-        if (later.firstTokenMs > question.budgetMs - HOLD_RESERVE * this.target.firstTokenMs) continue;
         best = better(best, this.choice(placement, later, question, weight, true));
       }
     }
@@ -287,6 +291,18 @@
     };
   }
 
+  private engines(model: string): ModelEngines {
+    const own = this.demand();
+    const others = this.options.othersDemand?.() ?? { prefillMs: 0, decodeMs: 0 };
+    const demand = {
+      prefillMs: own.prefillMs + others.prefillMs,
+      decodeMs: own.decodeMs + others.decodeMs,
+    };
+    return this.pools.of(model, (total) => (
+      this.affinity.shortEngines(total, this.options.nodes().length, demand)
+    ));
+  }
+
   private estimate(facts: EngineFacts, question: Question, base: CostItem): CostEstimate {
     const hit = base.prefillTokens > 0 ? this.options.prefixTokens?.(facts.name, question.item) ?? 0 : 0;
     const item = hit > 0 ? { ...base, prefillTokens: Math.max(1, base.prefillTokens - hit) } : base;
--- a/src/core/tracker.ts
+++ b/src/core/tracker.ts
@@ -19,7 +19,7 @@
 }
 
 /** Added to the expected first-token time, so that work of other nodes does not look like a slow engine. */
-const FIRST_TOKEN_ALLOWANCE_MS = 150;
+const FIRST_TOKEN_ALLOWANCE_MS = 300;
 
 /** Counts the work of this node at each engine, and keeps the late reports. */
 export class WorkTracker {
@@ -129,10 +129,9 @@
       + (decodes ? Math.ceil(waitingTokens / chunkTokens) * this.stepMs(engine) : 0);
   }
 
+  // A chunk of prefill work may be in any step, so it is always part of the expectation.
   private gapMs(engine: string): number {
     const { prefillTokensPerMs, chunkTokens } = this.options.speed;
-    const load = this.load(engine);
-    const prefill = load.promptLeft > 0 || load.prefillShare > 0.05;
-    return this.stepMs(engine) + (prefill ? chunkTokens / prefillTokensPerMs : 0);
+    return this.stepMs(engine) + chunkTokens / prefillTokensPerMs;
   }
 }
