Share leftover home engines evenly and size the short-answer part by demand

Cause: with all engines mixed, catalogues met replies on every engine. Change: engines are divided by shared demand, homes keep short answers of two nodes apart, all engines up to 12 are looked at, reports lose half their weight in 0.5 s.

--- a/src/core/affinity.ts
+++ b/src/core/affinity.ts
@@ -6,10 +6,10 @@
 const SMOOTHING_MS = 15_000;
 
 /** Decodes that share a step at the target pace. */
-const TYPICAL_BATCH = 28;
+const TYPICAL_BATCH = 14;
 
 /** Share of time that an engine can spend on prefill work while first tokens stay in time. */
-const PREFILL_UTILIZATION = 0.6;
+const PREFILL_UTILIZATION = 0.45;
 
 /** Demand for one model in engine milliseconds over the smoothing time; the planner and the entries share it. */
 export interface Demand {
--- a/src/core/candidates.ts
+++ b/src/core/candidates.ts
@@ -15,8 +15,8 @@
 export interface ModelEngines extends RolePools {
   /** Engines that all nodes prefer for short answers. */
   readonly forShort: ReadonlySet<string>;
-  /** Those among them that this node prefers. */
-  readonly home: ReadonlySet<string>;
+  /** Those among them that this node prefers, with the number of nodes that do. */
+  readonly home: ReadonlyMap<string, number>;
 }
 
 /** Options of {@link CandidatePools}. */
@@ -70,7 +70,7 @@
   /** Home engines, owners and `count` random engines of a pool; the whole pool if it is no larger than `count`. */
   public sample(
     pool: readonly EngineFacts[],
-    home: ReadonlySet<string>,
+    home: ReadonlyMap<string, number>,
     owners: readonly string[],
     count: number,
   ): readonly EngineFacts[] {
--- a/src/core/cost.ts
+++ b/src/core/cost.ts
@@ -27,8 +27,8 @@
   /** Requests of other nodes expected to run there. */
   readonly others: number;
   readonly distanceMs: number;
-  /** Whether this node is the one that sends short answers there. */
-  readonly home: boolean;
+  /** Share of the short answers there that other nodes send; 0 when no other node should. */
+  readonly foreign: number;
   /** Whether the nodes send short answers there rather than long ones. */
   readonly forShort: boolean;
   /** Prompt tokens that one step takes. */
@@ -49,7 +49,7 @@
 const MISFIT_COST = 2;
 
 /** Price of a prompt that certainly meets short answers of another node. */
-const COLLISION_COST = 2;
+const COLLISION_COST = 1;
 
 const MAX_PENALTY = 4;
 
@@ -103,7 +103,7 @@
     + item.importedTokens * speed.transferMsPerToken
     + engine.distanceMs;
   const ownStepMs = speed.stepMs + speed.stepPerSequenceMs * (longs + 1);
-  const foreignShare = short && engine.home ? 0 : load.prefillShare;
+  const foreignShare = short ? engine.foreign * load.prefillShare : load.prefillShare;
   const perTokenMs = ownStepMs + foreignShare * chunkMs;
 
   const delayMs = item.prefillTokens / speed.prefillTokensPerMs;
@@ -116,9 +116,8 @@
     : longs * Math.min(1, speed.stepPerSequenceMs / slackMs)
       + (longs < 1 ? load.prefillShare * (speed.stepMs / chunkMs) : 0);
   // Work of the home node spoils this answer, and this prompt spoils the home node's answers.
-  const collisions = engine.home
-    ? 0
-    : COLLISION_COST * load.prefillShare * Math.min(1, delayMs / (target.perTokenMs - speed.stepMs));
+  const collisions = COLLISION_COST * engine.foreign * load.prefillShare
+    * Math.min(1, delayMs / (target.perTokenMs - speed.stepMs));
   const misfit = short === engine.forShort ? 0 : MISFIT_COST;
   return {
     firstTokenMs, perTokenMs, shortHarm, harm: shortHarm + longHarm + decodeHarm + collisions + misfit,
--- a/src/core/load.ts
+++ b/src/core/load.ts
@@ -47,7 +47,7 @@
 const REPORT_SMOOTHING = 0.3;
 
 /** Time after which a report's deviation from the fleet's mean counts half. */
-const REPORT_HALF_LIFE_MS = 4_000;
+const REPORT_HALF_LIFE_MS = 500;
 
 /** What one node knows of the load of one engine. */
 export class EngineLoad {
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -129,7 +129,7 @@
   readonly owners: readonly string[];
 }
 
-const DEFAULT_CANDIDATES = 4;
+const DEFAULT_CANDIDATES = 12;
 
 const DEFAULT_DISTANCE_MS = 1;
 
@@ -306,13 +306,14 @@
   private estimate(facts: EngineFacts, question: Question, base: CostItem): CostEstimate {
     const hit = base.prefillTokens > 0 ? this.options.prefixTokens?.(facts.name, question.item) ?? 0 : 0;
     const item = hit > 0 ? { ...base, prefillTokens: Math.max(1, base.prefillTokens - hit) } : base;
+    const sharers = question.engines.home.get(facts.name);
     const far = facts.failureDomain !== this.options.failureDomain;
     return estimateCost(item, {
       load: this.tracker.load(facts.name),
       promptWaiting: this.tracker.promptWaiting(facts.name),
       others: this.tracker.others(facts.name),
       distanceMs: far ? this.options.distanceMs ?? DEFAULT_DISTANCE_MS : 0,
-      home: question.engines.home.has(facts.name),
+      foreign: sharers === undefined ? 1 : (sharers - 1) / sharers,
       forShort: question.engines.forShort.has(facts.name),
       chunkTokens: facts.role === Role.Prefill ? this.speed.prefillChunkTokens : this.speed.chunkTokens,
     }, this.speed, this.target);
--- a/src/core/subset.ts
+++ b/src/core/subset.ts
@@ -107,17 +107,29 @@
 }
 
 /**
- * Engines that a node prefers for work that suffers when two nodes send it to one engine at the same time. Engines are
- * divided evenly among the nodes, or nodes among the engines when there are more nodes.
+ * Engines that a node prefers for work that suffers when two nodes send it to one engine at the same time, each with
+ * the number of nodes that prefer it. Every node has the same number of engines to itself; the rest is shared evenly.
  */
-export function homeEngines(node: string, nodes: readonly string[], engines: readonly string[]): Set<string> {
-  if (engines.length === 0 || !nodes.includes(node)) return new Set(engines);
-  if (engines.length < nodes.length) return new Set([spread(engines, nodes).get(node)!]);
-  if (engines.length * nodes.length <= MAX_BALANCED_PAIRS) {
-    const owners = spread(nodes, engines);
-    return new Set(engines.filter((engine) => owners.get(engine) === node));
+export function homeEngines(node: string, nodes: readonly string[], engines: readonly string[]): Map<string, number> {
+  const homes = new Map<string, number>();
+  if (engines.length === 0 || !nodes.includes(node)) return homes;
+  if (engines.length * nodes.length > MAX_BALANCED_PAIRS) {
+    const self = hashName(node);
+    const others = nodes.filter((name) => name !== node).map(hashName);
+    for (const engine of engines) {
+      if (isAmongFirst(self, others, hashName(engine), 1)) homes.set(engine, 1);
+    }
+    return homes;
   }
-  const self = hashName(node);
-  const others = nodes.filter((name) => name !== node).map(hashName);
-  return new Set(engines.filter((engine) => isAmongFirst(self, others, hashName(engine), 1)));
+  const own = Math.floor(engines.length / nodes.length) * nodes.length;
+  const shared = engines.slice(own);
+  if (own > 0) {
+    for (const [engine, owner] of spread(nodes, engines.slice(0, own))) if (owner === node) homes.set(engine, 1);
+  }
+  if (shared.length > 0) {
+    const assigned = spread(shared, nodes);
+    const engine = assigned.get(node)!;
+    homes.set(engine, [...assigned.values()].filter((name) => name === engine).length);
+  }
+  return homes;
 }
