--- /dev/null
+++ b/src/bench/mixshift.ts
@@ -0,0 +1,243 @@
+import { Role } from '../core/edges.js';
+import { DEFAULT_PLANNER_OPTIONS, RolePlanner } from '../core/roles.js';
+import type { RoleCounts } from '../core/split.js';
+import { DEFAULT_SPLIT_MODEL } from '../core/split.js';
+import { SeededRandom } from '../emulator/random.js';
+import type { Experiment, RunOptions, Verdict } from './experiment.js';
+import type { PolicyEntry, User } from './policy.js';
+import {
+  createBaselineEntry, createPolicyEntry, createSimulation, SEEDS, shareDemand, summarize, USERS,
+} from './policy.js';
+import { nameOf, RoleDriver, rolesOf } from './roledriver.js';
+import { isGood } from './simulation.js';
+import type { Simulation } from './simulation.js';
+import type { Arrival } from './workload.js';
+import { generateArrivals } from './workload.js';
+
+/** Requests a second of each class in the two mixes that alternate. */
+const MIXES: Readonly<Record<string, readonly [readonly number[], readonly number[]]>> = {
+  halvorsen: [[8, 10], [1, 34]],
+  galinheiro: [[8, 6, 2], [1, 30, 3]],
+};
+
+const PHASE_MS = 90_000;
+
+const PHASES = 4;
+
+const DURATION_MS = PHASES * PHASE_MS;
+
+/** Length of a trial of one division under one mix. */
+const TRIAL_MS = 30_000;
+
+/** Answers that have not ended by then are much too late. */
+const TAIL_MS = 20_000;
+
+const LEADS_MS = [0, 8_000];
+
+function mixAt(timeMs: number): 0 | 1 {
+  return Math.floor(timeMs / PHASE_MS) % 2 === 0 ? 0 : 1;
+}
+
+function arrivalsOf(user: User, seed: number, durationMs: number, mix: (timeMs: number) => 0 | 1): Arrival[] {
+  const mixes = MIXES[user.name]!;
+  return generateArrivals(new SeededRandom(seed * 1_000 + 7), user.classes.map((requestClass, index) => ({
+    requestClass,
+    ratePerSecond: (timeMs) => mixes[mix(timeMs)][index]!,
+    maxRatePerSecond: Math.max(mixes[0][index]!, mixes[1][index]!),
+  })), durationMs);
+}
+
+function runPolicy(
+  user: User,
+  seed: number,
+  start: RoleCounts,
+  arrivals: readonly Arrival[],
+  durationMs: number,
+  drive: (driver: RoleDriver, entries: readonly PolicyEntry[]) => void,
+): Simulation {
+  const entries: PolicyEntry[] = [];
+  const { simulation } = createSimulation(user, seed, rolesOf(start), (clock, random, index) => {
+    const entry = createPolicyEntry({
+      clock, random, user, index,
+    });
+    entries.push(entry);
+    return entry;
+  });
+  shareDemand(simulation, entries, durationMs);
+  drive(new RoleDriver(simulation, user.failureDomains), entries);
+  simulation.run(arrivals, durationMs, TAIL_MS);
+  return simulation;
+}
+
+function goodOf(simulation: Simulation): number {
+  return simulation.records.filter((record) => isGood(record)).length;
+}
+
+function divisionsOf(total: number): RoleCounts[] {
+  const divisions: RoleCounts[] = [{ prefill: 0, decode: 0, mixed: total }];
+  for (let prefill = 1; prefill < total; prefill += 1) {
+    divisions.push({ prefill, decode: total - prefill, mixed: 0 });
+    if (prefill + 2 <= total) divisions.push({ prefill, decode: 0, mixed: total - prefill });
+    if (prefill + 3 <= total) divisions.push({ prefill, decode: total - prefill - 2, mixed: 2 });
+  }
+  return divisions;
+}
+
+interface Search {
+  readonly best: RoleCounts;
+  /** Best division for each mix alone. */
+  readonly perMix: readonly [RoleCounts, RoleCounts];
+}
+
+/** Tries divisions under each mix, then the most promising ones under the whole run. */
+function search(user: User, seed: number): Search {
+  const trials = ([0, 1] as const).map((mix) => arrivalsOf(user, seed, TRIAL_MS, () => mix));
+  const scored = divisionsOf(user.engines).map((division) => ({
+    division,
+    good: trials.map((trial) => goodOf(runPolicy(user, seed, division, trial, TRIAL_MS, () => {}))),
+  }));
+  const bestFor = (mix: 0 | 1): RoleCounts => scored.reduce((a, b) => (b.good[mix]! > a.good[mix]! ? b : a)).division;
+  const arrivals = arrivalsOf(user, seed, DURATION_MS, mixAt);
+  const finals = scored.sort((a, b) => b.good[0]! + b.good[1]! - a.good[0]! - a.good[1]!).slice(0, 3)
+    .map(({ division }) => ({
+      division, good: goodOf(runPolicy(user, seed, division, arrivals, DURATION_MS, () => {})),
+    }));
+  return {
+    best: finals.reduce((a, b) => (b.good > a.good ? b : a)).division,
+    perMix: [bestFor(0), bestFor(1)],
+  };
+}
+
+interface Schedule {
+  readonly divisions: readonly [RoleCounts, RoleCounts];
+  readonly leadMs: number;
+}
+
+function between(a: RoleCounts, b: RoleCounts): RoleCounts {
+  const prefill = Math.floor((a.prefill + b.prefill) / 2);
+  const decode = Math.floor((a.decode + b.decode) / 2);
+  return { prefill, decode, mixed: a.prefill + a.decode + a.mixed - prefill - decode };
+}
+
+function runSchedule(
+  user: User,
+  seed: number,
+  start: RoleCounts,
+  schedule: Schedule,
+  arrivals: readonly Arrival[],
+): Simulation {
+  return runPolicy(user, seed, start, arrivals, DURATION_MS, (driver) => {
+    driver.schedule((now) => schedule.divisions[mixAt(now + schedule.leadMs)], DURATION_MS);
+  });
+}
+
+/** Best schedule of a planner that knows the mix in advance; staying with the best static division is one of them. */
+function bestSchedule(user: User, seed: number, found: Search): Schedule {
+  const [first, second] = found.perMix;
+  const candidates: (readonly [RoleCounts, RoleCounts])[] = [
+    [found.best, found.best],
+    [first, second],
+    [between(first, found.best), between(second, found.best)],
+  ];
+  const arrivals = arrivalsOf(user, seed, DURATION_MS, mixAt);
+  return candidates.flatMap((divisions) => LEADS_MS.map((leadMs) => ({ divisions, leadMs })))
+    .map((schedule) => ({ schedule, good: goodOf(runSchedule(user, seed, found.best, schedule, arrivals)) }))
+    .reduce((a, b) => (b.good > a.good ? b : a)).schedule;
+}
+
+interface Totals {
+  readonly goodput: number[];
+  readonly changes: number[];
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
+
+function roundTo(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
+}
+
+const VARIANTS = ['baseline', 'static', 'reference', 'policy'];
+
+function runUser(user: User, opts: RunOptions): Record<string, number | string> {
+  const found = search(user, opts.seed);
+  const schedule = bestSchedule(user, opts.seed, found);
+  const totals: Record<string, Totals> = {};
+  for (const variant of VARIANTS.filter((name) => opts.variant === undefined || name === opts.variant)) {
+    const total: Totals = { goodput: [], changes: [] };
+    let last: ReturnType<typeof summarize> | null = null;
+    for (let { seed } = opts; seed < opts.seed + SEEDS; seed += 1) {
+      const arrivals = arrivalsOf(user, seed, DURATION_MS, mixAt);
+      let simulation: Simulation;
+      if (variant === 'baseline') {
+        const roles = Array<Role>(user.engines).fill(Role.Mixed);
+        ({ simulation } = createSimulation(user, seed, roles, (clock, random) => createBaselineEntry(clock, random)));
+        simulation.run(arrivals, DURATION_MS, TAIL_MS);
+      } else if (variant === 'reference') simulation = runSchedule(user, seed, found.best, schedule, arrivals);
+      else {
+        simulation = runPolicy(user, seed, found.best, arrivals, DURATION_MS, (driver, entries) => {
+          if (variant !== 'policy') return;
+          driver.follow(
+            new RolePlanner({ model: DEFAULT_SPLIT_MODEL, ...DEFAULT_PLANNER_OPTIONS }),
+            entries,
+            DURATION_MS,
+          );
+        });
+      }
+      last = summarize(simulation, DURATION_MS);
+      total.goodput.push(last.goodput);
+      total.changes.push(simulation.roleChanges);
+    }
+    totals[variant] = total;
+    opts.emit({
+      user: user.name,
+      variant,
+      start: variant === 'baseline' ? 'all mixed' : nameOf(found.best),
+      ...(variant === 'reference' ? { divisions: schedule.divisions.map(nameOf), leadMs: schedule.leadMs } : {}),
+      goodput: roundTo(mean(total.goodput)),
+      goodputLow: Math.min(...total.goodput),
+      goodputHigh: Math.max(...total.goodput),
+      roleChanges: total.changes,
+      refused: last!.refused,
+      classesOfLastSeed: last!.classes,
+    });
+  }
+  const goodput = (variant: string): number => mean(totals[variant]?.goodput ?? []);
+  const changes = (variant: string): number => mean(totals[variant]?.changes ?? []);
+  return {
+    toReference: roundTo(goodput('policy') / goodput('reference')),
+    toStatic: roundTo(goodput('policy') / goodput('static')),
+    referenceToStatic: roundTo(goodput('reference') / goodput('static')),
+    toBaseline: roundTo(goodput('policy') / goodput('baseline')),
+    changes: changes('policy'),
+    referenceChanges: changes('reference'),
+  };
+}
+
+/** Whether one user's figures meet the target. */
+function meets(figure: Record<string, number | string>): boolean {
+  const value = (key: string): number => Number(figure[key]);
+  const gain = value('toStatic') >= 1.3
+    || (value('referenceToStatic') < 1.3 && value('toStatic') - 1 >= 0.9 * (value('referenceToStatic') - 1));
+  return value('toReference') >= 0.9 && gain && value('changes') <= 2 * value('referenceChanges');
+}
+
+/** Goodput while the mix of prompts and answers alternates. */
+export const mixShift: Experiment = {
+  name: 'mix-shift',
+  shows: 'goodput and role changes while the mix alternates, against a planner that knows the mix in advance',
+  target: '>= 0.9 x reference; >= 1.3 x best static split, or 0.9 x the gain of the reference where that is less; '
+    + 'role changes <= 2 x reference',
+  variants: VARIANTS,
+  async run(opts: RunOptions): Promise<Verdict> {
+    const figure: Record<string, number | string> = {};
+    let pass = true;
+    for (const user of USERS) {
+      const result = runUser(user, opts);
+      for (const [key, value] of Object.entries(result)) figure[`${user.name}.${key}`] = value;
+      pass &&= meets(result);
+    }
+    return { pass, figure };
+  },
+};
--- a/src/bench/policy.ts
+++ b/src/bench/policy.ts
@@ -1,4 +1,5 @@
 import type { Demand } from '../core/affinity.js';
+import { NO_DEMAND, sumDemand } from '../core/affinity.js';
 import { FifoDispatcher } from '../core/dispatch.js';
 import { EngineDirectory } from '../core/directory.js';
 import type { Role } from '../core/edges.js';
@@ -115,7 +116,7 @@
   const { clock, random, user } = opts;
   const directory = new EngineDirectory();
   const health = new HealthTracker({ clock, ...DEFAULT_HEALTH_OPTIONS });
-  const others: Demand = { prefillMs: 0, decodeMs: 0 };
+  const others: Demand = { ...NO_DEMAND };
   const learner = new MeanOutput();
   const router = new CostRouter({
     clock,
@@ -160,11 +161,7 @@
   simulation.every(DEMAND_PERIOD_MS, untilMs, () => {
     const published = entries.map((entry) => entry.router.demand());
     entries.forEach((entry, index) => {
-      const others = published.filter((_, other) => other !== index);
-      Object.assign(entry.others, {
-        prefillMs: others.reduce((sum, demand) => sum + demand.prefillMs, 0),
-        decodeMs: others.reduce((sum, demand) => sum + demand.decodeMs, 0),
-      });
+      Object.assign(entry.others, sumDemand(published.filter((_, other) => other !== index)));
     });
   });
 }
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,10 +1,12 @@
 import type { Experiment } from './experiment.js';
+import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
 import { headOfLine } from './headofline.js';
 import { peak } from './peak.js';
 
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
+  mixShift,
   peak,
   headOfLine,
   fairness,
--- a/src/core/affinity.ts
+++ b/src/core/affinity.ts
@@ -11,12 +11,33 @@
 /** Share of time that an engine can spend on prefill work while first tokens stay in time. */
 const PREFILL_UTILIZATION = 0.45;
 
-/** Demand for one model in engine milliseconds over the smoothing time; the planner and the entries share it. */
+/** Smoothed demand for one model; the planner and the entries share it. Sums of nodes add up. */
 export interface Demand {
-  /** Prefill of long prompts with short answers, at the share of time that prefill work can use. */
-  readonly prefillMs: number;
-  /** Long answers at a typical batch. */
-  readonly decodeMs: number;
+  /** Requests a second with short expected answers. */
+  readonly shortPerSecond: number;
+  /** Engines that they would keep busy, one at a time on each. */
+  readonly shortShare: number;
+  readonly longPerSecond: number;
+  /** Engines that the prompts of long answers would keep busy. */
+  readonly longPrefillShare: number;
+  /** Expected output of long answers. */
+  readonly tokensPerMs: number;
+}
+
+/** No demand at all. */
+export const NO_DEMAND: Demand = {
+  shortPerSecond: 0, shortShare: 0, longPerSecond: 0, longPrefillShare: 0, tokensPerMs: 0,
+};
+
+/** Sum of the demand of several nodes. */
+export function sumDemand(demands: readonly Demand[]): Demand {
+  return demands.reduce((sum, demand) => ({
+    shortPerSecond: sum.shortPerSecond + demand.shortPerSecond,
+    shortShare: sum.shortShare + demand.shortShare,
+    longPerSecond: sum.longPerSecond + demand.longPerSecond,
+    longPrefillShare: sum.longPrefillShare + demand.longPrefillShare,
+    tokensPerMs: sum.tokensPerMs + demand.tokensPerMs,
+  }), NO_DEMAND);
 }
 
 /** Distance of the wanted number from the current one at which it changes, in engines. */
@@ -27,9 +48,9 @@
  * All nodes use the same order of engines, so they agree without messages when they see similar demand.
  */
 export class WorkAffinity {
-  private prefillMs = 0;
-
-  private decodeMs = 0;
+  private readonly sums = {
+    shorts: 0, shortMs: 0, longs: 0, longPrefillMs: 0, tokens: 0,
+  };
 
   private at = 0;
 
@@ -40,19 +61,29 @@
   /** Counts one arrival. */
   public observe(now: number, prefillTokens: number, expectedOutput: number): void {
     this.decay(now);
-    const { prefillTokensPerMs, stepMs, stepPerSequenceMs } = this.speed;
-    const prefillMs = prefillTokens / prefillTokensPerMs;
+    const { sums } = this;
+    const prefillMs = prefillTokens / this.speed.prefillTokensPerMs;
     if (expectedOutput <= SHORT_ANSWER_TOKENS) {
-      this.prefillMs += (prefillMs + expectedOutput * stepMs) / PREFILL_UTILIZATION;
+      sums.shorts += 1;
+      sums.shortMs += prefillMs + expectedOutput * this.speed.stepMs;
     } else {
-      this.decodeMs += prefillMs + (expectedOutput * (stepMs + TYPICAL_BATCH * stepPerSequenceMs)) / TYPICAL_BATCH;
+      sums.longs += 1;
+      sums.longPrefillMs += prefillMs;
+      sums.tokens += expectedOutput;
     }
   }
 
   /** Smoothed demand that this node sees. */
   public demand(now: number): Demand {
     this.decay(now);
-    return { prefillMs: this.prefillMs, decodeMs: this.decodeMs };
+    const { sums } = this;
+    return {
+      shortPerSecond: (sums.shorts * 1_000) / SMOOTHING_MS,
+      shortShare: sums.shortMs / SMOOTHING_MS,
+      longPerSecond: (sums.longs * 1_000) / SMOOTHING_MS,
+      longPrefillShare: sums.longPrefillMs / SMOOTHING_MS,
+      tokensPerMs: sums.tokens / SMOOTHING_MS,
+    };
   }
 
   /**
@@ -60,15 +91,15 @@
    * a node's short answers never meet those of other nodes, so there are as many as nodes if the rest can spare them.
    */
   public shortEngines(total: number, nodes: number, demand: Demand): number {
-    const sum = demand.prefillMs + demand.decodeMs;
-    if (sum === 0 || total < 2) return 0;
-    const spare = total - Math.ceil(demand.decodeMs / SMOOTHING_MS);
-    const wanted = demand.prefillMs === 0
-      ? 0
-      : Math.max((total * demand.prefillMs) / sum, Math.min(nodes, spare));
+    const forShort = demand.shortShare / PREFILL_UTILIZATION;
+    const stepMs = this.speed.stepMs + TYPICAL_BATCH * this.speed.stepPerSequenceMs;
+    const forLong = demand.longPrefillShare + (demand.tokensPerMs * stepMs) / TYPICAL_BATCH;
+    if (forShort + forLong === 0 || total < 2) return 0;
+    const spare = total - Math.ceil(forLong);
+    const wanted = forShort === 0 ? 0 : Math.max((total * forShort) / (forShort + forLong), Math.min(nodes, spare));
     if (this.count === null || this.count > total || Math.abs(wanted - this.count) > HYSTERESIS) {
-      const least = demand.prefillMs > 0 ? 1 : 0;
-      const most = demand.decodeMs > 0 ? total - 1 : total;
+      const least = forShort > 0 ? 1 : 0;
+      const most = forLong > 0 ? total - 1 : total;
       this.count = Math.min(most, Math.max(least, Math.round(wanted)));
     }
     return this.count;
@@ -76,8 +107,11 @@
 
   private decay(now: number): void {
     const factor = Math.exp((this.at - now) / SMOOTHING_MS);
-    this.prefillMs *= factor;
-    this.decodeMs *= factor;
+    this.sums.shorts *= factor;
+    this.sums.shortMs *= factor;
+    this.sums.longs *= factor;
+    this.sums.longPrefillMs *= factor;
+    this.sums.tokens *= factor;
     this.at = now;
   }
 }
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -1,7 +1,7 @@
 import type { Clock, Random } from './edges.js';
 import { Role } from './edges.js';
 import type { Demand } from './affinity.js';
-import { WorkAffinity } from './affinity.js';
+import { sumDemand, WorkAffinity } from './affinity.js';
 import type { ModelEngines } from './candidates.js';
 import { CandidatePools } from './candidates.js';
 import type { CostEstimate, CostItem, CostTarget } from './cost.js';
@@ -293,11 +293,8 @@
 
   private engines(model: string): ModelEngines {
     const own = this.demand();
-    const others = this.options.othersDemand?.() ?? { prefillMs: 0, decodeMs: 0 };
-    const demand = {
-      prefillMs: own.prefillMs + others.prefillMs,
-      decodeMs: own.decodeMs + others.decodeMs,
-    };
+    const others = this.options.othersDemand?.();
+    const demand = others === undefined ? own : sumDemand([own, others]);
     return this.pools.of(model, (total) => (
       this.affinity.shortEngines(total, this.options.nodes().length, demand)
     ));
