Estimate work of other nodes from own work and recent reports, by engine

Cause: the mean over all engines hid that decode engines were full, and replies piled up there. Change: expected work of others is own work times peers, weighted against the report (half weight after 1 s); misfit and collision prices raised.

--- a/src/core/affinity.ts
+++ b/src/core/affinity.ts
@@ -3,10 +3,10 @@
 import { rendezvousWeight } from './subset.js';
 
 /** Time over which the demand is smoothed, in ms. */
-const SMOOTHING_MS = 15_000;
+const SMOOTHING_MS = 10_000;
 
 /** Decodes that share a step at the target pace. */
-const TYPICAL_BATCH = 14;
+const TYPICAL_BATCH = 16;
 
 /** Share of time that an engine can spend on prefill work while first tokens stay in time. */
 const PREFILL_UTILIZATION = 0.45;
--- a/src/core/cost.ts
+++ b/src/core/cost.ts
@@ -46,10 +46,10 @@
 }
 
 /** Price of a long answer on an engine for short ones, or the other way round. */
-const MISFIT_COST = 2;
+const MISFIT_COST = 10;
 
 /** Price of a prompt that certainly meets short answers of another node. */
-const COLLISION_COST = 1;
+const COLLISION_COST = 3;
 
 const MAX_PENALTY = 4;
 
--- a/src/core/load.ts
+++ b/src/core/load.ts
@@ -46,8 +46,8 @@
 /** Weight of one report in the smoothed figures. */
 const REPORT_SMOOTHING = 0.3;
 
-/** Time after which a report's deviation from the fleet's mean counts half. */
-const REPORT_HALF_LIFE_MS = 500;
+/** Age at which a report counts half. */
+const REPORT_HALF_LIFE_MS = 1_000;
 
 /** What one node knows of the load of one engine. */
 export class EngineLoad {
@@ -86,15 +86,14 @@
     this.prefillShare += REPORT_SMOOTHING * ((load.queuedPromptTokens > 0 ? 1 : 0) - this.prefillShare);
   }
 
-  /** Requests of other nodes that are expected to run now, given the mean over all engines. */
-  public others(now: number, mean: number): number {
+  /**
+   * Requests of other nodes that are expected to run now. As a report ages, the expectation moves to what `peers`
+   * nodes with the same work as this one would have there.
+   */
+  public others(now: number, peers: number): number {
     const trust = 0.5 ** ((now - this.reportedAt) / REPORT_HALF_LIFE_MS);
-    return mean + trust * (this.othersRunning - mean);
-  }
-
-  /** Requests of other nodes as last reported. */
-  public get reportedOthers(): number {
-    return this.othersRunning;
+    const alike = (this.count - this.shorts) * peers;
+    return alike + trust * (this.othersRunning - alike);
   }
 
   /** Own prompt tokens that are expected to wait for prefill now. */
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -156,6 +156,7 @@
     this.tracker = new WorkTracker({
       clock: options.clock,
       speed: this.speed,
+      peers: () => Math.max(0, options.nodes().length - 1),
       onObservation: options.onObservation ?? (() => {}),
     });
     this.affinity = new WorkAffinity(this.speed);
--- a/src/core/tracker.ts
+++ b/src/core/tracker.ts
@@ -7,6 +7,8 @@
 export interface WorkTrackerOptions {
   readonly clock: Clock;
   readonly speed: EngineSpeed;
+  /** Number of other nodes that use the same engines. */
+  readonly peers: () => number;
   /** Receives each own observation of a time between tokens or to a first token, with its expectation. */
   readonly onObservation: (engine: string, observedMs: number, expectedMs: number) => void;
 }
@@ -27,8 +29,6 @@
 
   private readonly placed = new Map<Placement, Placed[]>();
 
-  private reportedOthers = 0;
-
   public constructor(private readonly options: WorkTrackerOptions) {}
 
   /** Load of an engine; created on first use. */
@@ -43,7 +43,7 @@
 
   /** Requests of other nodes that are expected to run at an engine. */
   public others(engine: string): number {
-    return this.load(engine).others(this.options.clock.monotonic(), this.reportedOthers / this.loads.size);
+    return this.load(engine).others(this.options.clock.monotonic(), this.options.peers());
   }
 
   /** Own prompt tokens that are expected to wait for prefill at an engine. */
@@ -58,10 +58,7 @@
   }
 
   public report(engine: string, reported: ReportedLoad, ageMs: number): void {
-    const load = this.load(engine);
-    this.reportedOthers -= load.reportedOthers;
-    load.report(this.options.clock.monotonic(), reported, ageMs);
-    this.reportedOthers += load.reportedOthers;
+    this.load(engine).report(this.options.clock.monotonic(), reported, ageMs);
   }
 
   public started(placement: Placement, prefillTokens: number, expectedOutput: number): void {
