--- a/src/core/load.ts
+++ b/src/core/load.ts
@@ -24,14 +24,29 @@
 export const SHORT_ANSWER_TOKENS = 8;
 
 /** Work that this node has at one engine for one request. */
-export interface OwnWork {
-  promptLeft: number;
-  outputLeft: number;
-  readonly short: boolean;
-  /** Expected time to the first token when the request was placed. */
-  readonly expectedFirstTokenMs: number;
-  lastTokenAt: number;
-  produced: number;
+export class OwnWork {
+  public produced = 0;
+
+  public constructor(
+    public promptLeft: number,
+    public outputLeft: number,
+    public readonly short: boolean,
+    /** Expected time to the first token when the request was placed. */
+    public readonly expectedFirstTokenMs: number,
+    public lastTokenAt: number,
+  ) {}
+
+  /** Sets the work left. */
+  public leave(promptLeft: number, outputLeft: number): void {
+    this.promptLeft = promptLeft;
+    this.outputLeft = outputLeft;
+  }
+
+  /** Counts tokens up to `produced` as arrived. */
+  public advance(produced: number, now: number): void {
+    this.produced = produced;
+    this.lastTokenAt = now;
+  }
 }
 
 /** Load figures of a late report, without its age. */
@@ -115,9 +130,9 @@
   /** Changes the work left of a request that is counted here. */
   public update(work: OwnWork, promptLeft: number, outputLeft: number, now: number): void {
     if (promptLeft < work.promptLeft) this.prefillSince = now;
-    this.apply(work, -1);
-    Object.assign(work, { promptLeft, outputLeft });
-    this.apply(work, 1);
+    this.promptLeft += promptLeft - work.promptLeft;
+    if (!work.short) this.outputLeft += outputLeft - work.outputLeft;
+    work.leave(promptLeft, outputLeft);
   }
 
   private apply(work: OwnWork, sign: 1 | -1): void {
--- a/src/core/tracker.ts
+++ b/src/core/tracker.ts
@@ -1,6 +1,6 @@
 import type { Clock } from './edges.js';
-import type { EngineSpeed, OwnWork, ReportedLoad } from './load.js';
-import { EngineLoad, SHORT_ANSWER_TOKENS } from './load.js';
+import type { EngineSpeed, ReportedLoad } from './load.js';
+import { EngineLoad, OwnWork, SHORT_ANSWER_TOKENS } from './load.js';
 import type { Placement } from './placement.js';
 
 /** Options of {@link WorkTracker}. */
@@ -66,14 +66,13 @@
     const short = expectedOutput <= SHORT_ANSWER_TOKENS;
     const add = (engine: string, promptLeft: number, outputLeft: number, prefillOnly: boolean): void => {
       const load = this.load(engine);
-      const work: OwnWork = {
+      const work = new OwnWork(
         promptLeft,
         outputLeft,
-        short: short && placement.prefill === null,
-        expectedFirstTokenMs: this.firstTokenMs(engine, this.promptWaiting(engine) + promptLeft),
-        lastTokenAt: this.options.clock.monotonic(),
-        produced: 0,
-      };
+        short && placement.prefill === null,
+        this.firstTokenMs(engine, this.promptWaiting(engine) + promptLeft),
+        this.options.clock.monotonic(),
+      );
       load.add(work, this.options.clock.monotonic());
       placed.push({ engine, work, prefillOnly });
     };
@@ -106,7 +105,7 @@
         this.options.onObservation(engine, (now - work.lastTokenAt) / tokens, this.gapMs(engine));
       }
       const expected = work.produced + work.outputLeft;
-      Object.assign(work, { produced, lastTokenAt: now });
+      work.advance(produced, now);
       // An answer that outruns its estimate is expected to run on for a quarter of its length.
       load.update(work, work.promptLeft, Math.max(expected - produced, produced / 4), now);
     }
