--- a/src/core/split.ts
+++ b/src/core/split.ts
@@ -19,21 +19,25 @@
 
 /** Figures for {@link DEFAULT_ENGINE_SPEED} and 46 ms between tokens. */
 export const DEFAULT_SPLIT_MODEL: SplitModel = {
-  decodeTokensPerMs: 0.95,
-  mixedTokensPerMs: 0.7,
+  decodeTokensPerMs: 1,
+  mixedTokensPerMs: 0.76,
   mixedPrefillShare: 0.9,
 };
 
-/** Work per engine over which service has fallen to nothing, relative to what an engine can serve. */
-const COLLAPSE_RATIO = 1.6;
+/** Load relative to capacity from which fluctuations begin to cost answers. */
+const SHOULDER_LOAD = 0.85;
+
+/** Load at which queues grow so fast that no answer is good any more. */
+const COLLAPSE_LOAD = 1.3;
 
 /** Loss of short answers per square of the share of time that their engines are busy. */
 const BUSY_LOSS = 1.2;
 
 /** Share of answers to long requests that are good at a load relative to capacity. */
 function decodeShare(load: number): number {
-  if (load <= 1) return 1 - 0.02 * load;
-  return Math.max(0, 0.98 * (1 - (load - 1) / (COLLAPSE_RATIO - 1)));
+  if (load <= SHOULDER_LOAD) return 1;
+  if (load <= 1) return 1 - (0.05 * (load - SHOULDER_LOAD)) / (1 - SHOULDER_LOAD);
+  return Math.max(0, 0.95 * (1 - (load - 1) / (COLLAPSE_LOAD - 1)));
 }
 
 /** Share of short answers that are good, and of first tokens in time, at a busy share of prefill engines. */
