--- a/src/bench/attempt.ts
+++ b/src/bench/attempt.ts
@@ -15,9 +15,6 @@
   readonly onRefused: () => void;
   /** The engine lost the request after `produced` output tokens of the whole answer. */
   readonly onLost: (produced: number) => void;
-  /** Called after each token of this attempt, before the record changes; `false` drops the token. */
-  readonly mayDeliver?: (attempt: Attempt) => boolean;
-  readonly onPlaced?: (attempt: Attempt, placement: Placement) => void;
 }
 
 /** One attempt of the simulation at running a request, from submission to its end. */
@@ -32,6 +29,12 @@
 
   public ended = false;
 
+  /** Attempt at the same request that is cancelled when this one ends. */
+  public rival: Attempt | null = null;
+
+  /** Called after each token; `false` keeps it from the caller. */
+  public gate: ((attempt: Attempt) => boolean) | null = null;
+
   private decoding = false;
 
   private readonly jobId: string;
@@ -70,6 +73,11 @@
     this.handle.finish(AttemptOutcome.Cancelled);
   }
 
+  /** True when no token of this attempt has arrived yet. */
+  public get silent(): boolean {
+    return this.produced === this.options.produced;
+  }
+
   /** Exports the KV cache of a decoding request and continues on another engine. */
   public moveFrom(name: string): void {
     if (this.ended || !this.decoding || this.placement?.engine !== name) return;
@@ -89,7 +97,6 @@
       this.at.add(name);
       this.simulation.enter(this, name);
     }
-    this.options.onPlaced?.(this, placement);
     // The dispatcher may place the request before `submit` returns, so the work starts one event later.
     this.simulation.options.clock.after(this.simulation.options.delayMs ?? 0, () => {
       if (!this.ended) this.execute(placement);
@@ -159,7 +166,7 @@
     this.lastProgressAt = now;
     if (this.produced === produced + 1) this.handle.firstToken();
     this.handle.progress(this.produced - produced);
-    if (this.options.mayDeliver?.(this) === false) return;
+    if (this.gate !== null && !this.gate(this)) return;
     if (record.firstTokenAt === null) Object.assign(record, { firstTokenAt: now });
   }
 
@@ -168,6 +175,7 @@
     this.ended = true;
     for (const name of [...this.at]) this.release(name);
     if (outcome === 'done') {
+      this.rival?.cancel();
       Object.assign(this.options.record, { endAt: this.simulation.options.clock.monotonic() });
       this.handle.finish(AttemptOutcome.Done);
       return;
--- a/src/bench/policy.ts
+++ b/src/bench/policy.ts
@@ -143,7 +143,10 @@
     health,
     others,
     dispatcher: new FifoDispatcher({ clock, router: learner, maxQueued: 10_000 }),
-    report: (engine, load) => router.report(engine, load, clock.monotonic() - load.at),
+    report: (engine, load) => {
+      health.add(engine);
+      router.report(engine, load, clock.monotonic() - load.at);
+    },
   };
 }
 
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -3,10 +3,12 @@
 import { fairness } from './fairness.js';
 import { headOfLine } from './headofline.js';
 import { peak } from './peak.js';
+import { slowServers } from './slowservers.js';
 
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
   mixShift,
+  slowServers,
   peak,
   headOfLine,
   fairness,
