--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -100,6 +100,8 @@
   readonly prefixTokens?: (engine: string, item: WorkItem) => number;
   /** Engines that probably hold the longest prefix. */
   readonly prefixOwners?: (item: WorkItem) => readonly string[];
+  /** Told of each own placement, with the engine that prefills. */
+  readonly onPlaced?: (engine: string, item: WorkItem) => void;
   /** Share of normal work from 0 to 1; 0 takes the engine out. */
   readonly healthWeight?: (engine: string) => number;
   /** Receives each own observation of a time between tokens or to a first token, with its expectation. */
@@ -205,6 +207,7 @@
     const prefillTokens = imported ? 0 : this.prefillTokens(placement.prefill ?? placement.engine, item);
     const expectedOutput = Math.max(1, this.options.expectedOutput(item));
     this.tracker.started(placement, prefillTokens, expectedOutput);
+    if (!imported) this.options.onPlaced?.(placement.prefill ?? placement.engine, item);
     if (!imported) this.affinity.observe(this.options.clock.monotonic(), prefillTokens, expectedOutput);
   }
 
--- a/src/emulator/enginemodel.ts
+++ b/src/emulator/enginemodel.ts
@@ -211,6 +211,12 @@
       };
   }
 
+  /** Prefix blocks in the cache now, without touching them. */
+  public cachedBlocks(blocks: readonly string[]): number {
+    const missing = blocks.findIndex((block) => !this.cache.has(block));
+    return missing < 0 ? blocks.length : missing;
+  }
+
   /** Cache events after a sequence number that are old enough to have been published. */
   public lateCacheEvents(afterSequence: number): ModelCacheEvent[] {
     const until = this.clock.monotonic() - this.parameters.cacheEventLagMs;
