Add the command line and the tests of settings, fleet file and commands

Cause: operators need serve, apply, show, dump, check, address and drain with exit codes that programs can rely on.

--- /dev/null
+++ b/src/cli/client.ts
@@ -0,0 +1,60 @@
+import { request } from 'undici';
+import type { Secret } from '../core/settings.js';
+import { fail, ok } from '../core/result.js';
+import type { Result } from '../core/result.js';
+
+/** Answer of an entry. */
+export interface Reply {
+  readonly status: number;
+  /** Parsed JSON, or text where the entry sends none. */
+  readonly body: unknown;
+}
+
+/** Why no answer came; `sent` tells whether the entry may have received the request. */
+export interface NoReply {
+  readonly sent: boolean;
+  readonly message: string;
+}
+
+/** Request to one entry. */
+export interface EntryRequest {
+  readonly address: string;
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly token?: Secret;
+  readonly body?: string;
+  readonly timeoutMs: number;
+}
+
+const NOT_SENT: ReadonlySet<string> = new Set([
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT', 'ERR_INVALID_URL',
+]);
+
+function parseBody(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return text;
+  }
+}
+
+/** Sends one request over a connection of its own. */
+export async function askEntry(req: EntryRequest): Promise<Result<Reply, NoReply>> {
+  try {
+    const res = await request(`http://${req.address}${req.path}`, {
+      method: req.method,
+      headers: {
+        connection: 'close',
+        ...(req.token === undefined ? {} : { authorization: `Bearer ${req.token.reveal()}` }),
+      },
+      ...(req.body === undefined ? {} : { body: req.body }),
+      headersTimeout: req.timeoutMs,
+      bodyTimeout: req.timeoutMs,
+    });
+    return ok({ status: res.statusCode, body: parseBody(await res.body.text()) });
+  } catch (err) {
+    const code = String((err as { code?: unknown }).code ?? '');
+    const message = err instanceof Error && err.message !== '' ? err.message : code;
+    return fail({ sent: !NOT_SENT.has(code), message: `${req.address}: ${message}` });
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,8 @@
 import { hideBin } from 'yargs/helpers';
-import yargs from 'yargs';
+import { run } from './program.js';
+import { fail } from '../core/result.js';
 
-void yargs(hideBin(process.argv)).scriptName('catkinscale').version('0.1.0').strict()
-  .parse();
+void (async () => {
+  const start = () => Promise.resolve(fail({ message: 'the entry process is not part of this build yet' }));
+  process.exitCode = await run(hideBin(process.argv), start);
+})();
--- /dev/null
+++ b/src/cli/outcome.ts
@@ -0,0 +1,33 @@
+import { issueText } from '../core/issues.js';
+import type { Issue } from '../core/issues.js';
+
+/** Exit codes of every command. */
+export enum ExitCode {
+  Done = 0,
+  /** The entry refused, or the command failed and had no effect. */
+  Refused = 1,
+  /** Wrong usage or settings. */
+  Usage = 2,
+  /** The request was sent and its outcome is unknown. */
+  Unknown = 3,
+}
+
+/** What a command prints and how it ends. */
+export interface Outcome {
+  readonly exitCode: ExitCode;
+  /** Printed with `--json`, as one line. */
+  readonly json: unknown;
+  /** Printed without `--json`. */
+  readonly text: string;
+}
+
+/** Outcome of a command that ended before anything was sent. */
+export function failed(exitCode: ExitCode, message: string): Outcome {
+  return { exitCode, json: { error: { message } }, text: message };
+}
+
+/** Outcome of input with issues; each one is on a line of its own. */
+export function invalid(exitCode: ExitCode, issues: readonly Issue[]): Outcome {
+  const texts = issues.map((issue) => ({ ...issue, text: issueText(issue) }));
+  return { exitCode, json: { issues: texts }, text: texts.map((issue) => issue.text).join('\n') };
+}
--- /dev/null
+++ b/src/cli/serve.ts
@@ -0,0 +1,40 @@
+import { safeLoadSettings } from './files.js';
+import type { LoadedSettings } from './files.js';
+import { ExitCode, failed, invalid } from './outcome.js';
+import type { Outcome } from './outcome.js';
+import type { DrainReport } from '../daemon/api.js';
+import type { Result } from '../core/result.js';
+
+/** Running entry. */
+export interface RunningEntry {
+  /** Starts the planned stop; a second call joins the first. */
+  drain(): Promise<DrainReport>;
+  /** Settles once the planned stop is over and every listener is closed, whoever started it. */
+  readonly stopped: Promise<DrainReport>;
+}
+
+/** Starts one entry; the error says which part failed to start. */
+export type StartEntry = (loaded: LoadedSettings) => Promise<Result<RunningEntry, { readonly message: string }>>;
+
+/** Runs one entry until it has stopped. */
+export async function serve(file: string, start: StartEntry): Promise<Outcome> {
+  const loaded = safeLoadSettings(file);
+  if (!loaded.success) return invalid(ExitCode.Usage, loaded.error);
+  const entry = await start(loaded.data);
+  if (!entry.success) return failed(ExitCode.Refused, entry.error.message);
+  const { data: running } = entry;
+  const stop = (): void => {
+    void running.drain();
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+  const report = await running.stopped;
+  process.off('SIGTERM', stop);
+  process.off('SIGINT', stop);
+  const counts = `${report.finished} finished, ${report.handedOver} handed over, ${report.cut} cut`;
+  return {
+    exitCode: report.cut === 0 ? ExitCode.Done : ExitCode.Refused,
+    json: report,
+    text: `stopped after ${Math.round(report.durationMs)} ms: ${counts}`,
+  };
+}
--- a/test/callers.test.ts
+++ b/test/callers.test.ts
@@ -12,7 +12,7 @@
 import { Ran } from '../src/core/refusals.js';
 import {
   FakeAnswer, FakeEntry, quietLog, quietMeter, wordEvents,
-} from './fakes.js';
+} from './support/fakes.js';
 
 const SEED = 20_261_204;
 
--- /dev/null
+++ b/test/cli.test.ts
@@ -0,0 +1,231 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import {
+  afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import { ExitCode } from '../src/cli/outcome.js';
+import { run } from '../src/cli/program.js';
+import type { RunningEntry, StartEntry } from '../src/cli/serve.js';
+import { listenCallers } from '../src/daemon/callers.js';
+import type { HttpListener } from '../src/daemon/http.js';
+import { listenOperators } from '../src/daemon/operators.js';
+import { SystemClock } from '../src/adapters/system.js';
+import { fail, ok } from '../src/core/result.js';
+import { Secret } from '../src/core/settings.js';
+import { FakeEntry, quietLog, quietMeter } from './support/fakes.js';
+
+const TOKEN = 'operator-token-of-the-test';
+const FLEET = '[fleet]\nname = halvorsen\n';
+const SETTINGS = `
+[entry]
+name = entry-1
+failure-domain = regina
+[listen]
+callers = 127.0.0.1:8001
+operators = 127.0.0.1:8002
+peers = 127.0.0.1:8003
+[platform]
+key-value = 127.0.0.1:8004
+host-list = 127.0.0.1:8005
+weight-store = 127.0.0.1:8006
+`;
+
+const REPORT = {
+  finished: 2, handedOver: 1, cut: 0, durationMs: 12,
+};
+
+let entry: FakeEntry;
+let operators: HttpListener;
+let callers: HttpListener;
+let directory: string;
+let output: string;
+
+const noStart: StartEntry = () => Promise.resolve(fail({ message: 'cannot listen' }));
+
+function cli(...argv: string[]): Promise<ExitCode> {
+  return run(argv, noStart);
+}
+
+function file(name: string, text: string): string {
+  const path = join(directory, name);
+  writeFileSync(path, text);
+  return path;
+}
+
+beforeEach(async () => {
+  entry = new FakeEntry();
+  const clock = new SystemClock();
+  const opened = await Promise.all([
+    listenOperators(entry, {
+      address: '127.0.0.1:0',
+      token: new Secret(TOKEN),
+      log: quietLog,
+      renderMetrics: () => '',
+      drain: () => entry.drain(),
+    }),
+    listenCallers(entry, {
+      address: '127.0.0.1:0',
+      limits: { body: 1_000, connections: 8, headerTimeout: 1_000 },
+      buffer: 1_024,
+      stall: 1_000,
+      clock,
+      log: quietLog,
+      meter: quietMeter,
+    }),
+  ]);
+  [operators, callers] = opened.map((result) => {
+    if (!result.success) throw new Error(result.error.message);
+    return result.data;
+  }) as [HttpListener, HttpListener];
+  directory = mkdtempSync(join(tmpdir(), 'catkinscale-'));
+  vi.stubEnv('CATKINSCALE_OPERATOR_TOKEN', TOKEN);
+  output = '';
+  const capture = (chunk: string | Uint8Array): boolean => {
+    output += String(chunk);
+    return true;
+  };
+  vi.spyOn(process.stdout, 'write').mockImplementation(capture);
+  vi.spyOn(process.stderr, 'write').mockImplementation(capture);
+});
+
+afterEach(() => {
+  vi.restoreAllMocks();
+  vi.unstubAllEnvs();
+  operators.destroy();
+  callers.destroy();
+  rmSync(directory, { recursive: true });
+});
+
+describe('command line', () => {
+  it.each(['serve', 'apply', 'show', 'dump', 'check', 'address', 'drain'])('explains %s and the exit codes', async (name) => {
+    vi.spyOn(console, 'log').mockImplementation((text: string) => {
+      output += text;
+    });
+    expect(await cli(name, '--help')).toBe(ExitCode.Done);
+    expect(output).toContain('Exit codes: 0 done; 1 refused');
+  });
+
+  it.each([[], ['fly'], ['apply'], ['show', '--colour'], ['address'], ['show'], ['apply', 'x', '--at', 'y', '--base', 'z']])(
+    'ends with 2 on wrong usage: %j',
+    async (...argv) => {
+      expect(await cli(...argv)).toBe(ExitCode.Usage);
+      expect(output.length).toBeGreaterThan(0);
+    },
+  );
+});
+
+describe('check', () => {
+  it('accepts a fleet file', async () => {
+    expect(await cli('check', file('fleet.ini', FLEET))).toBe(ExitCode.Done);
+  });
+
+  it('ends with 1 and every issue for a bad fleet file', async () => {
+    const path = file('fleet.ini', '[fleet]\nnom = x\n[rack]\n');
+    expect(await cli('check', path, '--json')).toBe(ExitCode.Refused);
+    const { issues } = JSON.parse(output) as { issues: { text: string }[] };
+    expect(issues.map((issue) => issue.text.replace(path, 'F').slice(0, 18)))
+      .toEqual(['F:3: [rack]: unkno', 'F:2: [fleet] nom: ', 'F:1: [fleet] name:']);
+  });
+
+  it('ends with 2 for bad settings', async () => {
+    expect(await cli('check', '--settings', file('entry.ini', '[entry]\n'))).toBe(ExitCode.Usage);
+  });
+});
+
+describe('apply', () => {
+  const apply = (text = FLEET): Promise<ExitCode> => cli('apply', file('fleet.ini', text), '--at', operators.address);
+
+  it('ends with 0 and the revision when accepted', async () => {
+    expect(await apply()).toBe(ExitCode.Done);
+    expect(output).toBe('accepted as revision 4\n');
+  });
+
+  it('ends with 1 when another file was accepted first', async () => {
+    entry.applied = { type: 'conflict', revision: 9, hash: 'x' };
+    expect(await apply()).toBe(ExitCode.Refused);
+    expect(output).toContain('revision 9');
+  });
+
+  it('ends with 3 when the outcome is unknown', async () => {
+    entry.applied = { type: 'unknown', message: 'no answer from the key-value service' };
+    expect(await apply()).toBe(ExitCode.Unknown);
+  });
+
+  it('sends nothing that is invalid', async () => {
+    expect(await apply('[fleet]\n')).toBe(ExitCode.Refused);
+    expect(entry.files).toEqual([]);
+  });
+
+  it('ends with 1 for a wrong token', async () => {
+    vi.stubEnv('CATKINSCALE_OPERATOR_TOKEN', 'wrong-token-of-the-test');
+    expect(await apply()).toBe(ExitCode.Refused);
+  });
+
+  // Guards against reporting a failure as harmless although the entry may have acted on the request.
+  it('ends with 3 when the connection breaks after sending, and with 1 when nobody listens', async () => {
+    const breaking = createServer((socket) => {
+      socket.on('error', () => {});
+      socket.once('data', () => socket.destroy());
+    });
+    await new Promise<void>((resolve) => {
+      breaking.listen(0, '127.0.0.1', () => resolve());
+    });
+    const at = `127.0.0.1:${(breaking.address() as AddressInfo).port}`;
+    const path = file('fleet.ini', FLEET);
+    expect(await cli('apply', path, '--at', at)).toBe(ExitCode.Unknown);
+    await new Promise((resolve) => {
+      breaking.close(resolve);
+    });
+    expect(await cli('apply', path, '--at', at)).toBe(ExitCode.Refused);
+  });
+});
+
+describe('reading commands', () => {
+  it('print the file in force, the state, the address and the report', async () => {
+    const at = ['--at', operators.address, '--json'];
+    expect(await cli('show', ...at)).toBe(ExitCode.Done);
+    expect(await cli('dump', ...at)).toBe(ExitCode.Done);
+    expect(await cli('drain', ...at)).toBe(ExitCode.Done);
+    expect(await cli('address', '--at', callers.address)).toBe(ExitCode.Done);
+    const [shown, dumped, drained, address] = output.trimEnd().split('\n');
+    expect(JSON.parse(shown!)).toMatchObject({ revision: 3 });
+    expect(JSON.parse(dumped!)).toEqual({ entry: { name: 'one' } });
+    expect(JSON.parse(drained!)).toEqual(REPORT);
+    expect(address).toBe('10.0.0.1:8000');
+  });
+});
+
+describe('serve', () => {
+  beforeEach(() => {
+    for (const name of ['CATKINSCALE_PEER_TOKEN', 'CATKINSCALE_TICKET_KEY']) vi.stubEnv(name, '0123456789abcdef');
+  });
+
+  it('ends with 2 on bad settings and with 1 when the entry cannot start', async () => {
+    expect(await cli('serve', file('bad.ini', '[entry]\n'))).toBe(ExitCode.Usage);
+    expect(await cli('serve', file('entry.ini', SETTINGS))).toBe(ExitCode.Refused);
+    expect(output).toContain('cannot listen');
+  });
+
+  it('starts a planned stop on SIGTERM and ends with its report', async () => {
+    let stop: (report: typeof REPORT) => void = () => {};
+    const stopped = new Promise<typeof REPORT>((resolve) => {
+      stop = resolve;
+    });
+    const running: RunningEntry = {
+      stopped,
+      drain: () => {
+        stop(REPORT);
+        return stopped;
+      },
+    };
+    const start: StartEntry = () => {
+      setTimeout(() => process.emit('SIGTERM'), 10);
+      return Promise.resolve(ok(running));
+    };
+    expect(await run(['serve', file('entry.ini', SETTINGS)], start)).toBe(ExitCode.Done);
+    expect(output).toContain('1 handed over, 0 cut');
+  });
+});
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -7,7 +7,7 @@
 import { Metrics } from '../src/daemon/metrics.js';
 import { listenOperators } from '../src/daemon/operators.js';
 import { Secret } from '../src/core/settings.js';
-import { FakeEntry, quietLog } from './fakes.js';
+import { FakeEntry, quietLog } from './support/fakes.js';
 
 const SEED = 20_261_204;
 
--- a/test/fakes.ts
+++ b/test/support/fakes.ts
@@ -1,11 +1,11 @@
 import type {
   Answer, AnswerEvent, EntryApi, GenerateRequest, ServiceRequest,
-} from '../src/daemon/api.js';
-import { FinishReason } from '../src/core/edges.js';
-import type { Log, Meter } from '../src/core/edges.js';
-import type { Refusal } from '../src/core/refusals.js';
-import { fail, ok } from '../src/core/result.js';
-import type { Result } from '../src/core/result.js';
+} from '../../src/daemon/api.js';
+import { FinishReason } from '../../src/core/edges.js';
+import type { Log, Meter } from '../../src/core/edges.js';
+import type { Refusal } from '../../src/core/refusals.js';
+import { fail, ok } from '../../src/core/result.js';
+import type { Result } from '../../src/core/result.js';
 
 export const quietLog: Log = { info: () => {}, warn: () => {}, error: () => {} };
 
