--- a/src/core/cost.ts
+++ b/src/core/cost.ts
@@ -27,8 +27,8 @@
   /** Requests of other nodes expected to run there. */
   readonly others: number;
   readonly distanceMs: number;
-  /** Whether this node is the one that sends short answers there. */
-  readonly home: boolean;
+  /** Share of the short answers there that other nodes send; 0 when no other node should. */
+  readonly foreign: number;
   /** Whether the nodes send short answers there rather than long ones. */
   readonly forShort: boolean;
   /** Prompt tokens that one step takes. */
@@ -48,6 +48,9 @@
 /** Price of a long answer on an engine for short ones, or the other way round. */
 const MISFIT_COST = 2;
 
+/** Price of a prompt that certainly meets short answers of another node. */
+const COLLISION_COST = 1;
+
 const MAX_PENALTY = 4;
 
 /** Least slack in ms between tokens that the harm is measured against. */
@@ -100,7 +103,7 @@
     + item.importedTokens * speed.transferMsPerToken
     + engine.distanceMs;
   const ownStepMs = speed.stepMs + speed.stepPerSequenceMs * (longs + 1);
-  const foreignShare = short && engine.home ? 0 : load.prefillShare;
+  const foreignShare = short ? engine.foreign * load.prefillShare : load.prefillShare;
   const perTokenMs = ownStepMs + foreignShare * chunkMs;
 
   const delayMs = item.prefillTokens / speed.prefillTokensPerMs;
@@ -112,7 +115,9 @@
     ? 0
     : longs * Math.min(1, speed.stepPerSequenceMs / slackMs)
       + (longs < 1 ? load.prefillShare * (speed.stepMs / chunkMs) : 0);
-  const collisions = engine.home ? 0 : load.prefillShare * Math.min(1, delayMs / (target.perTokenMs - speed.stepMs));
+  // Work of the home node spoils this answer, and this prompt spoils the home node's answers.
+  const collisions = COLLISION_COST * engine.foreign * load.prefillShare
+    * Math.min(1, delayMs / (target.perTokenMs - speed.stepMs));
   const misfit = short === engine.forShort ? 0 : MISFIT_COST;
   return {
     firstTokenMs, perTokenMs, shortHarm, harm: shortHarm + longHarm + decodeHarm + collisions + misfit,
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -151,6 +151,9 @@
   [Priority.Bulk]: 0.85,
 };
 
+/** Part of that share for workspaces above their own share; the rest is kept for the others. */
+const ABOVE_SHARE_HEADROOM = Number(process.env.AH ?? 0.75);
+
 /** Limits on the work in flight at each engine, learned from this entry's own observations. */
 export class EngineLimits {
   private readonly groups = new Map<string, Group>();
@@ -169,17 +172,19 @@
   }
 
   /** Whether the engine may take this request now. */
-  public hasRoom(name: string, item: WorkItem): boolean {
+  public hasRoom(name: string, item: WorkItem, aboveShare = false): boolean {
     const engine = this.options.directory.get(name);
     if (engine === undefined) return false;
     const { lanes } = this.options;
+    // An answer that has begun continues on any engine; holding it back would cut it.
+    if (item.continuation === true || (item.importedTokens ?? 0) > 0) return true;
     let lane = lanes.laneOf(item);
     if (!lanes.serves(engine, lane)) {
       // Quick work beyond its own engines runs beside other short work.
       if (lane !== Lane.Quick || !this.isFull(engine.role, lane) || !lanes.serves(engine, Lane.Short)) return false;
       lane = Lane.Short;
     }
-    const headroom = HEADROOM[item.priority];
+    const headroom = HEADROOM[item.priority] * (aboveShare ? ABOVE_SHARE_HEADROOM : 1);
     return (engine.role === Role.Decode || this.phaseHasRoom(engine, lane, Phase.Prefill, headroom))
       && (engine.role === Role.Prefill || this.phaseHasRoom(engine, lane, Phase.Decode, headroom));
   }
@@ -190,10 +195,10 @@
     const held: Held = {
       prefill: this.share(placement.prefill ?? placement.engine, lane),
       decode: this.share(placement.engine, lane),
-      promptTokens: item.promptTokens,
+      promptTokens: Math.max(0, item.promptTokens - (item.importedTokens ?? 0)),
       prefilled: false,
     };
-    this.add(held.prefill, Phase.Prefill, item.promptTokens);
+    this.add(held.prefill, Phase.Prefill, held.promptTokens);
     this.add(held.decode, Phase.Decode, 1);
     return held;
   }
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -12,6 +12,7 @@
 import { AttemptOutcome } from './placement.js';
 import type { Placement, PolicyRefusal, WorkItem } from './placement.js';
 import type { Router, RouterOptions } from './routing.js';
+import { WorkspaceShares } from './shares.js';
 
 /** Options of {@link PolicyDispatcher}. */
 export interface PolicyOptions {
@@ -69,6 +70,11 @@
 
   private pumping = false;
 
+  /** Request whose placement is being chosen. */
+  private placing: Request | null = null;
+
+  private readonly shares: WorkspaceShares;
+
   public constructor(private readonly options: PolicyOptions) {
     const { clock, directory, random } = options;
     const target = options.target ?? SERVICE_TARGET;
@@ -84,7 +90,8 @@
     this.queue = new AdmissionQueue<Request>({
       clock, random, maxQueued: options.maxQueued, firstTokenMs: target.firstTokenMs,
     });
-    this.router = options.createRouter((engine, item) => this.limits.hasRoom(engine, item));
+    this.router = options.createRouter((engine, item) => this.limits.hasRoom(engine, item, this.placing?.aboveShare));
+    this.shares = new WorkspaceShares(clock);
     this.rebalancedAt = clock.monotonic();
   }
 
@@ -122,7 +129,8 @@
   private createRequest(item: WorkItem, listener: DispatchListener): Request {
     const now = this.options.clock.monotonic();
     const lane = this.lanes.laneOf(item);
-    const cost = item.promptTokens + OUTPUT_TOKEN_COST * this.estimates.outputTokens(item);
+    const prefill = item.promptTokens - (item.importedTokens ?? 0);
+    const cost = Math.max(0, prefill) + OUTPUT_TOKEN_COST * this.estimates.outputTokens(item);
     this.lanes.arrived(lane, cost);
     if (now - this.rebalancedAt >= REBALANCE_PERIOD_MS) {
       this.lanes.rebalance(now - this.rebalancedAt, LANE_TIME_CONSTANT_MS);
@@ -134,8 +142,10 @@
       listener,
       group: `${item.model}/${lane}`,
       cost,
-      firstTokenMs: this.estimates.firstTokenMs(item.promptTokens),
+      firstTokenMs: this.estimates.firstTokenMs(Math.max(0, prefill)),
       queuedAt: now,
+      aboveShare: this.shares.isAbove(item.workspace),
+      mustRun: item.continuation === true || (item.importedTokens ?? 0) > 0,
       placement: null,
       held: null,
       placedAt: 0,
@@ -148,17 +158,20 @@
 
   private refusal(request: Request): PolicyRefusal | null {
     const serving = this.options.directory.serving(request.item.model);
-    if (serving.length === 0) return { code: 'no_engine', retryAfterMs: NO_ENGINE_RETRY_AFTER_MS };
+    if (serving.length === 0 && request.mustRun !== true) return { code: 'no_engine', retryAfterMs: NO_ENGINE_RETRY_AFTER_MS };
     return this.queue.offer(request);
   }
 
   private place(request: Request): boolean {
+    this.placing = request;
     const placement = this.router.choose(request.item);
+    this.placing = null;
     if (placement === null) return false;
     request.placement = placement;
     request.placedAt = this.options.clock.monotonic();
     request.held = this.limits.started(request.item, placement);
     this.router.started(request.item, placement);
+    this.shares.used(request.item.workspace, request.cost);
     request.listener.placed(placement);
     return true;
   }
@@ -180,7 +193,7 @@
     request.windowStart = now;
     request.windowProduced = 1;
     request.produced = 1;
-    this.estimates.observeFirstToken(request.item.promptTokens, latencyMs);
+    if (request.mustRun !== true) this.estimates.observeFirstToken(request.item.promptTokens, latencyMs);
     this.limits.firstToken(request.held, latencyMs);
     this.router.firstToken(request.item, request.placement, latencyMs);
     this.pump();
@@ -208,7 +221,7 @@
     if (request.placement === null || request.held === null || request.finished) return;
     if (outcome === AttemptOutcome.Done) {
       this.closeWindow(request);
-      this.estimates.observeLength(request.item, request.produced);
+      if (request.mustRun !== true) this.estimates.observeLength(request.item, request.produced);
     }
     request.finished = true;
     this.limits.finished(request.held);
