--- a/src/cli/files.ts
+++ b/src/cli/files.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs';
+import { dirname, resolve } from 'node:path';
 import type { Issue } from '../core/issues.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
@@ -29,12 +30,13 @@
   readonly secrets: Secrets;
 }
 
-/** Reads the settings of an entry and its secrets, and reports the issues of both. */
+/** Reads the settings of an entry and its secrets, whose path is relative to the settings file; reports all issues. */
 export function safeLoadSettings(file: string): Result<LoadedSettings, readonly Issue[]> {
   const text = safeReadText(file);
   if (!text.success) return text;
   const settings = safeParseSettings(text.data, file);
   if (!settings.success) return settings;
-  const secrets = safeReadSecrets(settings.data.secrets.file);
+  const named = settings.data.secrets.file;
+  const secrets = safeReadSecrets(named === undefined ? undefined : resolve(dirname(file), named));
   return secrets.success ? ok({ settings: settings.data, secrets: secrets.data }) : secrets;
 }
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -110,9 +110,11 @@
     .command(
       'serve <settings>',
       'run one entry until SIGTERM, which starts a planned stop',
-      (args) => withJson(args).positional('settings', { type: 'string', demandOption: true, describe: 'settings file' }),
+      (args) => args.epilogue(EXIT_CODES).positional('settings', { type: 'string', demandOption: true, describe: 'settings file' }),
       async (args) => {
-        finish(await serve(args.settings, start), args.json);
+        const outcome = await serve(args.settings, start);
+        // The report joins the JSON lines of the log; problems with settings are for a reader.
+        finish(outcome, outcome.exitCode === ExitCode.Done);
       },
     )
     .command(
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -8,7 +8,7 @@
 /** Running entry. */
 export interface RunningEntry {
   /** Starts the planned stop; a second call joins the first. */
-  drain(): Promise<DrainReport>;
+  stop(): Promise<DrainReport>;
   /** Settles once the planned stop is over and every listener is closed, whoever started it. */
   readonly stopped: Promise<DrainReport>;
 }
@@ -24,7 +24,7 @@
   if (!entry.success) return failed(ExitCode.Refused, entry.error.message);
   const { data: running } = entry;
   const stop = (): void => {
-    void running.drain();
+    void running.stop();
   };
   process.once('SIGTERM', stop);
   process.once('SIGINT', stop);
--- a/src/daemon/process.ts
+++ b/src/daemon/process.ts
@@ -22,26 +22,30 @@
   readonly entry: EntryApi;
   /** Planned stop; resolves once nothing runs any more. Repeated calls return the same report. */
   stop(): Promise<DrainReport>;
+  /** Resolves once nothing runs any more, also when an operator started the planned stop. */
+  readonly stopped: Promise<DrainReport>;
 }
 
-/** A caller that reads nothing for this long counts as disconnected. */
-const CALLER_STALL_MS = 30_000;
-/** Time for answers that are being written when the planned stop ends. */
-const CLOSE_BOUND_MS = 1_000;
+/** Time for answers that slow callers are still reading when the planned stop ends. */
+const CLOSE_BOUND_MS = 5_000;
 
 class Listeners {
-  private readonly opened: HttpListener[] = [];
+  private readonly patient: HttpListener[] = [];
 
-  public add(result: Result<HttpListener, ListenError>): ListenError | null {
+  private readonly abrupt: HttpListener[] = [];
+
+  /** Adds a listener whose open connections may end by themselves, or `abrupt` one whose connections never do. */
+  public add(result: Result<HttpListener, ListenError>, abrupt = false): ListenError | null {
     if (!result.success) return result.error;
-    this.opened.push(result.data);
+    (abrupt ? this.abrupt : this.patient).push(result.data);
     return null;
   }
 
   /** Lets open connections end by themselves for a while, then breaks the rest. */
   public async close(clock: Clock): Promise<void> {
-    await within(clock, CLOSE_BOUND_MS, Promise.all(this.opened.map((listener) => listener.close())));
-    for (const listener of this.opened) listener.destroy();
+    for (const listener of this.abrupt) listener.destroy();
+    await within(clock, CLOSE_BOUND_MS, Promise.all(this.patient.map((listener) => listener.close())));
+    for (const listener of this.patient) listener.destroy();
   }
 }
 
@@ -85,33 +89,45 @@
     ticketKey: secrets.ticketKey.reveal(),
   });
   const listeners = new Listeners();
-  let stopping: Promise<DrainReport> | null = null;
+  let draining: Promise<DrainReport> | null = null;
+  let settle: (report: Promise<DrainReport>) => void = () => {};
+  const stopped = new Promise<DrainReport>((resolve) => {
+    settle = resolve;
+  });
 
-  const finish = async (): Promise<DrainReport> => {
-    const report = await entry.drain();
+  const finish = async (drained: Promise<DrainReport>): Promise<DrainReport> => {
+    const report = await drained;
     await listeners.close(clock);
     entry.dispose();
     store.dispose();
     await peerClient.close();
     return report;
   };
-  const stop = (): Promise<DrainReport> => {
-    stopping ??= finish();
-    return stopping;
+  /** Resolves before the listeners close, so that the operator who asked for the stop gets its report. */
+  const drain = (): Promise<DrainReport> => {
+    if (draining === null) {
+      draining = entry.drain();
+      settle(finish(draining));
+    }
+    return draining;
+  };
+  const stop = async (): Promise<DrainReport> => {
+    await drain();
+    return stopped;
   };
-  const error = listeners.add(await peerServer.listen(settings.listen.peers))
+  const error = listeners.add(await peerServer.listen(settings.listen.peers), true)
     ?? listeners.add(await listenOperators(entry, {
       address: settings.listen.operators,
       token: secrets.operatorToken,
       log,
       renderMetrics: () => meter.render(),
-      drain: stop,
+      drain,
     }))
     ?? listeners.add(await listenCallers(entry, {
       address: settings.listen.callers,
       limits: settings.limits,
       buffer: settings.stream.buffer,
-      stall: CALLER_STALL_MS,
+      stall: settings.stream.stall,
       clock,
       log,
       meter,
@@ -124,5 +140,5 @@
   }
   void entry.run();
   log.info('entry_started', { entry: settings.entry.name, callers: settings.listen.callers });
-  return ok({ entry, stop });
+  return ok({ entry, stop, stopped });
 }
