Add the demo with both users, a shifting load, a killed and a drained entry

Cause: nobody could see the whole path of callers, entries, engines and services in one run. An entry that stops closes idle connections at once and exits as soon as it has reported.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,5 +9,6 @@
 );
 
 void (async () => {
-  process.exitCode = await run(hideBin(process.argv), start);
+  // Kept connections to backend servers would hold the process for seconds after everything has stopped.
+  process.exit(await run(hideBin(process.argv), start));
 })();
--- a/src/daemon/http.ts
+++ b/src/daemon/http.ts
@@ -19,7 +19,7 @@
 export interface HttpListener {
   /** IP address and port that are in use. */
   readonly address: string;
-  /** Accepts no further connection and resolves once every open connection has ended by itself. */
+  /** Accepts no further connection, ends idle ones and resolves once the answers that still run have ended. */
   close(): Promise<void>;
   /** Breaks every connection. */
   destroy(): void;
@@ -175,6 +175,7 @@
     ...(opts.buffer === undefined ? {} : { highWaterMark: opts.buffer }),
   });
   let open = 0;
+  let closing = false;
   reading.set(server, { bytes: 0, limit: limits.body * FULL_BODIES, bodyLimit: limits.body });
   server.maxConnections = limits.connections + REFUSED_CONNECTIONS;
   server.on('connection', (socket: Socket) => {
@@ -195,7 +196,12 @@
       sendRefusal(res, httpRefusalAnswer({ code: 'overloaded', retryAfterMs: OVERLOAD_RETRY_MS }));
       return;
     }
-    res.on('close', () => running.get(socket)?.delete(req));
+    if (closing) res.setHeader('connection', 'close');
+    res.on('close', () => {
+      running.get(socket)?.delete(req);
+      // An answer that began before the close has told its caller that the connection stays open.
+      if (closing) setImmediate(() => server.closeIdleConnections());
+    });
     void handle(req, res);
   });
   const [host, port] = address.split(':');
@@ -208,8 +214,8 @@
   return ok({
     address: `${bound.address}:${bound.port}`,
     close: () => new Promise((resolve) => {
-      // The HTTP server's own close breaks idle connections, on which a caller may be sending a request right now.
-      NetServer.prototype.close.call(server, () => resolve());
+      closing = true;
+      server.close(() => resolve());
     }),
     destroy: () => {
       NetServer.prototype.close.call(server);
--- /dev/null
+++ b/src/demo/deployment.ts
@@ -0,0 +1,124 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { openSync, readFileSync } from 'node:fs';
+import type { Server } from 'node:http';
+import { join } from 'node:path';
+import { SystemClock } from '../adapters/system.js';
+import { apply } from '../cli/commands.js';
+import { askEntry } from '../cli/client.js';
+import { safeLoadSettings } from '../cli/files.js';
+import type { LoadedSettings } from '../cli/files.js';
+import { ExitCode } from '../cli/outcome.js';
+import { parseFleet } from '../core/fleet.js';
+import type { Fleet } from '../core/fleet.js';
+import { IssuesError } from '../core/issues.js';
+import { createStandIns, serveStandIns } from '../emulator/standins.js';
+import type { StandIns } from '../emulator/standins.js';
+
+const ENTRIES = 6;
+
+const READY_TIMEOUT_MS = 10_000;
+
+const APPLY_TIMEOUT_MS = 5_000;
+
+/** One entry process of the demo. */
+export interface DemoEntry {
+  readonly name: string;
+  readonly loaded: LoadedSettings;
+  readonly child: ChildProcess;
+  /** Resolves with the exit code, or with null after a signal. */
+  readonly exited: Promise<number | null>;
+}
+
+function loadEntry(file: string): LoadedSettings {
+  const loaded = safeLoadSettings(file);
+  if (!loaded.success) throw new IssuesError(loaded.error);
+  return loaded.data;
+}
+
+function startEntry(program: string, file: string, logFile: string): DemoEntry {
+  const loaded = loadEntry(file);
+  const log = openSync(logFile, 'w');
+  const child = spawn(process.execPath, [program, 'serve', file], { stdio: ['ignore', log, log] });
+  const exited = new Promise<number | null>((resolve) => {
+    child.once('exit', (code) => resolve(code));
+  });
+  return {
+    name: loaded.settings.entry.name, loaded, child, exited,
+  };
+}
+
+async function until(what: string, timeoutMs: number, check: () => Promise<boolean>): Promise<void> {
+  const deadline = performance.now() + timeoutMs;
+  while (!await check()) {
+    if (performance.now() > deadline) throw new Error(`${what} took longer than ${timeoutMs} ms`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+  }
+}
+
+/** One user's stand-ins and six entry processes. */
+export class Deployment {
+  private constructor(
+    public readonly fleet: Fleet,
+    public readonly fleetFile: string,
+    public readonly standIns: StandIns,
+    public readonly entries: readonly DemoEntry[],
+    private readonly servers: readonly Server[],
+  ) {}
+
+  /** Starts the deployment of `examples/<user>`, applies its fleet file and waits until every entry is ready. */
+  public static async start(directory: string, program: string, logDirectory: string): Promise<Deployment> {
+    const fleetFile = join(directory, 'fleet.ini');
+    const fleet = parseFleet(readFileSync(fleetFile, 'utf8'), fleetFile);
+    const standIns = createStandIns(new SystemClock(), fleet);
+    const files = Array.from({ length: ENTRIES }, (_, index) => join(directory, `entry-${index + 1}.ini`));
+    const { platform } = loadEntry(files[0]!).settings;
+    const servers = await serveStandIns(standIns, fleet, { keyValue: platform.keyValue, hostList: platform.hostList });
+    const entries = files.map((file, index) => (
+      startEntry(program, file, join(logDirectory, `${fleet.name}-${index + 1}.log`))
+    ));
+    const deployment = new Deployment(fleet, fleetFile, standIns, entries, servers);
+    try {
+      await deployment.bringUp();
+    } catch (err) {
+      await deployment.stop();
+      throw err;
+    }
+    return deployment;
+  }
+
+  /** Caller addresses of all entries. */
+  public get addresses(): string[] {
+    return this.entries.map(({ loaded }) => loaded.settings.listen.callers);
+  }
+
+  /** Starts planned stops of all entries that still run, and gives the exit codes of all. */
+  public async stop(): Promise<(number | null)[]> {
+    for (const { child } of this.entries) child.kill('SIGTERM');
+    const codes = await Promise.all(this.entries.map(({ exited }) => exited));
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+    return codes;
+  }
+
+  private async bringUp(): Promise<void> {
+    const { settings, secrets } = this.entries[0]!.loaded;
+    const target = { at: settings.listen.operators, token: secrets.operatorToken };
+    await until('applying the fleet file', READY_TIMEOUT_MS, async () => {
+      const outcome = await apply(target, this.fleetFile, { timeoutMs: APPLY_TIMEOUT_MS });
+      return outcome.exitCode === ExitCode.Done;
+    });
+    for (const address of this.addresses) {
+      await until(`the start of ${address}`, READY_TIMEOUT_MS, async () => {
+        const reply = await askEntry({
+          address, method: 'GET', path: '/ready', timeoutMs: 1_000,
+        });
+        return reply.success && reply.data.status === 200;
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/demo/main.ts
@@ -0,0 +1,153 @@
+import { mkdirSync } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { build } from 'esbuild';
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { drain } from '../cli/commands.js';
+import { ExitCode } from '../cli/outcome.js';
+import { Deployment } from './deployment.js';
+import { GALINHEIRO_LOAD, HALVORSEN_LOAD, LoadClient } from './load.js';
+import { classFigures, demoFigures, figuresTable } from './report.js';
+
+const LOAD_MS = 32_000;
+
+const KILL_AT_MS = 9_000;
+
+const DRAIN_AT_MS = 15_000;
+
+const PROGRESS_MS = 4_000;
+
+const DRAIN_TIMEOUT_MS = 30_000;
+
+const KILLED_ENTRY = 1;
+
+const DRAINED_ENTRY = 2;
+
+const root = fileURLToPath(new URL('../..', import.meta.url));
+const logs = join(root, 'dist', 'demo');
+const started = performance.now();
+
+function say(text: string): void {
+  process.stdout.write(`${((performance.now() - started) / 1_000).toFixed(1).padStart(5)} s  ${text}\n`);
+}
+
+function wait(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
+
+/** Bundles the command line, because starting twelve processes from TypeScript takes several seconds. */
+async function bundle(): Promise<string> {
+  const outfile = join(logs, 'catkinscale.cjs');
+  mkdirSync(logs, { recursive: true });
+  await build({
+    entryPoints: [join(root, 'src/cli/main.ts')],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    define: { 'import.meta.url': 'importMetaUrl' },
+    banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href;" },
+  });
+  return outfile;
+}
+
+/** Kills one entry and drains another while the load runs. */
+async function disturb(deployment: Deployment): Promise<boolean> {
+  await wait(KILL_AT_MS);
+  const killed = deployment.entries[KILLED_ENTRY]!;
+  killed.child.kill('SIGKILL');
+  say(`killed ${killed.name}`);
+  await wait(DRAIN_AT_MS - KILL_AT_MS);
+  const drained = deployment.entries[DRAINED_ENTRY]!;
+  const { settings, secrets } = drained.loaded;
+  say(`draining ${drained.name}`);
+  const outcome = await drain({ at: settings.listen.operators, token: secrets.operatorToken }, DRAIN_TIMEOUT_MS);
+  const code = await drained.exited;
+  say(`${drained.name} ${outcome.text}; exit ${code}`);
+  return outcome.exitCode === ExitCode.Done && code === 0;
+}
+
+function printCurl(deployment: Deployment, model: string): void {
+  const { settings, secrets } = deployment.entries[0]!.loaded;
+  const callers = `http://${settings.listen.callers}`;
+  const operators = `http://${settings.listen.operators}`;
+  const token = `-H 'Authorization: Bearer ${secrets.operatorToken.reveal()}'`;
+  const body = JSON.stringify({ model, prompt: '[answer-tokens=20] Is the hen well?', stream: true });
+  const service = deployment.fleet.services[0]!;
+  process.stdout.write([
+    '',
+    `# ${deployment.fleet.name}`,
+    `curl ${callers}/address`,
+    `curl -N ${callers}/v1/completions -d '${body}'`,
+    `curl ${callers}/v1/call/${service.name}/${service.nonIdempotent[0]} -H 'Idempotency-Key: order-1' -d '{"item":"coop"}'`,
+    `curl ${callers}/v1/call/${service.name}/${service.idempotent[0]} -d '{"item":"coop"}'`,
+    `curl ${token} ${operators}/show`,
+    `curl ${token} ${operators}/dump`,
+    `curl ${token} ${operators}/metrics`,
+    `curl ${token} --data-binary @${deployment.fleetFile} ${operators}/apply`,
+    '',
+  ].join('\n'));
+}
+
+async function keep(deployments: readonly Deployment[]): Promise<void> {
+  printCurl(deployments[0]!, HALVORSEN_LOAD.model);
+  printCurl(deployments[1]!, GALINHEIRO_LOAD.model);
+  process.stdout.write('\nCtrl-C stops everything.\n');
+  await new Promise<void>((resolve) => {
+    process.once('SIGINT', () => resolve());
+    process.once('SIGTERM', () => resolve());
+  });
+  await Promise.all(deployments.map((deployment) => deployment.stop()));
+}
+
+async function runLoad(deployments: readonly Deployment[], seed: number): Promise<boolean> {
+  const loads = [HALVORSEN_LOAD, GALINHEIRO_LOAD];
+  const clients = deployments.map((deployment, index) => new LoadClient(loads[index]!, deployment, seed + index));
+  const progress = setInterval(() => {
+    say(clients.map((client, index) => (
+      `${loads[index]!.user}: ${client.records.length} ended, ${client.open} open`
+    )).join('; '));
+  }, PROGRESS_MS);
+  const begin = performance.now();
+  const disturbed = Promise.all(deployments.map(disturb));
+  await Promise.all(clients.map((client) => client.run(LOAD_MS)));
+  const durationMs = performance.now() - begin;
+  clearInterval(progress);
+  const drained = (await disturbed).every(Boolean);
+  say('stopping all entries');
+  const codes = (await Promise.all(deployments.map((deployment) => deployment.stop()))).flat();
+  const unexpected = codes.filter((code, index) => code !== (index % 6 === KILLED_ENTRY ? null : 0));
+  if (!drained || unexpected.length > 0) say(`entries ended with ${codes.join(', ')}`);
+  const records = clients.flatMap((client) => client.records);
+  const classes = clients.flatMap((client, index) => classFigures(loads[index]!.user, client.records, durationMs));
+  const runTwice = clients.reduce((sum, client) => sum + client.runTwice, 0);
+  const figures = demoFigures(classes, records, runTwice);
+  for (const { ending } of records) if (ending.type === 'cut') say(`cut: ${ending.message}`);
+  process.stdout.write(`\n${figuresTable(figures)}\n${JSON.stringify(figures)}\n`);
+  return figures.cut === 0 && figures.run_twice === 0 && figures.wrong_answer === 0;
+}
+
+async function main(): Promise<number> {
+  const args = await yargs(hideBin(process.argv)).scriptName('npm run demo --')
+    .usage('Runs both users on this machine: stand-ins, twelve entries and a shifting load.')
+    .option('keep', { type: 'boolean', default: false, describe: 'send no load, and leave everything running' })
+    .option('seed', { type: 'number', default: 1, describe: 'seed of the load' })
+    .strict()
+    .parse();
+  const program = await bundle();
+  const deployments = await Promise.all(['halvorsen', 'galinheiro'].map((user) => (
+    Deployment.start(join(root, 'examples', user), program, logs)
+  )));
+  say('twelve entries are ready');
+  if (args.keep) {
+    await keep(deployments);
+    return 0;
+  }
+  return await runLoad(deployments, args.seed) ? 0 : 1;
+}
+
+process.exit(await main());
