--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -20,10 +20,12 @@
     rules: {
       'import-x/extensions': ['error', 'always', { ignorePackages: true }],
       // Tests, benches and scripts may import development dependencies.
-      'import-x/no-extraneous-dependencies': ['error', { devDependencies: ['test/**', 'scripts/**', 'src/bench/**', 'src/demo/**', '*.config.*'] }],
+      'import-x/no-extraneous-dependencies': ['error', { devDependencies: ['test/**', 'scripts/**', 'src/bench/**', 'src/demo/**', 'src/scenario/**', '*.config.*'] }],
       'import-x/prefer-default-export': 'off',
       // Tasks for a connection or a peer are written as sequential loops.
       'no-await-in-loop': 'off',
+      // State objects are private to the module that changes them; copies for each change would cost the hot paths.
+      'no-param-reassign': ['error', { props: false }],
       'no-continue': 'off',
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
       'no-constant-condition': ['error', { checkLoops: false }],
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -93,16 +93,19 @@
 
   private nodes: readonly string[];
 
+  /** Differs for each start of a process. */
+  public readonly incarnation: string;
+
   public constructor(private readonly edges: EntryEdges, private readonly options: EntryOptions) {
     const { clock, random } = edges;
     this.startedAt = clock.monotonic();
     this.nodes = [options.name];
-    const incarnation = createIncarnation(clock, random);
-    this.membership = this.createMembership(incarnation);
+    this.incarnation = createIncarnation(clock, random);
+    this.membership = this.createMembership();
     this.configuration = this.createConfiguration();
     this.authority = new Authority({
       ...edges,
-      holder: { member: options.name, address: options.peerAddress, incarnation },
+      holder: { member: options.name, address: options.peerAddress, incarnation: this.incarnation },
       leaseMs: options.leaseMs,
     });
     this.retries = new RetryPolicy({ clock, random, budget: new RetryBudget() });
@@ -139,6 +142,16 @@
     ]);
   }
 
+  /** Address at which callers reach this entry. */
+  public get callerAddress(): string {
+    return this.options.callerAddress;
+  }
+
+  /** Whether this entry may plan the fleet at this moment. */
+  public holdsAuthority(): boolean {
+    return this.authority.mayAct();
+  }
+
   /** Ends all tasks at once, without a planned stop. */
   public dispose(): void {
     this.stop.abort();
@@ -226,8 +239,8 @@
     return report;
   }
 
-  private createMembership(incarnation: string): Membership {
-    const { options } = this;
+  private createMembership(): Membership {
+    const { options, incarnation } = this;
     return new Membership({
       id: options.name,
       incarnation,
--- a/src/emulator/engine.ts
+++ b/src/emulator/engine.ts
@@ -72,6 +72,12 @@
   /** Requests that started here, by request id, with the number of times. */
   public readonly started = new Map<string, number>();
 
+  /** How often each prompt started from its beginning. */
+  public readonly prompts = new Map<string, number>();
+
+  /** Time of the last start of work, in ms. */
+  public lastStartAt = -Infinity;
+
   private models: LoadedModel[];
 
   private orders: Record<string, OrderState> = {};
@@ -93,6 +99,11 @@
     this.models = [...options.models];
   }
 
+  /** Models that are loaded. */
+  public get served(): readonly LoadedModel[] {
+    return this.models;
+  }
+
   /** Ids of the streams that are being generated. */
   public get running(): string[] {
     return [...new Set(this.streams.values())].filter(({ closed }) => !closed).map(({ call }) => call.requestId);
@@ -108,6 +119,10 @@
     const served = this.models.some(({ model }) => model === call.model);
     if (!served || this.model.away) return fail(error(EngineErrorCode.NotServed, 'the model is not served now'));
     this.started.set(call.requestId, (this.started.get(call.requestId) ?? 0) + 1);
+    if (call.firstIndex === 0 && call.importFrom === undefined) {
+      this.prompts.set(call.prompt, (this.prompts.get(call.prompt) ?? 0) + 1);
+    }
+    this.lastStartAt = this.clock.monotonic();
     const stream: Stream = {
       call, attemptId: call.attemptId, events: [], readers: new Set(), closed: false,
     };
--- /dev/null
+++ b/src/emulator/recording.ts
@@ -0,0 +1,43 @@
+import type {
+  Labels, Log, LogFields, Meter,
+} from '../core/edges.js';
+
+/** Log line of a simulated entry. */
+export interface RecordedLine {
+  readonly entry: string;
+  readonly level: 'info' | 'warn' | 'error';
+  readonly event: string;
+  readonly fields: LogFields;
+}
+
+/** Keeps log lines in memory. */
+export class RecordingLog {
+  public readonly lines: RecordedLine[] = [];
+
+  /** Log of one entry. */
+  public of(entry: string): Log {
+    const write = (level: RecordedLine['level']) => (event: string, fields: LogFields = {}): void => {
+      this.lines.push({
+        entry, level, event, fields,
+      });
+    };
+    return { info: write('info'), warn: write('warn'), error: write('error') };
+  }
+}
+
+/** Keeps the sums of counters and the last values of gauges in memory. */
+export class CountingMeter implements Meter {
+  public readonly counts = new Map<string, number>();
+
+  public readonly gauges = new Map<string, number>();
+
+  public count(name: string, amount = 1, _labels: Labels = {}): void {
+    this.counts.set(name, (this.counts.get(name) ?? 0) + amount);
+  }
+
+  public record(): void {}
+
+  public gauge(name: string, value: number): void {
+    this.gauges.set(name, value);
+  }
+}
