--- /dev/null
+++ b/src/core/actions.ts
@@ -0,0 +1,26 @@
+import type { EngineStatus, OrderAction } from './edges.js';
+
+/** Whether an action's result can be seen in an engine's status. */
+export function inEffect(action: OrderAction, status: EngineStatus): boolean {
+  switch (action.type) {
+    case 'role': return status.role === action.role;
+    case 'load': return status.models.some(({ model, version }) => model === action.model && version === action.version);
+    case 'unload':
+      return !status.models.some(({ model, version }) => model === action.model && version === action.version);
+    case 'load_adapter':
+      return status.models.some(({ model, adapters }) => model === action.model
+        && adapters?.includes(action.adapter) === true);
+    default: return false;
+  }
+}
+
+/** Whether an action takes work away from the engine, so that the engine must be idle first. */
+export function takesAway(action: OrderAction, status: EngineStatus): boolean {
+  switch (action.type) {
+    case 'role': return true;
+    case 'load':
+    case 'unload': return status.models.some(({ model }) => model === action.model);
+    case 'load_adapter': return false;
+    default: return true;
+  }
+}
--- a/src/core/edges.ts
+++ b/src/core/edges.ts
@@ -249,6 +249,7 @@
 export interface LoadedModel {
   readonly model: string;
   readonly version: string;
+  readonly adapters?: readonly string[];
 }
 
 /** What an engine says of itself. */
--- /dev/null
+++ b/src/core/orders.ts
@@ -0,0 +1,254 @@
+import { Abandonment } from './abandonment.js';
+import { inEffect } from './actions.js';
+import type { Authority, Tenure } from './authority.js';
+import { Deliveries } from './deliveries.js';
+import { EngineErrorCode, OrderState } from './edges.js';
+import type {
+  Clock, Engine, EngineError, EngineStatus, KeyValue, Log, Meter, Order, OrderAction, PeerClient, PeerServer, Random,
+  WeightStore,
+} from './edges.js';
+import { Fencing } from './fleet.js';
+import { Intents } from './intents.js';
+import type { Intent, Sender } from './intents.js';
+import { Permits } from './permits.js';
+import { assertNever } from './result.js';
+import { within } from './time.js';
+
+const STATUS_TIMEOUT_MS = 1_000;
+
+/** Times that an order is sent again after an engine has lost it, before it is given up and planned anew. */
+const MAX_SENDS = 3;
+
+/** Engine as the holder of authority orders it. */
+export interface OrderedEngine {
+  readonly engine: Engine;
+  readonly fencing: Fencing;
+}
+
+/** What an engine can be ordered now; a different order may be issued if it is `ready`. */
+export type OrderProgress = | { readonly type: 'ready'; readonly status: EngineStatus }
+  /** An order is open. */
+  | { readonly type: 'open'; readonly status: EngineStatus | null; readonly action: OrderAction }
+  /** No order is open, but an earlier sender may still deliver one. */
+  | { readonly type: 'waiting'; readonly status: EngineStatus }
+  | { readonly type: 'unreachable' };
+
+/** Outcome of {@link Orders.issue}. */
+export type IssueOutcome = 'sent' | 'written' | 'refused' | 'no_permit' | 'not_written';
+
+/** Options of {@link Orders}. */
+export interface OrdersOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly keyValue: KeyValue;
+  readonly authority: Authority;
+  readonly peers: PeerClient;
+  readonly server: PeerServer;
+  readonly weightStore: WeightStore;
+  readonly log: Log;
+  readonly meter: Meter;
+  readonly orderTimeoutMs?: number;
+  /** Longest pause of a process between its guard and its write that is allowed for. */
+  readonly pauseAllowanceMs?: number;
+}
+
+/** Sends orders to engines under authority: an intent first, one order per engine, and never two that conflict. */
+export class Orders {
+  public readonly abandonment: Abandonment;
+
+  private readonly intents: Intents;
+
+  private readonly permits: Permits;
+
+  private readonly deliveries: Deliveries;
+
+  private readonly orderTimeoutMs: number;
+
+  public constructor(private readonly options: OrdersOptions) {
+    this.orderTimeoutMs = options.orderTimeoutMs ?? 2_000;
+    this.deliveries = new Deliveries(options.clock, this.orderTimeoutMs);
+    this.intents = new Intents(options.keyValue);
+    this.permits = new Permits(options.clock, options.weightStore, this.intents);
+    this.abandonment = new Abandonment({
+      ...options,
+      longestDeliveryMs: options.authority.leaseMs + this.orderTimeoutMs + (options.pauseAllowanceMs ?? 10_000),
+      transitMs: this.orderTimeoutMs,
+      unanswered: (term) => this.deliveries.unanswered(term),
+    });
+  }
+
+  /** Reads all intents at the begin of a tenure; false when the service did not answer. */
+  public async load(): Promise<boolean> {
+    if (!await this.intents.load()) return false;
+    this.abandonment.observe(this.intents.all().flatMap(([, { senders }]) => senders));
+    return true;
+  }
+
+  /** Engines with an open order. */
+  public open(): string[] {
+    return this.intents.all().filter(([, { state }]) => state === 'open').map(([engine]) => engine);
+  }
+
+  /**
+   * Reads an engine's status and takes its open order one step further: takes it over, sends or settles it.
+   * `mayDisturb` tells whether an order that takes the engine away may be sent now.
+   */
+  public async advance(
+    target: OrderedEngine,
+    mayDisturb: (action: OrderAction, status: EngineStatus) => boolean = () => true,
+  ): Promise<OrderProgress> {
+    const { name } = target.engine;
+    const answer = await target.engine.status({ timeoutMs: STATUS_TIMEOUT_MS });
+    const tenure = this.options.authority.tenure();
+    this.permits.reached(name, answer.success);
+    if (!answer.success || tenure === null || !await this.intents.settleWrite(name)) return { type: 'unreachable' };
+    const status = answer.data;
+    const intent = this.intents.get(name);
+    if (intent?.state !== 'open') {
+      return { type: this.isClear(target, intent, status, tenure) ? 'ready' : 'waiting', status };
+    }
+    const current = intent.term === tenure.term ? intent : await this.takeOver(name, intent, tenure);
+    if (current !== null) await this.continue(target, current, status, tenure, mayDisturb);
+    return { type: 'open', status, action: intent.action };
+  }
+
+  /** Records and sends a new order to an engine that is `ready` by `status`. */
+  public async issue(target: OrderedEngine, action: OrderAction, status: EngineStatus): Promise<IssueOutcome> {
+    const { authority, random, meter } = this.options;
+    const { name } = target.engine;
+    const permit = await this.permits.reserve(name, action);
+    if (permit === null) return 'no_permit';
+    try {
+      const tenure = authority.tenure();
+      const last = this.intents.get(name);
+      if (tenure === null || last?.state === 'open' || !this.isClear(target, last, status, tenure)) return 'refused';
+      const written = await this.intents.write(name, {
+        sequence: (last?.sequence ?? 0) + 1,
+        orderId: random.id(),
+        term: tenure.term,
+        holder: authority.holder,
+        action,
+        state: 'open',
+        senders: [...this.remaining(name, last), { term: tenure.term, holder: authority.holder }],
+      });
+      const intent = this.intents.get(name);
+      if (written !== 'written' || intent === null) return 'not_written';
+      meter.count('orders_issued', 1, { action: action.type });
+      return await this.send(target, intent, tenure) ? 'sent' : 'written';
+    } finally {
+      permit.dispose();
+    }
+  }
+
+  /** State under stable keys, with ages in ms. */
+  public dump(): Record<string, unknown> {
+    return {
+      ...this.intents.dump(),
+      unanswered: this.deliveries.unanswered(Infinity),
+      earlier_senders: this.abandonment.dump(),
+      open_loads: this.permits.openLoads(),
+    };
+  }
+
+  public dispose(): void {
+    this.abandonment.dispose();
+  }
+
+  private async continue(
+    target: OrderedEngine,
+    intent: Intent,
+    status: EngineStatus,
+    tenure: Tenure,
+    mayDisturb: (action: OrderAction, status: EngineStatus) => boolean,
+  ): Promise<void> {
+    const { name } = target.engine;
+    const state = status.orders[intent.orderId];
+    if (state !== undefined) {
+      this.deliveries.arrived(name, intent, status);
+      if (state !== OrderState.Running) await this.settle(name, intent, state === OrderState.Done ? 'done' : 'failed');
+      return;
+    }
+    if (this.deliveries.isPending(name) || Object.values(status.orders).includes(OrderState.Running)) return;
+    if (inEffect(intent.action, status)) await this.settle(name, intent, 'done');
+    else if (this.deliveries.count(name, intent) >= MAX_SENDS) await this.settle(name, intent, 'failed');
+    else if (mayDisturb(intent.action, status) && await this.permits.mayRun(name, intent.action)) {
+      await this.send(target, intent, tenure);
+    }
+  }
+
+  /** Whether nothing that was ordered earlier can still take effect at the engine. */
+  private isClear(target: OrderedEngine, last: Intent | null, status: EngineStatus, tenure: Tenure): boolean {
+    const { name } = target.engine;
+    if (Object.values(status.orders).includes(OrderState.Running) || this.deliveries.isPending(name)) return false;
+    const fenced = target.fencing === Fencing.Enforced && this.deliveries.fenced(name, tenure.term, status);
+    // Asks every sender, so that their answers arrive while a fence makes the wait unnecessary.
+    return this.remaining(name, last).length === 0 || fenced;
+  }
+
+  /** Senders of earlier orders that are not known to have abandoned them. */
+  private remaining(engine: string, intent: Intent | null): Sender[] {
+    return (intent?.senders ?? []).filter((sender) => !this.abandonment.cleared(sender, engine));
+  }
+
+  private async takeOver(engine: string, intent: Intent, tenure: Tenure): Promise<Intent | null> {
+    const { holder } = this.options.authority;
+    const { term } = tenure;
+    const written = await this.intents.write(engine, {
+      ...intent, term, holder, senders: [...intent.senders, { term, holder }],
+    });
+    return written === 'written' ? this.intents.get(engine) : null;
+  }
+
+  private async send(target: OrderedEngine, intent: Intent, tenure: Tenure): Promise<boolean> {
+    const { authority, clock } = this.options;
+    const { name } = target.engine;
+    const {
+      orderId, term, sequence, action,
+    } = intent;
+    const order: Order = {
+      orderId, engine: name, term, sequence, action,
+    };
+    const delivery = this.deliveries.begin(name, intent);
+    const mayStillSend = (): boolean => {
+      const passed = delivery.endedAt === null && authority.mayAct() && authority.term === term
+        && this.intents.get(name) === intent;
+      if (passed) this.deliveries.passed(name, delivery);
+      return passed;
+    };
+    const call = target.engine.order(order, { timeoutMs: this.orderTimeoutMs, mayStillSend, signal: tenure.signal });
+    void call.then((late) => this.deliveries.answered(name, delivery, late));
+    const result = await within(clock, this.orderTimeoutMs, call);
+    this.deliveries.ended(delivery);
+    if (result?.success !== false) return result !== null;
+    await this.handleError(name, intent, result.error);
+    return false;
+  }
+
+  private async handleError(engine: string, intent: Intent, err: EngineError): Promise<void> {
+    const { authority, log, meter } = this.options;
+    meter.count('order_errors', 1, { code: err.code });
+    switch (err.code) {
+      case EngineErrorCode.Fenced:
+        log.error('order refused by fencing', { engine, term: intent.term });
+        authority.abandon(intent.term);
+        return;
+      case EngineErrorCode.Refused:
+      case EngineErrorCode.Leaving:
+      case EngineErrorCode.NotServed:
+      case EngineErrorCode.NotFound:
+        if (this.intents.get(engine) === intent) await this.settle(engine, intent, 'failed');
+        return;
+      case EngineErrorCode.NotSent:
+      case EngineErrorCode.Broken:
+        return;
+      default: assertNever(err.code);
+    }
+  }
+
+  private async settle(engine: string, intent: Intent, state: 'done' | 'failed'): Promise<void> {
+    const written = await this.intents.write(engine, { ...intent, state, senders: this.remaining(engine, intent) });
+    if (written !== 'written') return;
+    this.options.meter.count('orders_settled', 1, { state });
+    this.options.log.info('order settled', { engine, order: intent.orderId, state });
+  }
+}
--- a/src/emulator/engine.ts
+++ b/src/emulator/engine.ts
@@ -66,7 +66,10 @@
   /** Orders that had an effect, in order of arrival. */
   public readonly accepted: Order[] = [];
 
-  /** Orders that took effect although they conflicted with an earlier one; must stay empty. */
+  /**
+   * Orders that took effect while another order ran, or after a different order with the same or a later sequence or
+   * with a later term; must stay empty. Orders before a restart count, although the engine has forgotten them.
+   */
   public readonly conflicts: Order[] = [];
 
   /** Requests that started here, by request id, with the number of times. */
@@ -80,8 +83,6 @@
 
   private highestTerm = 0;
 
-  private highestSequence = 0;
-
   private readonly streams = new Map<string, Stream>();
 
   private readonly parameters: EngineParameters;
@@ -202,7 +203,6 @@
     this.streams.clear();
     this.orders = {};
     this.highestTerm = 0;
-    this.highestSequence = 0;
     this.incarnation += 1;
   }
 
@@ -213,16 +213,23 @@
       return fail(error(EngineErrorCode.Fenced, `term ${order.term} is older than ${this.highestTerm}`));
     }
     if (known !== undefined && this.accepted.at(-1)?.orderId === order.orderId) return ok(known);
-    const busy = Object.values(this.orders).includes(OrderState.Running);
-    if (stale || busy || order.sequence <= this.highestSequence) this.conflicts.push(order);
+    this.judge(order);
     this.highestTerm = Math.max(this.highestTerm, order.term);
-    this.highestSequence = Math.max(this.highestSequence, order.sequence);
     this.accepted.push(order);
     this.orders[order.orderId] = OrderState.Running;
     this.perform(order);
     return ok(OrderState.Running);
   }
 
+  private judge(order: Order): void {
+    const busy = Object.values(this.orders).includes(OrderState.Running);
+    // A copy of the latest order after a restart repeats that order, and does not contradict it.
+    const repeated = this.accepted.at(-1)?.orderId === order.orderId;
+    const overtaken = !repeated
+      && this.accepted.some(({ term, sequence }) => term > order.term || sequence >= order.sequence);
+    if (busy || overtaken) this.conflicts.push(order);
+  }
+
   private perform(order: Order): void {
     const { incarnation } = this;
     const { action } = order;
@@ -238,6 +245,11 @@
       if (action.type === 'unload') {
         this.models = this.models.filter(({ model, version }) => model !== action.model || version !== action.version);
       }
+      if (action.type === 'load_adapter') {
+        this.models = this.models.map((loaded) => (loaded.model === action.model
+          ? { ...loaded, adapters: [...loaded.adapters ?? [], action.adapter] }
+          : loaded));
+      }
     });
   }
 
