--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -84,6 +84,20 @@
     return true;
   }
 
+  /** Last intent of an engine, open or settled. */
+  public last(engine: string): Intent | null {
+    return this.intents.get(engine);
+  }
+
+  /** Holds a permit of the weight store for a load that is about to be issued; true at once for other actions. */
+  public reserve(engine: string, action: OrderAction): Promise<boolean> {
+    return this.permits.reserve(engine, action);
+  }
+
+  public unreserve(engine: string): void {
+    this.permits.release(engine);
+  }
+
   /** Engines with an open order. */
   public open(): string[] {
     return this.intents.all().filter(([, { state }]) => state === 'open').map(([engine]) => engine);
@@ -116,8 +130,7 @@
   public async issue(target: OrderedEngine, action: OrderAction, status: EngineStatus): Promise<IssueOutcome> {
     const { authority, random, meter } = this.options;
     const { name } = target.engine;
-    const permit = await this.permits.reserve(name, action);
-    if (permit === null) return 'no_permit';
+    if (!await this.permits.reserve(name, action)) return 'no_permit';
     try {
       const tenure = authority.tenure();
       const last = this.intents.get(name);
@@ -136,7 +149,7 @@
       meter.count('orders_issued', 1, { action: action.type });
       return await this.send(target, intent, tenure) ? 'sent' : 'written';
     } finally {
-      permit.dispose();
+      this.permits.release(name);
     }
   }
 
--- a/src/core/permits.ts
+++ b/src/core/permits.ts
@@ -1,5 +1,5 @@
 import type {
-  Clock, Disposable, OrderAction, WeightStore,
+  Clock, OrderAction, WeightStore,
 } from './edges.js';
 import type { Intents } from './intents.js';
 
@@ -26,13 +26,17 @@
     else if (!this.unreachableSince.has(engine)) this.unreachableSince.set(engine, this.clock.monotonic());
   }
 
-  /** Holds a place until the intent of the load is written; `null` when all are taken. */
-  public async reserve(engine: string, action: OrderAction): Promise<Disposable | null> {
-    if (action.type !== 'load') return { dispose() {} };
+  /** Holds a place for a load until it is released; false when all are taken. Other actions need none. */
+  public async reserve(engine: string, action: OrderAction): Promise<boolean> {
+    if (action.type !== 'load' || this.reserved.has(engine)) return true;
     const limit = await this.limit(action.model, action.version);
-    if (this.openLoads() >= limit || this.reserved.has(engine)) return null;
+    if (this.openLoads() >= limit) return false;
     this.reserved.add(engine);
-    return { dispose: () => this.reserved.delete(engine) };
+    return true;
+  }
+
+  public release(engine: string): void {
+    this.reserved.delete(engine);
   }
 
   /** Loads that are open or about to be. */
--- a/src/core/planning.ts
+++ b/src/core/planning.ts
@@ -13,6 +13,10 @@
 /** Interval at which engines without an open change are looked at again. */
 const SURVEY_MS = 5_000;
 
+const UNREACHABLE_MS = 1_000;
+
+const MAX_BACKOFF_MS = 60_000;
+
 /** Engines that are worked on at the same time. */
 const CONCURRENT_ENGINES = 64;
 
@@ -51,6 +55,12 @@
   readonly awayShare?: number;
 }
 
+interface Failure {
+  readonly orderId: string;
+  readonly count: number;
+  readonly until: number;
+}
+
 type DrainState = 'draining' | 'drained';
 
 /** First difference between what the fleet file wants of an engine and what the engine has. */
@@ -85,6 +95,8 @@
   /** Monotonic time at which each engine is looked at next. */
   private readonly dueAt = new Map<string, number>();
 
+  private readonly failures = new Map<string, Failure>();
+
   private fleet: Fleet | null = null;
 
   private planned: ReadonlyMap<string, Role> = new Map();
@@ -169,6 +181,7 @@
     const progress = await orders.advance(target, mayDisturb);
     if (progress.type === 'unreachable') {
       this.statuses.delete(name);
+      this.dueAt.set(name, clock.monotonic() + UNREACHABLE_MS * (0.5 + random.float()));
       return;
     }
     if (progress.status !== null) this.statuses.set(name, progress.status);
@@ -181,10 +194,27 @@
       this.dueAt.set(name, clock.monotonic() + SURVEY_MS * (0.5 + random.float()));
       return;
     }
-    if (!this.isDrained(spec, action, status, signal)) return;
-    const outcome = await orders.issue(target, action, status);
-    // An engine waits for a permit with its work, not without it.
-    if (outcome === 'no_permit') this.endDrain(name);
+    // The permit comes before the drain, so that no engine waits idle for one.
+    if (this.backsOff(name) || !await orders.reserve(name, action)) return;
+    if (this.isDrained(spec, action, status, signal)) await orders.issue(target, action, status);
+    else if (!this.drains.has(name)) orders.unreserve(name);
+  }
+
+  /** Whether the last order failed a short time ago; the wait doubles with each failure. */
+  private backsOff(engine: string): boolean {
+    const { orders, random, clock } = this.options;
+    const last = orders.last(engine);
+    if (last?.state !== 'failed') {
+      this.failures.delete(engine);
+      return false;
+    }
+    const known = this.failures.get(engine);
+    const now = clock.monotonic();
+    if (known?.orderId === last.orderId) return now < known.until;
+    const count = (known?.count ?? 0) + 1;
+    const waitMs = Math.min(MAX_BACKOFF_MS, PASS_MS * 2 ** count) * (0.5 + random.float());
+    this.failures.set(engine, { orderId: last.orderId, count, until: now + waitMs });
+    return true;
   }
 
   private wantedRole(spec: EngineSpec): Role | undefined {
@@ -215,7 +245,9 @@
   }
 
   private endDrain(engine: string): void {
-    if (this.drains.delete(engine)) this.options.drain.release(engine);
+    if (!this.drains.delete(engine)) return;
+    this.options.orders.unreserve(engine);
+    this.options.drain.release(engine);
   }
 
   /** Whether another engine may be taken away: few are at a time, and each model keeps one that serves it. */
--- a/src/core/rendezvous.ts
+++ b/src/core/rendezvous.ts
@@ -1,10 +1,10 @@
-import { createHash } from 'node:crypto';
+import { rendezvousWeight } from './subset.js';
 
-/** The `count` names with the lowest rendezvous hash for `key`; a name that joins or leaves moves at most one place. */
+/** The `count` names that rank lowest for `key`; a name that joins or leaves changes at most one of them. */
 export function lowestByRendezvous(names: readonly string[], key: string, count: number): string[] {
   return names
-    .map((name) => ({ name, hash: createHash('sha256').update(`${key}\n${name}`).digest('hex') }))
-    .sort((a, b) => (a.hash < b.hash ? -1 : 1))
+    .map((name) => ({ name, weight: rendezvousWeight(name, key) }))
+    .sort((a, b) => a.weight - b.weight || (a.name < b.name ? -1 : 1))
     .slice(0, count)
     .map(({ name }) => name);
 }
--- /dev/null
+++ b/src/emulator/entry.ts
@@ -0,0 +1,144 @@
+import { EngineErrorCode } from '../core/edges.js';
+import type {
+  Clock, Engine, KeyValue, KeyValueEntry, Log, Meter, PeerClient,
+} from '../core/edges.js';
+import type { Member, Members } from '../core/membership.js';
+import { fail, ok } from '../core/result.js';
+import { EmulatedKeyValue } from './keyvalue.js';
+import type { KeyValueStore } from './keyvalue.js';
+import type { EmulatedNetwork } from './peers.js';
+import { EmulatedProcess } from './process.js';
+
+/** Log and meter that discard everything. */
+export const silent: Log & Meter = {
+  info() {}, warn() {}, error() {}, count() {}, record() {}, gauge() {},
+};
+
+/** Process of one entry with its edges; pauses and kills reach all of them. */
+export class EmulatedEntry {
+  public readonly process: EmulatedProcess;
+
+  /** Client of the key-value service, with the faults of this entry's connection. */
+  public readonly connection: EmulatedKeyValue;
+
+  public readonly keyValue: KeyValue;
+
+  public readonly peers: PeerClient;
+
+  public readonly clock: Clock;
+
+  /** While true, single-key reads give the value that was read first, as a lagging replica of the service does. */
+  public staleReads = false;
+
+  /** The process is paused as soon as the next order has passed its guard, before the order leaves. */
+  public pauseBeforeSend = false;
+
+  private readonly firstReads = new Map<string, KeyValueEntry>();
+
+  public constructor(
+    public readonly address: string,
+    clock: Clock,
+    private readonly network: EmulatedNetwork,
+    store: KeyValueStore,
+  ) {
+    this.process = new EmulatedProcess(clock);
+    this.clock = this.process.clock;
+    this.connection = new EmulatedKeyValue(store, clock);
+    this.keyValue = this.process.guard(this.withStaleReads(this.connection));
+    this.peers = this.process.guard(network.client(address));
+  }
+
+  public get running(): boolean {
+    return this.process.running;
+  }
+
+  public pause(): void {
+    if (!this.process.running) return;
+    this.process.pause();
+    this.network.pause(this.address);
+  }
+
+  public resume(): void {
+    if (!this.process.alive) return;
+    this.pauseBeforeSend = false;
+    this.process.unpause();
+    this.network.unpause(this.address);
+  }
+
+  /** Ends the process without any clean-up. */
+  public kill(): void {
+    if (!this.process.alive) return;
+    this.process.kill();
+    this.network.close(this.address);
+  }
+
+  /** The engine as this process reaches it; `ignoreGuard` plants a sender that does not check its guard. */
+  public engine(engine: Engine, ignoreGuard = false): Engine {
+    const guarded = this.process.guard(engine);
+    return new Proxy(guarded, {
+      get: (target, key) => (key === 'order' ? this.orderThrough(guarded, ignoreGuard) : Reflect.get(target, key, target)),
+    });
+  }
+
+  private orderThrough(engine: Engine, ignoreGuard: boolean): Engine['order'] {
+    return async (order, opts) => {
+      if (!opts.mayStillSend() && !ignoreGuard) {
+        return fail({ code: EngineErrorCode.NotSent, message: 'the order was not sent' });
+      }
+      if (this.pauseBeforeSend) {
+        this.pause();
+        await this.process.gate();
+      }
+      return engine.order(order, { ...opts, mayStillSend: () => true });
+    };
+  }
+
+  private withStaleReads(inner: KeyValue): KeyValue {
+    const get: KeyValue['get'] = async (key, opts) => {
+      const result = await inner.get(key, opts);
+      if (!result.success || result.data === null) return result;
+      const first = this.firstReads.get(key) ?? result.data;
+      this.firstReads.set(key, first);
+      return this.staleReads ? ok(first) : result;
+    };
+    return new Proxy(inner, {
+      get: (target, key) => {
+        if (key === 'get') return get;
+        const value: unknown = Reflect.get(target, key, target);
+        return typeof value === 'function' ? (value as () => unknown).bind(target) : value;
+      },
+    });
+  }
+}
+
+/** Membership without a protocol: every entry sees all others at once. */
+export class EmulatedMembers {
+  private readonly all = new Map<string, Member>();
+
+  private readonly listeners = new Set<() => void>();
+
+  public view(address: string, incarnation = '1'): Members {
+    this.all.set(address, {
+      id: `${address}/${incarnation}`,
+      incarnation,
+      address,
+      callerAddress: address,
+      failureDomain: 'regina',
+      leaving: false,
+      revision: 0,
+      load: 0,
+    });
+    return {
+      self: () => this.all.get(address)!,
+      live: () => [...this.all.values()].filter((member) => member.address !== address),
+      update: (facts) => {
+        this.all.set(address, { ...this.all.get(address)!, ...facts });
+        for (const listener of [...this.listeners]) listener();
+      },
+      onChange: (listener) => {
+        this.listeners.add(listener);
+        return { dispose: () => this.listeners.delete(listener) };
+      },
+    };
+  }
+}
--- a/test/authority.test.ts
+++ b/test/authority.test.ts
@@ -2,10 +2,10 @@
 import { describe, expect, it } from 'vitest';
 import { AUTHORITY_KEY, Authority, TERM_KEY } from '../src/core/authority.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
-import { EmulatedKeyValue, KeyValueStore } from '../src/emulator/keyvalue.js';
+import { EmulatedEntry, silent } from '../src/emulator/entry.js';
+import { KeyValueStore } from '../src/emulator/keyvalue.js';
 import { EmulatedNetwork } from '../src/emulator/peers.js';
 import { SeededRandom } from '../src/emulator/random.js';
-import { Loop, silent } from './support/faults.js';
 
 const LEASE_MS = 3_000;
 
@@ -16,7 +16,7 @@
 
   public readonly network = new EmulatedNetwork(this.clock);
 
-  public readonly loops: Loop[] = [];
+  public readonly hosts: EmulatedEntry[] = [];
 
   public readonly authorities: Authority[] = [];
 
@@ -27,21 +27,21 @@
   }
 
   public start(): void {
-    const index = this.loops.length;
+    const index = this.hosts.length;
     const address = `10.0.0.${index}:1`;
-    const loop = new Loop(address, this.clock, this.network, new EmulatedKeyValue(this.store, this.clock));
+    const host = new EmulatedEntry(address, this.clock, this.network, this.store);
     const authority = new Authority({
-      clock: loop.clock,
+      clock: host.clock,
       random: new SeededRandom(this.seed * 100 + index),
-      keyValue: loop.gatedKeyValue(),
+      keyValue: host.keyValue,
       log: silent,
       meter: silent,
       holder: { member: `m${index}`, address, incarnation: '1' },
       leaseMs: LEASE_MS,
       marginShare: this.marginShare,
     });
-    void authority.run(loop.stop.signal);
-    this.loops.push(loop);
+    void authority.run(new AbortController().signal);
+    this.hosts.push(host);
     this.authorities.push(authority);
   }
 
@@ -49,7 +49,7 @@
   public check(): number {
     const acting = this.authorities
       .map((authority, index) => ({ authority, index }))
-      .filter(({ authority, index }) => this.loops[index]!.running && authority.mayAct());
+      .filter(({ authority, index }) => this.hosts[index]!.running && authority.mayAct());
     expect(acting.length).toBeLessThanOrEqual(1);
     for (const { authority } of acting) {
       expect(this.terms.get(authority.term) ?? authority).toBe(authority);
@@ -80,7 +80,7 @@
     for (let seed = 1; seed <= 20; seed += 1) {
       const world = new World(seed);
       await world.untilHeld();
-      world.loops[world.check()]!.kill();
+      world.hosts[world.check()]!.kill();
       expect(await world.untilHeld()).toBeLessThan(2 * LEASE_MS);
     }
   });
@@ -100,7 +100,7 @@
     const world = new World();
     await world.untilHeld();
     const index = world.check();
-    world.loops[index]!.pause();
+    world.hosts[index]!.pause();
     await world.clock.advance(LEASE_MS);
     expect(world.authorities[index]!.mayAct()).toBe(false);
   });
@@ -118,10 +118,10 @@
   it('settles lost answers by reading back', async () => {
     const world = new World(1, 0);
     world.start();
-    const { keyValue } = world.loops[0]!;
-    const transact = keyValue.transact.bind(keyValue);
-    keyValue.transact = (...args) => {
-      keyValue.loseAnswers = 1;
+    const { connection } = world.hosts[0]!;
+    const transact = connection.transact.bind(connection);
+    connection.transact = (...args) => {
+      connection.loseAnswers = 1;
       return transact(...args);
     };
     await world.untilHeld();
@@ -167,18 +167,18 @@
     expect(world.check()).toBeGreaterThanOrEqual(0);
   });
 
-  const faults: Record<string, (world: World, loop: Loop) => void> = {
-    pause: (_world, loop) => loop.pause(),
-    resume: (_world, loop) => loop.resume(),
-    cut: (_world, { keyValue }) => Object.assign(keyValue, { cut: true }),
-    mend: (_world, { keyValue }) => Object.assign(keyValue, { cut: false }),
+  const faults: Record<string, (world: World, host: EmulatedEntry) => void> = {
+    pause: (_world, host) => host.pause(),
+    resume: (_world, host) => host.resume(),
+    cut: (_world, { connection }) => Object.assign(connection, { cut: true }),
+    mend: (_world, { connection }) => Object.assign(connection, { cut: false }),
     outage: ({ store }) => Object.assign(store, { down: true }),
     recovery: ({ store }) => Object.assign(store, { down: false }),
-    lostAnswer: (_world, { keyValue }) => Object.assign(keyValue, { loseAnswers: 1 }),
+    lostAnswer: (_world, { connection }) => Object.assign(connection, { loseAnswers: 1 }),
     slow: ({ store }) => Object.assign(store, { latencyMs: 1_500 }),
     fast: ({ store }) => Object.assign(store, { latencyMs: 2 }),
-    replace: (world, loop) => {
-      loop.kill();
+    replace: (world, host) => {
+      host.kill();
       world.start();
     },
   };
@@ -192,7 +192,7 @@
   const oneHolder = (marginShare: number) => fc.asyncProperty(fc.array(step, { maxLength: 30, size: 'max' }), async (schedule) => {
     const world = new World(7, 4, marginShare);
     for (const { fault, process, waitMs } of schedule) {
-      faults[fault]!(world, world.loops[process]!);
+      faults[fault]!(world, world.hosts[process]!);
       await world.advance(waitMs);
     }
   });
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -8,10 +8,10 @@
 import { Revisions, decodeRecord, hashFile } from '../src/core/revisions.js';
 import { diffSections, joinSections } from '../src/core/sections.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
-import { EmulatedKeyValue, KeyValueStore } from '../src/emulator/keyvalue.js';
+import { EmulatedEntry, EmulatedMembers, silent } from '../src/emulator/entry.js';
+import { KeyValueStore } from '../src/emulator/keyvalue.js';
 import { EmulatedNetwork } from '../src/emulator/peers.js';
 import { SeededRandom } from '../src/emulator/random.js';
-import { FixedMembers, Loop, silent } from './support/faults.js';
 
 const EMPTY: Omit<Fleet, 'name'> = {
   models: [], engines: [], services: [], servers: [], workspaces: [],
@@ -30,9 +30,9 @@
 
   public readonly network = new EmulatedNetwork(this.clock);
 
-  public readonly members = new FixedMembers();
+  public readonly members = new EmulatedMembers();
 
-  public readonly loops: Loop[] = [];
+  public readonly hosts: EmulatedEntry[] = [];
 
   public readonly entries: Configuration[] = [];
 
@@ -44,13 +44,13 @@
 
   public start(index: number): void {
     const address = `10.0.0.${index}:1`;
-    const loop = new Loop(address, this.clock, this.network, new EmulatedKeyValue(this.store, this.clock));
+    const host = new EmulatedEntry(address, this.clock, this.network, this.store);
     const entry = new Configuration({
-      clock: loop.clock,
+      clock: host.clock,
       random: new SeededRandom(this.seed * 100 + this.highest.size),
-      keyValue: loop.gatedKeyValue(),
+      keyValue: host.keyValue,
       members: this.members.view(address, String(this.highest.size)),
-      peers: loop.gatedPeers(),
+      peers: host.peers,
       server: this.network.listen(address),
       seeds: ['10.0.0.0:1', '10.0.0.1:1'],
       parse,
@@ -58,9 +58,9 @@
       meter: silent,
     });
     this.highest.set(entry, 0);
-    this.loops[index] = loop;
+    this.hosts[index] = host;
     this.entries[index] = entry;
-    void entry.run(loop.stop.signal);
+    void entry.run(new AbortController().signal);
   }
 
   /** I9: no process ever goes back to a lower revision. */
@@ -122,7 +122,7 @@
   // Guards against an operator who is told `conflict` or `unknown` about a file that is in force.
   it('settles a lost answer, also when a later file has replaced the attempt', async () => {
     const world = new World(2);
-    world.loops[0]!.keyValue.loseAnswers = 1;
+    world.hosts[0]!.connection.loseAnswers = 1;
     const first = world.entries[0]!.apply(fileNamed('a'), undefined, 5_000);
     await world.advance(500);
     expect(await world.apply(1, fileNamed('b'), 1)).toMatchObject({ type: 'accepted', revision: 2 });
@@ -132,7 +132,7 @@
 
   it('says unknown when the service stays down after the write, and unavailable before it', async () => {
     const world = new World(1);
-    world.loops[0]!.keyValue.loseAnswers = 1;
+    world.hosts[0]!.connection.loseAnswers = 1;
     const outcome = world.entries[0]!.apply(fileNamed('a'), undefined, 3_000);
     await world.advance(10);
     world.store.down = true;
@@ -153,7 +153,7 @@
 
   it('reaches entries that only peers can inform within five seconds', async () => {
     const world = new World(6);
-    for (const index of [2, 3, 4, 5]) world.loops[index]!.keyValue.cut = true;
+    for (const index of [2, 3, 4, 5]) world.hosts[index]!.connection.cut = true;
     await world.advance(1_000);
     await world.apply(0, fileNamed('a'));
     await world.advance(5_000);
@@ -164,8 +164,8 @@
     const world = new World(2);
     await world.apply(0, fileNamed('a'));
     await world.advance(1_000);
-    for (const { keyValue } of world.loops) keyValue.cut = true;
-    world.loops[0]!.keyValue.cut = false;
+    for (const { connection } of world.hosts) connection.cut = true;
+    world.hosts[0]!.connection.cut = false;
     world.store.breakWatches();
     await world.advance(1_500);
     await world.apply(0, fileNamed('a').replace('version = 1', 'version = 2'));
@@ -228,23 +228,23 @@
 });
 
 const faults: Record<string, (world: World, index: number) => void> = {
-  pause: (world, index) => world.loops[index]!.pause(),
-  resume: (world, index) => world.loops[index]!.resume(),
-  cut: (world, index) => Object.assign(world.loops[index]!.keyValue, { cut: true }),
-  mend: (world, index) => Object.assign(world.loops[index]!.keyValue, { cut: false }),
+  pause: (world, index) => world.hosts[index]!.pause(),
+  resume: (world, index) => world.hosts[index]!.resume(),
+  cut: (world, index) => Object.assign(world.hosts[index]!.connection, { cut: true }),
+  mend: (world, index) => Object.assign(world.hosts[index]!.connection, { cut: false }),
   outage: ({ store }) => Object.assign(store, { down: true }),
   recovery: ({ store }) => Object.assign(store, { down: false }),
   lostAnswer: ({ store }) => Object.assign(store, { loseAnswers: 1 }),
   brokenWatches: ({ store }) => store.breakWatches(),
-  staleReads: (world, index) => Object.assign(world.loops[index]!, { staleReads: true }),
-  freshReads: (world, index) => Object.assign(world.loops[index]!, { staleReads: false }),
+  staleReads: (world, index) => Object.assign(world.hosts[index]!, { staleReads: true }),
+  freshReads: (world, index) => Object.assign(world.hosts[index]!, { staleReads: false }),
   slow: ({ store }) => Object.assign(store, { latencyMs: 1_200 }),
   fast: ({ store }) => Object.assign(store, { latencyMs: 2 }),
   partition: ({ network }, index) => {
     for (let other = 0; other < 4; other += 1) network.setCut(`10.0.0.${index}:1`, `10.0.0.${other}:1`, true);
   },
   replace: (world, index) => {
-    world.loops[index]!.kill();
+    world.hosts[index]!.kill();
     world.start(index);
   },
 };
@@ -272,7 +272,7 @@
     await world.advance(waitMs);
   }
   for (let index = 0; index < 4; index += 1) {
-    world.loops[index]!.resume();
+    world.hosts[index]!.resume();
     faults.mend!(world, index);
     for (let other = 0; other < 4; other += 1) world.network.setCut(`10.0.0.${index}:1`, `10.0.0.${other}:1`, false);
   }
