Accept one late sample in ten at the limits

Cause: means over 48 tokens scatter more than whole answers, so a tolerance of 5% held the limits below what 95 of 100 answers allow. Change: TOLERANCE 0.05 to 0.1.

--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -138,8 +138,8 @@
 const DECODE_MIN = 0.25;
 const DECODE_MAX = 256;
 const DECODE_STEP = 0.1;
-/** Share of late samples at which the limits hold: 95 of 100 meet the target. */
-export const TOLERANCE = 0.05;
+/** Share of late samples at which the limits hold. Samples scatter more than whole answers, of which 5% may be late. */
+export const TOLERANCE = 0.1;
 const FACTOR_DECAY = 0.9;
 const FACTOR_RECOVERY = 0.02;
 const FACTOR_MIN = 0.1;
