--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -9,13 +9,13 @@
 import type { LocalFacts, Member, Members } from './members.js';
 import { Notes } from './notes.js';
 import type { NoteListener } from './notes.js';
-import { ok } from './result.js';
+import { invariant, ok } from './result.js';
 import type { Result } from './result.js';
 import { Roster } from './roster.js';
 import { Rounds } from './rounds.js';
 import {
   decodeRow, encodeRow, indirectSchema, MemberState, MESSAGE_MAX_NOTES, MESSAGE_MAX_ROWS,
-  messageBytes, probeSchema,
+  messageBytes, noteSchema, probeSchema,
 } from './rows.js';
 import type {
   IndirectAnswer, MemberRow, Note, ProbeMessage, WireRow,
@@ -134,8 +134,9 @@
     return rounds * (this.opts.probeMs ?? 1_000);
   }
 
-  /** Spreads a small fact to all members; `key` identifies it within its topic. */
+  /** Spreads a small fact to all members; `key` identifies it within its topic. Facts over 128 characters fail. */
   public publish(topic: string, key: string, value: string): void {
+    invariant(noteSchema.safeParse([topic, key, value]).success, 'a note does not fit into a membership message');
     this.notes.put([topic, key, value]);
     this.hurry();
   }
--- a/src/core/rows.ts
+++ b/src/core/rows.ts
@@ -33,7 +33,7 @@
 ]);
 
 /** Small fact that parts spread through the membership messages: topic, key and value. */
-const noteSchema = z.tuple([word, z.string().min(1).max(128), z.string().max(128)]);
+export const noteSchema = z.tuple([word, z.string().min(1).max(128), z.string().max(128)]);
 
 const rows = z.array(rowSchema).max(MESSAGE_MAX_ROWS);
 const notes = z.array(noteSchema).max(MESSAGE_MAX_NOTES);
