--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,13 @@
 import { hideBin } from 'yargs/helpers';
-import yargs from 'yargs';
+import { run } from './program.js';
+import type { StartEntry } from './serve.js';
+import { openLog } from '../daemon/logs.js';
+import { startEntryProcess } from '../daemon/process.js';
 
-void yargs(hideBin(process.argv)).scriptName('catkinscale').version('0.1.0').strict()
-  .parse();
+const start: StartEntry = async ({ settings, secrets }) => (
+  startEntryProcess(settings, secrets, await openLog({ entry: settings.entry.name }))
+);
+
+void (async () => {
+  process.exitCode = await run(hideBin(process.argv), start);
+})();
