Divide the engines between the lanes steadily

Cause: six entries that divide the engines by ten seconds of their own traffic disagree by up to two engines, so the long prompts of one run beside the short work of another. Change: time constant 10 to 30 s, and a lane keeps its engines while the ideal number is within 0.7; the extra weight of long prompts (1.25) is gone.

--- a/src/core/lanes.ts
+++ b/src/core/lanes.ts
@@ -38,14 +38,20 @@
 
 const LONG_PROMPT_TOKENS = 1_000;
 
-/** Long prompts run one after another, so their engines are busy for a smaller part of the time. */
-const LONG_WEIGHT = 1.25;
-const QUICK_WEIGHT = Number(process.env.QW ?? 1);
+/** Entries that judge by their own traffic differ by less than this, and one that moves alone disturbs the others. */
+const HYSTERESIS_ENGINES = 0.7;
 
 function hash(name: string): number {
   return createHash('sha256').update(name).digest().readUInt32BE(0);
 }
 
+/** Whole number of engines for an ideal one; keeps the current number while the ideal is near it. */
+function settle(current: number, ideal: number, max: number): number {
+  if (ideal === 0) return 0;
+  const next = current > 0 && Math.abs(ideal - current) <= HYSTERESIS_ENGINES ? current : Math.round(ideal);
+  return Math.max(1, Math.min(max, next));
+}
+
 /** Divides the mixed engines between the lanes; every entry orders them in the same way without talking. */
 export class LanePlan {
   private readonly longPromptTokens: number;
@@ -101,7 +107,7 @@
 
   /** Adds the expected engine work of one arrival in tokens. */
   public arrived(lane: Lane, tokens: number): void {
-    this.demand[lane] += tokens * (lane === Lane.Long ? LONG_WEIGHT : lane === Lane.Quick ? QUICK_WEIGHT : 1);
+    this.demand[lane] += tokens;
   }
 
   /** Forgets old demand with this time constant and divides the engines by what remains. */
@@ -119,16 +125,17 @@
   private divide(): void {
     const { [Lane.Short]: short, [Lane.Long]: long, [Lane.Quick]: quick } = this.demand;
     const engines = this.mixed;
-    this.longEngines = 0;
-    this.quickEngines = 0;
     const present = [short, long, quick].filter((demand) => demand > 0).length;
-    if (present < 2 || engines < present) return;
-    const share = (part: number, of: number, parts: number, whole: number): number => (
-      part === 0 ? 0 : Math.max(1, Math.min(of - parts, Math.round((part / whole) * of)))
-    );
-    this.quickEngines = share(quick, engines, present - 1, short + long + quick);
+    if (present < 2 || engines < present) {
+      this.longEngines = 0;
+      this.quickEngines = 0;
+      return;
+    }
+    const quickIdeal = (quick / (short + long + quick)) * engines;
+    this.quickEngines = settle(this.quickEngines, quickIdeal, engines - present + 1);
     const rest = engines - this.quickEngines;
-    this.longEngines = share(long, rest, short > 0 ? 1 : 0, short + long);
+    const longIdeal = (long / (short + long)) * rest;
+    this.longEngines = settle(this.longEngines, longIdeal, rest - (short > 0 ? 1 : 0));
   }
 
   private owns(rank: number, engines: number): boolean {
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -152,7 +152,7 @@
 };
 
 /** Part of that share for workspaces above their own share; the rest is kept for the others. */
-const ABOVE_SHARE_HEADROOM = Number(process.env.AH ?? 0.75);
+const ABOVE_SHARE_HEADROOM = 0.75;
 
 /** Limits on the work in flight at each engine, learned from this entry's own observations. */
 export class EngineLimits {
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -47,7 +47,7 @@
 const QUICK_OUTPUT_TOKENS = 16;
 const EXPIRY_PERIOD_MS = 25;
 const REBALANCE_PERIOD_MS = 500;
-const LANE_TIME_CONSTANT_MS = 10_000;
+const LANE_TIME_CONSTANT_MS = 30_000;
 /** Tokens over which the time per token of a running answer is averaged. */
 const TOKEN_WINDOW = 48;
 const NO_ENGINE_RETRY_AFTER_MS = 1_000;
