Plan the fleet: wire orders, drains, role plans, leaving signals and the planned stop

Cause: five scenarios expected a loaded version and no entry planned the fleet; the planned stop did not count requests that were still queued. Conclusion: an apply now reaches the engines, and running answers survive it.

--- /dev/null
+++ b/src/daemon/parts.ts
@@ -0,0 +1,315 @@
+import { Addresses } from '../core/addresses.js';
+import { Authority } from '../core/authority.js';
+import { BatchingKeyValue } from '../core/batching.js';
+import { Bookings } from '../core/bookings.js';
+import { ServiceCaller } from '../core/calls.js';
+import { Configuration } from '../core/configuration.js';
+import { EngineDirectory } from '../core/directory.js';
+import { Draining } from '../core/draining.js';
+import type {
+  Clock, HostList, KeyValue, LoadReport, Log, Meter, PeerClient, PeerServer, Random, WeightStore,
+} from '../core/edges.js';
+import { safeParseFleet } from '../core/fleet.js';
+import { LeavingServers } from '../core/leaving.js';
+import { createIncarnation, Membership } from '../core/membership.js';
+import { Orders } from '../core/orders.js';
+import { Planning } from '../core/planning.js';
+import { RetryBudget, RetryPolicy, Sent } from '../core/retries.js';
+import { ServerDirectory } from '../core/servers.js';
+import { TicketSigner } from '../core/streams.js';
+import { sleep } from '../core/time.js';
+import { Backends } from './backends.js';
+import type { BackendDriver } from './backends.js';
+import { DemandExchange } from './demand.js';
+import { EngineHolds } from './holds.js';
+import { ServingPolicy } from './policy.js';
+import { RolePlans } from './roleplans.js';
+import { Serving } from './serving.js';
+
+/** Everything outside of an entry. */
+export interface EntryEdges {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly meter: Meter;
+  readonly keyValue: KeyValue;
+  readonly hostList: HostList;
+  readonly weightStore: WeightStore;
+  readonly peerClient: PeerClient;
+  readonly peerServer: PeerServer;
+  readonly backends: BackendDriver;
+}
+
+/** Options of one entry; durations in ms. */
+export interface EntryOptions {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly seeds: readonly string[];
+  readonly addressKeepMs: number;
+  readonly drainBoundMs: number;
+  readonly resumeWindowMs: number;
+  readonly leaseMs: number;
+  /** Key of the event ids that callers resume with; the same at all entries. */
+  readonly ticketKey: string;
+}
+
+const MAX_QUEUED = 2_000;
+
+/** The coordination parts of one entry, joined by their interfaces. */
+export class EntryParts {
+  public readonly incarnation: string;
+
+  public readonly membership: Membership;
+
+  public readonly configuration: Configuration;
+
+  public readonly authority: Authority;
+
+  public readonly draining: Draining;
+
+  public readonly leaving: LeavingServers;
+
+  public readonly demand: DemandExchange;
+
+  public readonly policy: ServingPolicy;
+
+  public readonly serving: Serving;
+
+  public readonly holds: EngineHolds;
+
+  public readonly backends: Backends;
+
+  public readonly orders: Orders;
+
+  public readonly planning: Planning;
+
+  public readonly bookings: Bookings;
+
+  public readonly addresses: Addresses;
+
+  private readonly directory = new EngineDirectory();
+
+  private readonly servers: ServerDirectory;
+
+  private readonly retries: RetryPolicy;
+
+  private readonly loads = new Map<string, LoadReport>();
+
+  private nodes: readonly string[];
+
+  public constructor(private readonly edges: EntryEdges, private readonly options: EntryOptions) {
+    const { clock, random } = edges;
+    this.incarnation = createIncarnation(clock, random);
+    this.nodes = [options.name];
+    this.membership = this.createMembership();
+    this.configuration = this.createConfiguration();
+    this.authority = new Authority({
+      ...edges,
+      holder: { member: options.name, address: options.peerAddress, incarnation: this.incarnation },
+      leaseMs: options.leaseMs,
+      isCandidate: () => !this.membership.self().leaving,
+    });
+    this.retries = new RetryPolicy({ clock, random, budget: new RetryBudget() });
+    this.draining = new Draining(this.membership, clock, edges.log, {
+      keepMs: options.addressKeepMs, boundMs: options.drainBoundMs,
+    });
+    this.servers = new ServerDirectory(options.failureDomain, random);
+    this.leaving = new LeavingServers({
+      ...edges, hosts: edges.hostList, notes: this.membership, engines: this.directory, servers: this.servers,
+    });
+    this.demand = new DemandExchange({
+      ...this.peerEdges(), own: () => this.policy.demand(),
+    });
+    this.policy = this.createPolicy();
+    this.serving = this.createServing();
+    this.holds = this.createHolds();
+    this.backends = this.createBackends();
+    this.orders = new Orders({
+      ...edges, authority: this.authority, peers: edges.peerClient, server: edges.peerServer,
+    });
+    this.planning = this.createPlanning();
+    this.bookings = this.createBookings();
+    this.addresses = new Addresses(this.membership, random, { keepMs: options.addressKeepMs });
+  }
+
+  /** Runs the tasks of all parts until `signal` aborts. */
+  public async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([
+      this.membership.run(signal),
+      this.configuration.run(signal),
+      this.authority.run(signal),
+      this.planning.run(signal),
+      this.leaving.run(signal),
+      this.demand.run(signal),
+    ]);
+  }
+
+  /** Follows the fleet file in force. */
+  public followFleet(): void {
+    const fleet = this.configuration.fleet();
+    if (fleet === null) return;
+    const names = new Set(fleet.engines.map(({ name }) => name));
+    for (const { name } of this.directory.all()) {
+      if (names.has(name)) continue;
+      this.policy.forget(name);
+      this.loads.delete(name);
+    }
+    for (const name of names) this.policy.follow(name);
+    this.leaving.follow(fleet);
+    this.backends.follow(fleet);
+  }
+
+  /** Follows the list of live entries. */
+  public followMembers(): void {
+    const names = [this.options.name, ...this.membership.live().map(({ id }) => id)].sort();
+    if (names.join() !== this.nodes.join()) this.nodes = names;
+  }
+
+  /** State of all parts under stable keys, with ages in ms. */
+  public dump(): Record<string, unknown> {
+    return {
+      membership: this.membership.dump(),
+      configuration: this.configuration.dump(),
+      authority: this.authority.dump(),
+      orders: this.orders.dump(),
+      planning: this.planning.dump(),
+      holds: this.holds.dump(),
+      leaving: this.leaving.dump(),
+      demand: this.demand.dump(),
+      backends: this.backends.dump(),
+      policy: this.policy.dump(),
+      serving: this.serving.dump(),
+      bookings: this.bookings.dump(),
+    };
+  }
+
+  public dispose(): void {
+    this.backends.dispose();
+    this.configuration.dispose();
+    this.orders.dispose();
+    this.holds.dispose();
+    this.demand.dispose();
+  }
+
+  private peerEdges() {
+    const {
+      clock, random, log, peerClient: client, peerServer: server,
+    } = this.edges;
+    return {
+      clock, random, log, client, server, members: this.membership,
+    };
+  }
+
+  private createMembership(): Membership {
+    const { options, incarnation } = this;
+    return new Membership({
+      id: options.name,
+      incarnation,
+      address: options.peerAddress,
+      callerAddress: options.callerAddress,
+      failureDomain: options.failureDomain,
+      leaving: false,
+      revision: 0,
+      load: 0,
+    }, { ...this.edges, client: this.edges.peerClient, server: this.edges.peerServer }, { seeds: options.seeds });
+  }
+
+  private createConfiguration(): Configuration {
+    return new Configuration({
+      ...this.edges,
+      members: this.membership,
+      peers: this.edges.peerClient,
+      server: this.edges.peerServer,
+      seeds: this.options.seeds,
+      parse: safeParseFleet,
+    });
+  }
+
+  private createPolicy(): ServingPolicy {
+    return new ServingPolicy({
+      ...this.edges,
+      directory: this.directory,
+      node: this.options.name,
+      failureDomain: this.options.failureDomain,
+      nodes: () => this.nodes,
+      othersDemand: () => this.demand.others(),
+      maxQueued: MAX_QUEUED,
+    });
+  }
+
+  private createServing(): Serving {
+    return new Serving({
+      ...this.edges,
+      draining: this.draining,
+      dispatcher: this.policy.dispatcher,
+      signer: new TicketSigner(this.options.ticketKey),
+      engine: (name) => this.backends.engine(name),
+      retry: (attempts, deadline) => this.retry(attempts, deadline),
+      succeeded: () => this.retries.succeeded(),
+      resumeWindowMs: this.options.resumeWindowMs,
+    });
+  }
+
+  private createHolds(): EngineHolds {
+    return new EngineHolds({
+      ...this.peerEdges(),
+      activeOn: (engine) => this.serving.activeOn(engine),
+      evacuate: (engine) => this.serving.evacuate(engine),
+      lastLoad: (engine) => this.loads.get(engine) ?? null,
+      changed: () => this.backends.refresh(),
+    });
+  }
+
+  private createBackends(): Backends {
+    return new Backends({
+      ...this.edges,
+      driver: this.edges.backends,
+      directory: this.directory,
+      servers: this.servers,
+      observer: {
+        status: (spec, status) => this.leaving.observe(spec.name, status.leaving, status.incarnation),
+        load: (report) => {
+          this.loads.set(report.engine, report);
+          this.leaving.observe(report.engine, report.leaving);
+          this.policy.report(report);
+        },
+        cacheEvents: () => {},
+      },
+      accepts: (engine) => this.leaving.accepts(engine) && this.holds.accepts(engine),
+      changed: () => this.policy.dispatcher.pump(),
+    });
+  }
+
+  private createPlanning(): Planning {
+    return new Planning({
+      ...this.edges,
+      authority: this.authority,
+      orders: this.orders,
+      fleet: () => this.configuration.fleet(),
+      engine: (spec) => this.backends.engine(spec.name) ?? this.edges.backends.engine(spec),
+      roles: new RolePlans({
+        ...this.edges,
+        demand: () => this.demand.total(),
+        lastLoad: (engine) => this.loads.get(engine) ?? null,
+      }),
+      drain: this.holds,
+    });
+  }
+
+  private createBookings(): Bookings {
+    const { edges } = this;
+    const caller = new ServiceCaller(this.servers, this.retries, edges, (server) => this.leaving.observe(server, true));
+    const keyValue = new BatchingKeyValue(edges.keyValue, edges.clock);
+    return new Bookings(this.options.name, caller, { ...edges, keyValue });
+  }
+
+  private async retry(attempts: number, deadline: number): Promise<boolean> {
+    const decision = this.retries.decide({
+      attempts, sent: Sent.Unknown, safe: true, deadline, expectedMs: 0,
+    });
+    if (decision.retry) await sleep(this.edges.clock, decision.delayMs);
+    return decision.retry;
+  }
+}
--- a/src/daemon/policy.ts
+++ b/src/daemon/policy.ts
@@ -1,3 +1,5 @@
+import { NO_DEMAND } from '../core/affinity.js';
+import type { Demand } from '../core/affinity.js';
 import type { EngineDirectory } from '../core/directory.js';
 import type { Dispatcher } from '../core/dispatch.js';
 import type { Clock, LoadReport, Random } from '../core/edges.js';
@@ -14,6 +16,8 @@
   readonly failureDomain: string;
   /** Names of all entries that send work to the same engines; a new array after each change. */
   readonly nodes: () => readonly string[];
+  /** Demand that the other entries see. */
+  readonly othersDemand: () => Demand;
   readonly maxQueued: number;
 }
 
@@ -56,6 +60,11 @@
     this.health.remove(engine);
   }
 
+  /** Smoothed demand that this entry sees. */
+  public demand(): Demand {
+    return this.router?.demand() ?? NO_DEMAND;
+  }
+
   public dump(): Record<string, unknown> {
     return { ...this.policy.dump(), health: this.health.dump() };
   }
@@ -70,6 +79,7 @@
       node: options.node,
       failureDomain: options.failureDomain,
       nodes: options.nodes,
+      othersDemand: options.othersDemand,
       expectedOutput: (item) => this.policy.estimates.outputTokens(item),
       healthWeight: (engine) => health.weight(engine),
       onObservation: (engine, observedMs, expectedMs) => health.observe(engine, observedMs, expectedMs),
--- a/src/daemon/run.ts
+++ b/src/daemon/run.ts
@@ -50,12 +50,19 @@
   readonly assembler: StreamAssembler;
 }
 
+/** What a run starts from: a request of its own, or the ticket of a stream that any entry has started. */
+type Origin = | { readonly request: GenerateRequest; readonly workspace: string; readonly ticket: null }
+    | { readonly request: null; readonly workspace: string; readonly ticket: StreamTicket };
+
 /** One request from admission to its last token; moves between engines when they fail or leave. */
 export class Run {
   private source: Source | null = null;
 
   private handle: DispatchHandle | null = null;
 
+  /** Where the running attempt was placed. */
+  private placement: Placement | null = null;
+
   private delivered = '';
 
   private nextIndex: number;
@@ -74,39 +81,33 @@
   private constructor(
     private readonly context: RunContext,
     public readonly requestId: string,
-    private readonly workspace: string,
-    /** Absent for a stream that another entry started. */
-    private readonly request: GenerateRequest | null,
+    private readonly origin: Origin,
     firstIndex: number,
     private readonly deadline: number,
   ) {
     this.nextIndex = firstIndex;
   }
 
-  /** Places and starts a new request. */
-  public static async start(context: RunContext, request: GenerateRequest): Promise<Result<Run, Refusal>> {
+  private get request(): GenerateRequest | null {
+    return this.origin.request;
+  }
+
+  /** Run of a new request. */
+  public static create(context: RunContext, request: GenerateRequest): Run {
     const deadline = context.clock.monotonic() + request.deadlineMs;
-    const run = new Run(context, context.random.id(), request.workspace, request, 0, deadline);
-    const refusal = await run.place(null);
-    return refusal === null ? ok(run) : fail(refusal);
+    return new Run(context, context.random.id(), { request, workspace: request.workspace, ticket: null }, 0, deadline);
   }
 
-  /** Continues a stream after the token at `lastIndex`, wherever it was started. */
-  public static async resume(
-    context: RunContext,
-    ticket: StreamTicket,
-    lastIndex: number,
-  ): Promise<Result<Run, Refusal>> {
-    const run = new Run(context, ticket.requestId, ticket.workspace, null, lastIndex + 1, Infinity);
-    const engine = context.engine(ticket.engine);
-    if (engine === undefined) return fail({ code: 'stream_lost' });
-    for (let poll = 0; poll < RESUME_POLLS; poll += 1) {
-      const error = await run.readAgain(engine, ticket.attemptId);
-      if (error === null) return ok(run);
-      if (error.code !== EngineErrorCode.NotFound && error.code !== EngineErrorCode.NotSent) break;
-      await sleep(context.clock, RESUME_POLL_MS);
-    }
-    return fail({ code: 'stream_lost' });
+  /** Run that continues a stream after the token at `lastIndex`, wherever it was started. */
+  public static continue(context: RunContext, ticket: StreamTicket, lastIndex: number): Run {
+    const { requestId, workspace } = ticket;
+    return new Run(context, requestId, { request: null, workspace, ticket }, lastIndex + 1, Infinity);
+  }
+
+  /** Places a new request, or finds the stream to continue; a refusal tells why neither was possible. */
+  public start(): Promise<Refusal | null> {
+    const { ticket } = this.origin;
+    return ticket === null ? this.place(null) : this.findStream(ticket);
   }
 
   /** Engine that the run reads from. */
@@ -114,11 +115,16 @@
     return this.source?.engine.name ?? null;
   }
 
+  /** Whether this run has a request on the engine, a prefill that has not been handed on included. */
+  public uses(engine: string): boolean {
+    return this.engineName === engine || this.placement?.engine === engine || this.placement?.prefill === engine;
+  }
+
   /** Facts for the dump. */
   public describe(): Record<string, unknown> {
     return {
       request: this.requestId,
-      workspace: this.workspace,
+      workspace: this.origin.workspace,
       engine: this.engineName,
       nextIndex: this.nextIndex,
       attempts: this.attempts,
@@ -167,6 +173,18 @@
     await source.engine.cancel(this.requestId, source.attemptId, { timeoutMs: ACCEPT_TIMEOUT_MS });
   }
 
+  private async findStream(ticket: StreamTicket): Promise<Refusal | null> {
+    const engine = this.context.engine(ticket.engine);
+    if (engine === undefined) return { code: 'stream_lost' };
+    for (let poll = 0; poll < RESUME_POLLS; poll += 1) {
+      const error = await this.readAgain(engine, ticket.attemptId);
+      if (error === null) return null;
+      if (error.code !== EngineErrorCode.NotFound && error.code !== EngineErrorCode.NotSent) break;
+      await sleep(this.context.clock, RESUME_POLL_MS);
+    }
+    return { code: 'stream_lost' };
+  }
+
   private deliver(source: Source, event: EngineEvent): AnswerEvent {
     if (event.type === 'end') {
       this.finished = true;
@@ -236,6 +254,7 @@
     for (;;) {
       const placed = await this.admit();
       if (!placed.success) return placed.error;
+      this.placement = placed.data;
       const error = await this.begin(placed.data, cache);
       if (error === null) return null;
       this.settle(AttemptOutcome.Failed);
@@ -359,7 +378,7 @@
 
   private attach(engine: Engine, attemptId: string, events: AsyncIterable<EngineEvent>, stop: AbortController): void {
     const ticket = this.context.signer.sign({
-      engine: engine.name, requestId: this.requestId, attemptId, workspace: this.workspace,
+      engine: engine.name, requestId: this.requestId, attemptId, workspace: this.origin.workspace,
     });
     this.source = {
       engine,
@@ -374,5 +393,6 @@
   private settle(outcome: AttemptOutcome): void {
     this.handle?.finish(outcome);
     this.handle = null;
+    this.placement = null;
   }
 }
