Treat engines of both kinds alike until an earlier sender has abandoned its order, and test orders under faults

Change: the wait for earlier senders no longer depends on the kind of engine. The network stand-in no longer delivers to a process that was killed while paused. Conclusion: fencing is a second line of defence for pauses beyond the allowance, not a reason to wait less.

--- a/src/core/deliveries.ts
+++ b/src/core/deliveries.ts
@@ -1,6 +1,6 @@
 import { EngineErrorCode } from './edges.js';
 import type {
-  Clock, EngineError, EngineStatus, OrderState,
+  Clock, EngineError, OrderState,
 } from './edges.js';
 import type { Intent } from './intents.js';
 import type { Result } from './result.js';
@@ -20,11 +20,6 @@
 
   private readonly sends = new Map<string, { readonly orderId: string; readonly count: number }>();
 
-  private readonly acceptances = new Map<string, Delivery>();
-
-  /** Engine incarnation that accepted an order under a term; an engine that enforces fencing refuses older terms. */
-  private readonly fences = new Map<string, { readonly term: number; readonly incarnation: string }>();
-
   /** `transitMs` is the time after which bytes that left this process cannot arrive any more. */
   public constructor(private readonly clock: Clock, private readonly transitMs: number) {}
 
@@ -45,20 +40,14 @@
 
   /** An answer, also a late one, shows that the copy is no longer on its way. */
   public answered(engine: string, delivery: Delivery, result: Result<OrderState, EngineError>): void {
-    if (result.success) this.acceptances.set(engine, delivery);
-    else if (result.error.code === EngineErrorCode.NotSent) this.sends.delete(engine);
+    if (!result.success && result.error.code === EngineErrorCode.NotSent) this.sends.delete(engine);
     const arrived = result.success || result.error.code !== EngineErrorCode.Broken;
     if (arrived && this.pending.get(engine) === delivery) this.pending.delete(engine);
   }
 
   /** The engine knows the order, so a copy has arrived; if only one was sent, none is on its way any more. */
-  public arrived(engine: string, intent: Intent, status: EngineStatus): void {
-    const { orderId, term } = intent;
-    const acceptance = this.acceptances.get(engine);
-    if (acceptance?.orderId === orderId && acceptance.term === term) {
-      this.fences.set(engine, { term, incarnation: status.incarnation });
-    }
-    const alone = intent.senders.every((sender) => sender.term === term) && this.count(engine, intent) === 1;
+  public arrived(engine: string, intent: Intent): void {
+    const alone = intent.senders.every((sender) => sender.term === intent.term) && this.count(engine, intent) === 1;
     if (alone && this.pending.get(engine)?.endedAt !== null) this.pending.delete(engine);
   }
 
@@ -75,12 +64,6 @@
     return false;
   }
 
-  /** Whether the running engine has accepted an order of this term from this process. */
-  public fenced(engine: string, term: number, status: EngineStatus): boolean {
-    const fence = this.fences.get(engine);
-    return fence?.term === term && fence.incarnation === status.incarnation;
-  }
-
   /** Engines with a pending copy of a term up to `term`. */
   public unanswered(term: number): string[] {
     return [...this.pending]
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -7,7 +7,6 @@
   Clock, Engine, EngineError, EngineStatus, KeyValue, Log, Meter, Order, OrderAction, PeerClient, PeerServer, Random,
   WeightStore,
 } from './edges.js';
-import { Fencing } from './fleet.js';
 import { Intents } from './intents.js';
 import type { Intent, Sender } from './intents.js';
 import { Permits } from './permits.js';
@@ -19,12 +18,6 @@
 /** Times that an order is sent again after an engine has lost it, before it is given up and planned anew. */
 const MAX_SENDS = 3;
 
-/** Engine as the holder of authority orders it. */
-export interface OrderedEngine {
-  readonly engine: Engine;
-  readonly fencing: Fencing;
-}
-
 /** What an engine can be ordered now; a different order may be issued if it is `ready`. */
 export type OrderProgress = | { readonly type: 'ready'; readonly status: EngineStatus }
   /** An order is open. */
@@ -108,33 +101,33 @@
    * `mayDisturb` tells whether an order that takes the engine away may be sent now.
    */
   public async advance(
-    target: OrderedEngine,
+    engine: Engine,
     mayDisturb: (action: OrderAction, status: EngineStatus) => boolean = () => true,
   ): Promise<OrderProgress> {
-    const { name } = target.engine;
-    const answer = await target.engine.status({ timeoutMs: STATUS_TIMEOUT_MS });
+    const { name } = engine;
+    const answer = await engine.status({ timeoutMs: STATUS_TIMEOUT_MS });
     const tenure = this.options.authority.tenure();
     this.permits.reached(name, answer.success);
     if (!answer.success || tenure === null || !await this.intents.settleWrite(name)) return { type: 'unreachable' };
     const status = answer.data;
     const intent = this.intents.get(name);
     if (intent?.state !== 'open') {
-      return { type: this.isClear(target, intent, status, tenure) ? 'ready' : 'waiting', status };
+      return { type: this.isClear(name, intent, status) ? 'ready' : 'waiting', status };
     }
     const current = intent.term === tenure.term ? intent : await this.takeOver(name, intent, tenure);
-    if (current !== null) await this.continue(target, current, status, tenure, mayDisturb);
+    if (current !== null) await this.continue(engine, current, status, tenure, mayDisturb);
     return { type: 'open', status, action: intent.action };
   }
 
   /** Records and sends a new order to an engine that is `ready` by `status`. */
-  public async issue(target: OrderedEngine, action: OrderAction, status: EngineStatus): Promise<IssueOutcome> {
+  public async issue(engine: Engine, action: OrderAction, status: EngineStatus): Promise<IssueOutcome> {
     const { authority, random, meter } = this.options;
-    const { name } = target.engine;
+    const { name } = engine;
     if (!await this.permits.reserve(name, action)) return 'no_permit';
     try {
       const tenure = authority.tenure();
       const last = this.intents.get(name);
-      if (tenure === null || last?.state === 'open' || !this.isClear(target, last, status, tenure)) return 'refused';
+      if (tenure === null || last?.state === 'open' || !this.isClear(name, last, status)) return 'refused';
       const written = await this.intents.write(name, {
         sequence: (last?.sequence ?? 0) + 1,
         orderId: random.id(),
@@ -147,7 +140,7 @@
       const intent = this.intents.get(name);
       if (written !== 'written' || intent === null) return 'not_written';
       meter.count('orders_issued', 1, { action: action.type });
-      return await this.send(target, intent, tenure) ? 'sent' : 'written';
+      return await this.send(engine, intent, tenure) ? 'sent' : 'written';
     } finally {
       this.permits.release(name);
     }
@@ -168,16 +161,16 @@
   }
 
   private async continue(
-    target: OrderedEngine,
+    engine: Engine,
     intent: Intent,
     status: EngineStatus,
     tenure: Tenure,
     mayDisturb: (action: OrderAction, status: EngineStatus) => boolean,
   ): Promise<void> {
-    const { name } = target.engine;
+    const { name } = engine;
     const state = status.orders[intent.orderId];
     if (state !== undefined) {
-      this.deliveries.arrived(name, intent, status);
+      this.deliveries.arrived(name, intent);
       if (state !== OrderState.Running) await this.settle(name, intent, state === OrderState.Done ? 'done' : 'failed');
       return;
     }
@@ -185,17 +178,17 @@
     if (inEffect(intent.action, status)) await this.settle(name, intent, 'done');
     else if (this.deliveries.count(name, intent) >= MAX_SENDS) await this.settle(name, intent, 'failed');
     else if (mayDisturb(intent.action, status) && await this.permits.mayRun(name, intent.action)) {
-      await this.send(target, intent, tenure);
+      await this.send(engine, intent, tenure);
     }
   }
 
-  /** Whether nothing that was ordered earlier can still take effect at the engine. */
-  private isClear(target: OrderedEngine, last: Intent | null, status: EngineStatus, tenure: Tenure): boolean {
-    const { name } = target.engine;
-    if (Object.values(status.orders).includes(OrderState.Running) || this.deliveries.isPending(name)) return false;
-    const fenced = target.fencing === Fencing.Enforced && this.deliveries.fenced(name, tenure.term, status);
-    // Asks every sender, so that their answers arrive while a fence makes the wait unnecessary.
-    return this.remaining(name, last).length === 0 || fenced;
+  /**
+   * Whether nothing that was ordered earlier can still take effect at the engine. The same rule holds for engines that
+   * enforce fencing, because an engine may forget the highest term when it restarts.
+   */
+  private isClear(engine: string, last: Intent | null, status: EngineStatus): boolean {
+    if (Object.values(status.orders).includes(OrderState.Running) || this.deliveries.isPending(engine)) return false;
+    return this.remaining(engine, last).length === 0;
   }
 
   /** Senders of earlier orders that are not known to have abandoned them. */
@@ -212,9 +205,9 @@
     return written === 'written' ? this.intents.get(engine) : null;
   }
 
-  private async send(target: OrderedEngine, intent: Intent, tenure: Tenure): Promise<boolean> {
+  private async send(engine: Engine, intent: Intent, tenure: Tenure): Promise<boolean> {
     const { authority, clock } = this.options;
-    const { name } = target.engine;
+    const { name } = engine;
     const {
       orderId, term, sequence, action,
     } = intent;
@@ -228,7 +221,7 @@
       if (passed) this.deliveries.passed(name, delivery);
       return passed;
     };
-    const call = target.engine.order(order, { timeoutMs: this.orderTimeoutMs, mayStillSend, signal: tenure.signal });
+    const call = engine.order(order, { timeoutMs: this.orderTimeoutMs, mayStillSend, signal: tenure.signal });
     void call.then((late) => this.deliveries.answered(name, delivery, late));
     const result = await within(clock, this.orderTimeoutMs, call);
     this.deliveries.ended(delivery);
--- a/src/core/planning.ts
+++ b/src/core/planning.ts
@@ -5,7 +5,7 @@
 } from './edges.js';
 import { DesiredRole, ServerState } from './fleet.js';
 import type { EngineSpec, Fleet } from './fleet.js';
-import type { OrderedEngine, Orders } from './orders.js';
+import type { Orders } from './orders.js';
 import { sleep } from './time.js';
 
 const PASS_MS = 500;
@@ -176,9 +176,9 @@
   private async change(spec: EngineSpec, signal: AbortSignal): Promise<void> {
     const { orders, random, clock } = this.options;
     const { name } = spec;
-    const target: OrderedEngine = { engine: this.options.engine(spec), fencing: spec.fencing };
+    const engine = this.options.engine(spec);
     const mayDisturb = (action: OrderAction, status: EngineStatus) => this.isDrained(spec, action, status, signal);
-    const progress = await orders.advance(target, mayDisturb);
+    const progress = await orders.advance(engine, mayDisturb);
     if (progress.type === 'unreachable') {
       this.statuses.delete(name);
       this.dueAt.set(name, clock.monotonic() + UNREACHABLE_MS * (0.5 + random.float()));
@@ -196,7 +196,7 @@
     }
     // The permit comes before the drain, so that no engine waits idle for one.
     if (this.backsOff(name) || !await orders.reserve(name, action)) return;
-    if (this.isDrained(spec, action, status, signal)) await orders.issue(target, action, status);
+    if (this.isDrained(spec, action, status, signal)) await orders.issue(engine, action, status);
     else if (!this.drains.has(name)) orders.unreserve(name);
   }
 
--- a/src/emulator/entry.ts
+++ b/src/emulator/entry.ts
@@ -14,6 +14,12 @@
   info() {}, warn() {}, error() {}, count() {}, record() {}, gauge() {},
 };
 
+/** Where an order pauses its sender, and for how long; without a length until {@link EmulatedEntry.resume}. */
+export interface PausePoint {
+  readonly at: 'guard' | 'send';
+  readonly lengthMs?: number;
+}
+
 /** Process of one entry with its edges; pauses and kills reach all of them. */
 export class EmulatedEntry {
   public readonly process: EmulatedProcess;
@@ -30,20 +36,20 @@
   /** While true, single-key reads give the value that was read first, as a lagging replica of the service does. */
   public staleReads = false;
 
-  /** The process is paused as soon as the next order has passed its guard, before the order leaves. */
-  public pauseBeforeSend = false;
+  /** Where the next order pauses the process: before its guard, or between the guard and the write. */
+  public pausePoint: PausePoint | null = null;
 
   private readonly firstReads = new Map<string, KeyValueEntry>();
 
   public constructor(
     public readonly address: string,
-    clock: Clock,
+    private readonly outside: Clock,
     private readonly network: EmulatedNetwork,
     store: KeyValueStore,
   ) {
-    this.process = new EmulatedProcess(clock);
+    this.process = new EmulatedProcess(outside);
     this.clock = this.process.clock;
-    this.connection = new EmulatedKeyValue(store, clock);
+    this.connection = new EmulatedKeyValue(store, outside);
     this.keyValue = this.process.guard(this.withStaleReads(this.connection));
     this.peers = this.process.guard(network.client(address));
   }
@@ -60,7 +66,7 @@
 
   public resume(): void {
     if (!this.process.alive) return;
-    this.pauseBeforeSend = false;
+    this.pausePoint = null;
     this.process.unpause();
     this.network.unpause(this.address);
   }
@@ -82,17 +88,23 @@
 
   private orderThrough(engine: Engine, ignoreGuard: boolean): Engine['order'] {
     return async (order, opts) => {
+      await this.pauseAt('guard');
       if (!opts.mayStillSend() && !ignoreGuard) {
         return fail({ code: EngineErrorCode.NotSent, message: 'the order was not sent' });
       }
-      if (this.pauseBeforeSend) {
-        this.pause();
-        await this.process.gate();
-      }
+      await this.pauseAt('send');
       return engine.order(order, { ...opts, mayStillSend: () => true });
     };
   }
 
+  private async pauseAt(at: PausePoint['at']): Promise<void> {
+    const { pausePoint } = this;
+    if (pausePoint?.at !== at) return;
+    this.pause();
+    if (pausePoint.lengthMs !== undefined) this.outside.after(pausePoint.lengthMs, () => this.resume());
+    await this.process.gate();
+  }
+
   private withStaleReads(inner: KeyValue): KeyValue {
     const get: KeyValue['get'] = async (key, opts) => {
       const result = await inner.get(key, opts);
--- a/src/emulator/peers.ts
+++ b/src/emulator/peers.ts
@@ -46,6 +46,7 @@
   /** Closes a listening address, as the death of its process does. */
   public close(address: string): void {
     this.servers.delete(address);
+    this.paused.delete(address);
   }
 
   public client(from: string): PeerClient {
