Check bookings under seeded fault schedules, in tests and in the bench

Cause: I5 and I6 must hold under kills, pauses, outages, lost and late answers. Change: BookingFaults runs schedules against the real code; properties with fixed seeds; two planted faults; experiment bookings.

--- /dev/null
+++ b/src/bench/bookings.ts
@@ -0,0 +1,87 @@
+import { BookingFaults } from './bookingfaults.js';
+import { randomBookingSchedule } from './bookingschedule.js';
+import type { BookingSchedule } from './bookingschedule.js';
+import type { Experiment, Verdict } from './experiment.js';
+import { round } from './summary.js';
+
+const SCHEDULES: Record<string, number> = {
+  faults: 2_000, healthy: 500, single: 20, burst: 20,
+};
+
+interface Totals {
+  schedules: number;
+  doubleRuns: number;
+  falseNo: number;
+  storeCalls: number;
+  keys: number;
+  readonly answers: Record<string, number>;
+}
+
+const VARIANTS: Record<string, (seed: number) => BookingSchedule> = {
+  faults: randomBookingSchedule,
+  /** Same attempts, about four for each key, without any fault. */
+  healthy: (seed) => ({ ...randomBookingSchedule(seed), faults: [] }),
+  /** One attempt for each key, 50 in a second, for the cost of a booking. */
+  single: (seed) => ({
+    seed,
+    faults: [],
+    attempts: Array.from({ length: 50 }, (_, index) => ({
+      at: index * 20, entry: index, key: index, deadlineMs: 1_000, otherBody: false,
+    })),
+  }),
+  /** 50 bookings at each entry at the same moment, which share calls. */
+  burst: (seed) => ({
+    seed,
+    faults: [],
+    attempts: Array.from({ length: 150 }, (_, index) => ({
+      at: 10, entry: index, key: index, deadlineMs: 1_000, otherBody: false,
+    })),
+  }),
+};
+
+async function measure(seed: number, create: (seed: number) => BookingSchedule, schedules: number): Promise<Totals> {
+  const totals: Totals = {
+    schedules, doubleRuns: 0, falseNo: 0, storeCalls: 0, keys: 0, answers: {},
+  };
+  for (let index = 0; index < schedules; index += 1) {
+    const report = await new BookingFaults(create(seed * 100_000 + index)).run();
+    totals.doubleRuns += report.violations.filter((violation) => violation.startsWith('I6')).length;
+    totals.falseNo += report.violations.filter((violation) => violation.startsWith('I5')).length;
+    totals.storeCalls += report.storeCalls;
+    totals.keys += report.keys;
+    for (const [kind, count] of Object.entries(report.answers)) {
+      totals.answers[kind] = (totals.answers[kind] ?? 0) + count;
+    }
+  }
+  return totals;
+}
+
+/** At-most-once bookings over random fault schedules. */
+export const bookings: Experiment = {
+  name: 'bookings',
+  shows: 'non-idempotent bookings over seeded fault schedules',
+  target: 'double runs 0, false `ran: no` 0 over >= 1,000 schedules; share of unknown reported',
+  variants: Object.keys(VARIANTS),
+  async run(opts): Promise<Verdict> {
+    const figure: Record<string, number> = {};
+    let pass = true;
+    for (const [variant, create] of Object.entries(VARIANTS)) {
+      if (opts.variant !== undefined && opts.variant !== variant) continue;
+      const totals = await measure(opts.seed, create, SCHEDULES[variant]!);
+      const answered = Object.values(totals.answers).reduce((sum, count) => sum + count, 0);
+      const unknownShare = round((totals.answers.unknown ?? 0) / answered, 3);
+      const callsPerBooking = round(totals.storeCalls / totals.keys);
+      opts.emit({
+        variant, ...totals, unknownShare, callsPerBooking,
+      });
+      pass &&= totals.doubleRuns === 0 && totals.falseNo === 0;
+      Object.assign(figure, {
+        [`${variant}DoubleRuns`]: totals.doubleRuns,
+        [`${variant}FalseNo`]: totals.falseNo,
+        [`${variant}UnknownShare`]: unknownShare,
+        [`${variant}CallsPerKey`]: callsPerBooking,
+      });
+    }
+    return { pass, figure };
+  },
+};
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,3 +1,4 @@
+import { bookings } from './bookings.js';
 import type { Experiment } from './experiment.js';
 import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
@@ -7,6 +8,7 @@
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
   mixShift,
+  bookings,
   peak,
   headOfLine,
   fairness,
--- a/test/bookings.test.ts
+++ b/test/bookings.test.ts
@@ -1,4 +1,11 @@
+import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { BookingFaults } from '../src/bench/bookingfaults.js';
+import type { BookingPlants } from '../src/bench/bookingfaults.js';
+import {
+  FAULT_ENTRIES, FAULT_SERVERS, KillMoment, randomBookingSchedule, ServerMode,
+} from '../src/bench/bookingschedule.js';
+import type { BookingSchedule } from '../src/bench/bookingschedule.js';
 import { BatchingKeyValue } from '../src/core/batching.js';
 import { Bookings } from '../src/core/bookings.js';
 import type { ServiceOutcome } from '../src/core/bookings.js';
@@ -164,3 +171,89 @@
     }
   });
 });
+
+const at = fc.integer({ min: 0, max: 2_000 });
+const entry = fc.integer({ min: 0, max: FAULT_ENTRIES - 1 });
+const forMs = fc.integer({ min: 20, max: 2_500 });
+
+const schedules: fc.Arbitrary<BookingSchedule> = fc.record({
+  seed: fc.integer({ min: 1, max: 1_000_000 }),
+  attempts: fc.array(fc.record({
+    at,
+    entry,
+    key: fc.integer({ min: 1, max: 3 }),
+    deadlineMs: fc.integer({ min: 50, max: 2_000 }),
+    otherBody: fc.boolean(),
+  }), { minLength: 1, maxLength: 12 }),
+  faults: fc.array(fc.oneof(
+    fc.record({
+      type: fc.constant('kill' as const), at, entry, moment: fc.constantFrom(...Object.values(KillMoment)),
+    }),
+    fc.record({
+      type: fc.constant('pause' as const), at, entry, forMs,
+    }),
+    fc.record({ type: fc.constant('store_down' as const), at, forMs }),
+    fc.record({
+      type: fc.constant('store_slow' as const), at, forMs, latencyMs: fc.integer({ min: 10, max: 2_000 }),
+    }),
+    fc.record({ type: fc.constant('store_lost' as const), at, answers: fc.integer({ min: 1, max: 4 }) }),
+    fc.record({
+      type: fc.constant('store_cut' as const), at, entry, forMs,
+    }),
+    fc.record({
+      type: fc.constant('server' as const),
+      at,
+      server: fc.integer({ min: 0, max: FAULT_SERVERS }),
+      mode: fc.constantFrom(...Object.values(ServerMode)),
+      forMs,
+    }),
+  ), { maxLength: 8 }),
+});
+
+/** Violations over the same seeded schedules as the bench, until the first one. */
+async function firstViolation(plants: BookingPlants): Promise<string | null> {
+  for (let seed = 1; seed <= 200; seed += 1) {
+    const { violations } = await new BookingFaults(randomBookingSchedule(seed), plants).run();
+    if (violations[0] !== undefined) return violations[0];
+  }
+  return null;
+}
+
+describe('bookings under faults', () => {
+  // Guards I5 and I6 over kills, pauses, outages, lost and late answers, and repeats at other entries.
+  it('never run twice and never say `ran: no` falsely', async () => {
+    await fc.assert(fc.asyncProperty(schedules, async (schedule) => {
+      const { violations } = await new BookingFaults(schedule).run();
+      expect(violations).toEqual([]);
+    }), { seed: 11, numRuns: 300 });
+  });
+
+  // Guards the check itself: without records, repeats run again, and that must be seen.
+  it('are caught when the record before the booking is dropped', async () => {
+    const violation = await firstViolation({
+      keyValue: (inner) => new Proxy(inner, {
+        get: (target, name) => (name === 'transact'
+          ? (operations: readonly unknown[]) => Promise.resolve({
+            success: true, data: operations.map((_, index) => ({ applied: true, version: index + 1 })),
+          })
+          : Reflect.get(target, name, target).bind(target)),
+      }),
+    });
+    expect(violation).toMatch(/^I6/);
+  });
+
+  // Guards the check itself: a backend connection that calls a sent call unsent must be seen.
+  it('are caught when an entry says "not run" after sending', async () => {
+    const violation = await firstViolation({
+      service: (inner) => ({
+        name: inner.name,
+        call: async (call, opts) => {
+          const result = await inner.call(call, opts);
+          if (result.success || result.error.code !== 'broken') return result;
+          return { success: false, error: { ...result.error, sent: 'no' } };
+        },
+      }),
+    });
+    expect(violation).toMatch(/^I[56]/);
+  });
+});
