--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,10 +1,14 @@
+import { bookings } from './bookings.js';
 import type { Experiment } from './experiment.js';
+import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
 import { headOfLine } from './headofline.js';
 import { peak } from './peak.js';
 
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
+  mixShift,
+  bookings,
   peak,
   headOfLine,
   fairness,
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -1,7 +1,7 @@
 import type { Clock, Random } from './edges.js';
 import { Role } from './edges.js';
 import type { Demand } from './affinity.js';
-import { WorkAffinity } from './affinity.js';
+import { sumDemand, WorkAffinity } from './affinity.js';
 import type { ModelEngines } from './candidates.js';
 import { CandidatePools } from './candidates.js';
 import type { CostEstimate, CostItem, CostTarget } from './cost.js';
@@ -156,6 +156,7 @@
     this.tracker = new WorkTracker({
       clock: options.clock,
       speed: this.speed,
+      peers: () => Math.max(0, options.nodes().length - 1),
       onObservation: options.onObservation ?? (() => {}),
     });
     this.affinity = new WorkAffinity(this.speed);
@@ -293,11 +294,8 @@
 
   private engines(model: string): ModelEngines {
     const own = this.demand();
-    const others = this.options.othersDemand?.() ?? { prefillMs: 0, decodeMs: 0 };
-    const demand = {
-      prefillMs: own.prefillMs + others.prefillMs,
-      decodeMs: own.decodeMs + others.decodeMs,
-    };
+    const others = this.options.othersDemand?.();
+    const demand = others === undefined ? own : sumDemand([own, others]);
     return this.pools.of(model, (total) => (
       this.affinity.shortEngines(total, this.options.nodes().length, demand)
     ));
