--- a/src/core/lanes.ts
+++ b/src/core/lanes.ts
@@ -37,7 +37,9 @@
 }
 
 const LONG_PROMPT_TOKENS = 1_000;
-const QUICK_WEIGHT = Number(process.env.QW ?? 1);
+
+/** Quick work needs small batches to start and end in time, so its engines carry less of it. */
+const QUICK_WEIGHT = 4;
 
 /** Entries that judge by their own traffic differ by less than this, and one that moves alone disturbs the others. */
 const HYSTERESIS_ENGINES = 0.7;
