--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { Disposable } from '../core/edges.js';
 import { DisposableStore } from '../core/disposables.js';
 import type { Fleet } from '../core/fleet.js';
@@ -16,6 +17,7 @@
 /** Requests in flight at which an entry calls itself fully loaded. */
 const FULL_LOAD = 500;
 const PERIOD_MS = 1_000;
+const MAX_TASKS = 100;
 const RETRY_AFTER_MS = 1_000;
 
 /** One entry: checks requests against the fleet file and hands them to the coordination parts. */
@@ -30,6 +32,8 @@
 
   public constructor(private readonly edges: EntryEdges, private readonly options: EntryOptions) {
     this.startedAt = edges.clock.monotonic();
+    // Every task of the entry waits on this signal, which is more than the default that Node.js warns about.
+    setMaxListeners(MAX_TASKS, this.stop.signal);
     this.parts = this.disposables.add(new EntryParts(edges, options));
     this.disposables.add(this.parts.configuration.onChange(() => this.follow()));
     this.disposables.add(this.parts.membership.onChange(() => this.parts.followMembers()));
--- a/src/scenario/expectations.ts
+++ b/src/scenario/expectations.ts
@@ -121,6 +121,13 @@
       return seen.split(' ').every((part) => part.endsWith(`=${v.revision}`)) ? undefined : `found ${seen}`;
     },
   },
+  {
+    form: 'expect the same revision in force everywhere',
+    run: (world) => {
+      const seen = revisions(world).split(' ').map((part) => part.split('=')[1]);
+      return new Set(seen).size === 1 ? undefined : `found ${revisions(world)}`;
+    },
+  },
   {
     form: 'expect entry <entry:name> has revision <revision:count>',
     run: (world, v) => {
