--- a/src/daemon/policy.ts
+++ b/src/daemon/policy.ts
@@ -5,7 +5,7 @@
 import type { Clock, LoadReport, Random } from '../core/edges.js';
 import { DEFAULT_HEALTH_OPTIONS, HealthTracker } from '../core/health.js';
 import { PolicyDispatcher } from '../core/policy.js';
-import { CostRouter } from '../core/routing.js';
+import { CostRouter } from '../core/costrouter.js';
 
 /** Options of {@link ServingPolicy}. */
 export interface ServingPolicyOptions {
