--- a/src/core/roles.ts
+++ b/src/core/roles.ts
@@ -83,6 +83,9 @@
 
   private at: number | null = null;
 
+  /** Time for which another division has been better, in ms. */
+  private lastedMs = 0;
+
   public constructor(private readonly options: RolePlannerOptions) {}
 
   /** Changes to order now; empty most of the time. */
@@ -97,9 +100,13 @@
     if (moves === 0 || gain <= MIN_GAIN * current) {
       // Half of the regret is forgotten in the time of a change once the division fits again.
       this.regret *= 0.5 ** (elapsedMs / this.options.changeMs);
+      this.lastedMs = 0;
       return [];
     }
     this.regret += (gain * elapsedMs) / 1_000;
+    this.lastedMs += elapsedMs;
+    // A swing is expected to last as long again as it has lasted, and a change must be over before it ends.
+    if (this.lastedMs < this.options.changeMs) return [];
     if (this.regret < this.options.patience * this.price(input, counts, target, current)) return [];
     const changes = this.pick(input, counts, target);
     if (distance(counts, target) <= changes.length) this.regret = 0;
--- /dev/null
+++ b/test/health.test.ts
@@ -0,0 +1,106 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { DEFAULT_HEALTH_OPTIONS, HealthState, HealthTracker } from '../src/core/health.js';
+import {
+  HedgePolicy, HedgeRace, RaceStep, Runner,
+} from '../src/core/hedging.js';
+import { SimulatedClock } from '../src/emulator/clock.js';
+
+const ENGINES = Array.from({ length: 8 }, (_, index) => `e${index}`);
+
+function setUp() {
+  const clock = new SimulatedClock();
+  const tracker = new HealthTracker({ clock, ...DEFAULT_HEALTH_OPTIONS });
+  for (const engine of ENGINES) tracker.add(engine);
+  const observeAll = (ratioOf: (engine: string) => number, rounds: number): void => {
+    for (let round = 0; round < rounds; round += 1) {
+      clock.advanceSync(60);
+      for (const engine of ENGINES) tracker.observe(engine, 40 * ratioOf(engine), 40);
+    }
+  };
+  return { clock, tracker, observeAll };
+}
+
+describe('HealthTracker', () => {
+  // Guards against traffic to a slow engine until its late load report shows it.
+  it('ejects an engine that is five times slower within a few tokens, and takes it back', () => {
+    const { clock, tracker, observeAll } = setUp();
+    observeAll(() => 1, 10);
+    observeAll((engine) => (engine === 'e3' ? 5 : 1), 4);
+    expect([tracker.state('e3'), tracker.weight('e3')]).toEqual([HealthState.Ejected, 0]);
+    clock.advanceSync(DEFAULT_HEALTH_OPTIONS.ejectionMs);
+    expect(tracker.state('e3')).toBe(HealthState.Probation);
+    observeAll(() => 1, 4);
+    expect(tracker.weight('e3')).toBe(1);
+  });
+
+  // Guards against ejecting engines when the whole fleet has become slower, as in overload.
+  it('ejects none when the median itself has moved', () => {
+    const { tracker, observeAll } = setUp();
+    observeAll(() => 1, 10);
+    observeAll((engine) => (engine === 'e0' ? 6 : 3), 20);
+    expect(ENGINES.map((engine) => tracker.weight(engine))).toEqual(ENGINES.map(() => 1));
+  });
+
+  // Guards against detection errors that take away most of the fleet.
+  it('never ejects more than a third', () => {
+    fc.assert(fc.property(fc.array(fc.array(fc.double({ min: 0.1, max: 10, noNaN: true }), {
+      minLength: 8, maxLength: 8,
+    }), { maxLength: 40 }), (rounds) => {
+      const { tracker, observeAll } = setUp();
+      for (const ratios of rounds) {
+        observeAll((engine) => ratios[ENGINES.indexOf(engine)]!, 1);
+        const ejected = ENGINES.filter((engine) => tracker.state(engine) === HealthState.Ejected);
+        expect(ejected.length).toBeLessThanOrEqual(Math.floor(8 / 3));
+      }
+    }), { seed: 1 });
+  });
+});
+
+describe('HedgePolicy', () => {
+  const late = {
+    safe: true, waitedMs: 1_000, expectedMs: 50, workTokens: 100, suspect: false,
+  };
+
+  // Guards against a second run of a call that has effects.
+  it('hedges late safe calls only', () => {
+    const policy = new HedgePolicy();
+    policy.earn(1_000_000);
+    expect(policy.tryHedge({ ...late, safe: false })).toBe(false);
+    expect(policy.tryHedge({ ...late, waitedMs: 60 })).toBe(false);
+    expect(policy.tryHedge(late)).toBe(true);
+  });
+
+  // Guards against hedges that add load without limit when everything is late.
+  it('keeps hedge work within 5% of all work', () => {
+    fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 9_000 }), { maxLength: 100 }), (sizes) => {
+      const policy = new HedgePolicy();
+      for (const workTokens of sizes) {
+        policy.earn(workTokens);
+        policy.tryHedge({ ...late, workTokens });
+      }
+      expect(policy.work.hedge).toBeLessThanOrEqual(0.05 * policy.work.primary);
+    }), { seed: 1 });
+  });
+});
+
+describe('HedgeRace', () => {
+  // Guards against tokens that reach the caller twice or not at all.
+  it('delivers every token once, whoever is ahead', () => {
+    fc.assert(fc.property(fc.array(fc.boolean(), { maxLength: 60 }), (order) => {
+      const race = new HedgeRace(5);
+      const reached = { [Runner.Primary]: 5, [Runner.Hedge]: 5 };
+      let cancelled: Runner | null = null;
+      const delivered: number[] = [];
+      for (const first of order) {
+        const runner = first ? Runner.Primary : Runner.Hedge;
+        if (runner === cancelled) continue;
+        reached[runner] += 1;
+        const step = race.token(runner, reached[runner]);
+        if (step !== RaceStep.Drop) delivered.push(reached[runner]);
+        if (step === RaceStep.Win) cancelled = runner === Runner.Primary ? Runner.Hedge : Runner.Primary;
+      }
+      expect(delivered).toEqual(delivered.map((_, index) => 6 + index));
+    }), { seed: 1 });
+  });
+});
--- /dev/null
+++ b/test/prefixes.test.ts
@@ -0,0 +1,56 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import type { CacheEvent } from '../src/core/edges.js';
+import { PREFIX_BLOCK_TOKENS, PrefixIndex } from '../src/core/prefixes.js';
+
+const BLOCKS = ['a', 'b', 'c', 'd'];
+
+function stored(sequence: number, block: string): CacheEvent {
+  return { sequence, type: 'stored', block };
+}
+
+describe('PrefixIndex', () => {
+  // Guards against a lost event in the middle of a prompt that hides the longer match after it.
+  it('finds the longest match although an event was lost', () => {
+    const index = new PrefixIndex();
+    index.apply('e', [stored(1, 'a'), stored(3, 'c')]);
+    expect(index.match('e', BLOCKS)).toBe(3 * PREFIX_BLOCK_TOKENS);
+    expect(index.owners(BLOCKS)).toEqual(['e']);
+  });
+
+  // Guards against trust in old entries after a gap that may have held evictions.
+  it('makes older entries less certain after a gap', () => {
+    const index = new PrefixIndex();
+    index.apply('e', [stored(1, 'a')]);
+    const before = index.match('e', ['a']);
+    index.apply('e', [stored(40, 'z')]);
+    expect(index.match('e', ['a'])).toBeLessThan(before);
+    expect(index.match('e', ['z'])).toBe(PREFIX_BLOCK_TOKENS);
+  });
+
+  // Guards against waiting for late events before repeated prompts go to the same engine.
+  it('takes an own placement as evidence until an eviction is reported', () => {
+    const index = new PrefixIndex();
+    index.placed('e', ['a', 'b']);
+    expect(index.match('e', BLOCKS)).toBeGreaterThan(PREFIX_BLOCK_TOKENS);
+    index.apply('e', [{ sequence: 1, type: 'evicted', block: 'a' }, { sequence: 2, type: 'evicted', block: 'b' }]);
+    expect(index.match('e', BLOCKS)).toBe(0);
+  });
+
+  it('forgets an engine that restarted', () => {
+    const index = new PrefixIndex();
+    index.placed('e', BLOCKS);
+    index.remove('e');
+    expect([index.match('e', BLOCKS), index.size]).toEqual([0, 0]);
+  });
+
+  // Guards against growth without limit from engines that never report evictions.
+  it('stays within its bound', () => {
+    const placements = fc.array(fc.tuple(fc.integer({ min: 0, max: 5 }), fc.string()), { maxLength: 200 });
+    fc.assert(fc.property(placements, (puts) => {
+      const index = new PrefixIndex({ maxEntries: 20 });
+      for (const [engine, block] of puts) index.placed(`e${engine}`, [block]);
+      expect(index.size).toBeLessThanOrEqual(20);
+    }), { seed: 1 });
+  });
+});
