Keep the cost of a decision flat, and the division of engines per model

Change: homes are sampled in large pools, affinity is per model, node hashes are kept, and an engine has 5 nodes.

--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -5,6 +5,7 @@
 import { headOfLine } from './headofline.js';
 import { peak } from './peak.js';
 import { prefix } from './prefix.js';
+import { scale } from './scale.js';
 import { slowServers } from './slowservers.js';
 
 /** All experiments of `npm run bench`, one import and one line each. */
@@ -12,6 +13,7 @@
   mixShift,
   slowServers,
   prefix,
+  scale,
   bookings,
   peak,
   headOfLine,
--- /dev/null
+++ b/src/bench/scale.ts
@@ -0,0 +1,164 @@
+import { CostRouter } from '../core/costrouter.js';
+import { EngineDirectory } from '../core/directory.js';
+import { Priority, Role } from '../core/edges.js';
+import { AttemptOutcome } from '../core/placement.js';
+import type { Placement, WorkItem } from '../core/placement.js';
+import type { Router } from '../core/routing.js';
+import { LeastRequestsRouter } from '../core/routing.js';
+import type { SubsetEngine } from '../core/subset.js';
+import { selectSubset } from '../core/subset.js';
+import { SimulatedClock } from '../emulator/clock.js';
+import { SeededRandom } from '../emulator/random.js';
+import type { Experiment, RunOptions, Verdict } from './experiment.js';
+import { SEEDS } from './policy.js';
+import { quantile } from './simulation.js';
+
+const REPLICAS = [10, 100, 1_000, 10_000];
+
+const NODE_COUNTS = [6, 1_800];
+
+const MODELS = 9;
+
+const FAILURE_DOMAINS = 15;
+
+const DECISIONS = 4_000;
+
+const WARM_UP = 2_000;
+
+/** Requests that are in flight at this node at the same time. */
+const IN_FLIGHT = 200;
+
+/** Cost of one decision at 10,000 replicas that the target allows. */
+const LIMIT_US = 20;
+
+/** Ratio between the numbers of entries within which the cost counts as flat. */
+const FLAT_RATIO = 1.5;
+
+/** Bytes of one load report with its HTTP framing, for the traffic of a node at one report a second. */
+const REPORT_BYTES = 90;
+
+const VARIANTS = ['baseline', 'policy'];
+
+function itemAt(random: SeededRandom, index: number, now: number): WorkItem {
+  const short = random.float() < 0.25;
+  return {
+    requestId: `r${index}`,
+    workspace: 'w',
+    model: `model-${random.integer(0, MODELS - 1)}`,
+    kind: short ? 'short' : 'long',
+    priority: Priority.Normal,
+    promptTokens: short ? 4_000 : 300,
+    maxTokens: short ? 3 : 160,
+    blocks: [],
+    deadline: now + 7_400,
+    arrival: now,
+  };
+}
+
+interface Cost {
+  readonly medianUs: number;
+  readonly p99Us: number;
+  readonly subset: number;
+  readonly subsetMs: number;
+}
+
+/** Times choice, start and end of requests at one node of a fleet. */
+function measure(variant: string, seed: number, replicas: number, nodeCount: number): Cost {
+  const clock = new SimulatedClock();
+  const random = new SeededRandom(seed);
+  const nodes = Array.from({ length: nodeCount }, (_, index) => `node-${index}`);
+  const engines: SubsetEngine[] = Array.from({ length: replicas }, (_, index) => ({
+    name: `engine-${index}`,
+    failureDomain: `domain-${index % FAILURE_DOMAINS}`,
+    models: [`model-${index % MODELS}`],
+  }));
+  const directory = new EngineDirectory();
+  const subsetStart = process.hrtime.bigint();
+  const subset = new Set(variant === 'policy'
+    ? selectSubset('node-0', nodes, engines)
+    : engines.map((engine) => engine.name));
+  const subsetMs = Number(process.hrtime.bigint() - subsetStart) / 1e6;
+  for (const engine of engines) {
+    if (subset.has(engine.name)) directory.set({ ...engine, role: Role.Mixed, available: true });
+  }
+  const hasRoom = (): boolean => true;
+  const router: Router = variant === 'policy'
+    ? new CostRouter({
+      clock,
+      directory,
+      random,
+      hasRoom,
+      node: 'node-0',
+      nodes: () => nodes,
+      failureDomain: 'domain-0',
+      expectedOutput: (item) => item.maxTokens,
+    })
+    : new LeastRequestsRouter({ directory, random, hasRoom });
+  const open: { item: WorkItem; placement: Placement }[] = [];
+  const times: number[] = [];
+  // The baseline looks at every replica, which a few decisions show.
+  const share = variant === 'baseline' && replicas >= 1_000 ? 0.05 : 1;
+  const warmUp = WARM_UP * share;
+  for (let index = 0; index < warmUp + DECISIONS * share; index += 1) {
+    clock.advanceSync(5);
+    const item = itemAt(random, index, clock.monotonic());
+    const start = process.hrtime.bigint();
+    const placement = router.choose(item);
+    if (placement !== null) router.started(item, placement);
+    const end = process.hrtime.bigint();
+    if (index >= warmUp) times.push(Number(end - start) / 1_000);
+    if (placement !== null) open.push({ item, placement });
+    while (open.length > IN_FLIGHT || (placement === null && open.length > 0)) {
+      const [done] = open.splice(random.integer(0, open.length - 1), 1);
+      router.finished(done!.item, done!.placement, AttemptOutcome.Done);
+      if (placement === null) break;
+    }
+  }
+  return {
+    medianUs: quantile(times, 0.5), p99Us: quantile(times, 0.99), subset: subset.size, subsetMs,
+  };
+}
+
+function roundTo(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+/** Cost of one routing decision as the fleet grows. */
+export const scale: Experiment = {
+  name: 'scale',
+  shows: 'time of one decision at 10 to 10,000 replicas, with 6 and 1,800 entries',
+  target: 'under 20 us at 10,000 replicas; flat in entries (within 1.5 x)',
+  variants: VARIANTS,
+  async run(opts: RunOptions): Promise<Verdict> {
+    const medians = new Map<string, number>();
+    for (const variant of VARIANTS.filter((name) => opts.variant === undefined || name === opts.variant)) {
+      for (const nodeCount of NODE_COUNTS) {
+        for (const replicas of REPLICAS) {
+          const costs: Cost[] = [];
+          for (let { seed } = opts; seed < opts.seed + SEEDS; seed += 1) {
+            costs.push(measure(variant, seed, replicas, nodeCount));
+          }
+          const sorted = costs.map((cost) => roundTo(cost.medianUs)).sort((a, b) => a - b);
+          const median = sorted[Math.floor(sorted.length / 2)]!;
+          medians.set(`${variant}/${nodeCount}/${replicas}`, median);
+          opts.emit({
+            variant,
+            entries: nodeCount,
+            replicas,
+            medianUs: median,
+            medianLowUs: sorted[0],
+            medianHighUs: sorted.at(-1),
+            p99Us: roundTo(Math.max(...costs.map((cost) => cost.p99Us))),
+            subset: costs.map((cost) => cost.subset)[0],
+            reportBytesPerSecond: costs[0]!.subset * REPORT_BYTES,
+            subsetMs: roundTo(Math.max(...costs.map((cost) => cost.subsetMs))),
+          });
+        }
+      }
+    }
+    const at = (nodeCount: number): number => medians.get(`policy/${nodeCount}/10000`) ?? 0;
+    const [few, many] = [at(NODE_COUNTS[0]!), at(NODE_COUNTS[1]!)];
+    const figure = { medianUsAt6: few, medianUsAt1800: many, ratio: roundTo(many / few) };
+    return { pass: Math.max(few, many) < LIMIT_US && many <= FLAT_RATIO * few, figure };
+  },
+};
--- a/src/core/affinity.ts
+++ b/src/core/affinity.ts
@@ -40,9 +40,11 @@
   }), NO_DEMAND);
 }
 
-/** Distance of the wanted number from the current one at which it changes, in engines. */
+/** Distance of the wanted number from the current one at which it changes, in engines and as a share of them. */
 const HYSTERESIS = 0.7;
 
+const HYSTERESIS_SHARE = 0.03;
+
 /**
  * Divides mixed engines between short answers to long prompts and long answers, by the demand that this node sees.
  * All nodes use the same order of engines, so they agree without messages when they see similar demand.
@@ -97,7 +99,8 @@
     if (forShort + forLong === 0 || total < 2) return 0;
     const spare = total - Math.ceil(forLong);
     const wanted = forShort === 0 ? 0 : Math.max((total * forShort) / (forShort + forLong), Math.min(nodes, spare));
-    if (this.count === null || this.count > total || Math.abs(wanted - this.count) > HYSTERESIS) {
+    const slack = Math.max(HYSTERESIS, total * HYSTERESIS_SHARE);
+    if (this.count === null || this.count > total || Math.abs(wanted - this.count) > slack) {
       const least = forShort > 0 ? 1 : 0;
       const most = forLong > 0 ? total - 1 : total;
       this.count = Math.min(most, Math.max(least, Math.round(wanted)));
--- a/src/core/candidates.ts
+++ b/src/core/candidates.ts
@@ -17,6 +17,7 @@
   readonly forShort: ReadonlySet<string>;
   /** Those among them that this node prefers, with the number of nodes that do. */
   readonly home: ReadonlyMap<string, number>;
+  readonly homeList: readonly EngineFacts[];
 }
 
 /** Options of {@link CandidatePools}. */
@@ -27,6 +28,9 @@
   readonly nodes: () => readonly string[];
 }
 
+/** Pool that is looked at as a whole; own work differs between nodes, so they do not all choose the same engine. */
+const SMALL_POOL = 12;
+
 /** Engines to choose from, kept until the directory or the nodes change. */
 export class CandidatePools {
   private readonly models = new Map<string, RolePools>();
@@ -60,24 +64,37 @@
     const names = (pool: readonly EngineFacts[]): string[] => pool.map((engine) => engine.name);
     const mixedForShort = Math.max(0, count - roles.prefill.length);
     const forShort = names([...roles.prefill, ...roles.mixed.slice(0, mixedForShort)]);
+    const home = homeEngines(this.options.node, nodes, forShort);
+    const homeList = [...home.keys()].map((name) => this.options.directory.get(name)!);
     const engines = {
-      ...roles, forShort: new Set(forShort), home: homeEngines(this.options.node, nodes, forShort),
+      ...roles, forShort: new Set(forShort), home, homeList,
     };
     this.divided.set(model, { count, engines });
     return engines;
   }
 
-  /** Home engines, owners and `count` random engines of a pool; the whole pool if it is no larger than `count`. */
+  /** Home engines, owners and `count` random engines of a pool; the whole pool if it is small. */
   public sample(
     pool: readonly EngineFacts[],
-    home: ReadonlyMap<string, number>,
+    engines: ModelEngines,
     owners: readonly string[],
     count: number,
   ): readonly EngineFacts[] {
-    if (pool.length <= count) return pool;
-    const chosen = new Set(pool.filter(({ name }) => home.has(name) || owners.includes(name)));
+    if (pool.length <= Math.max(count, SMALL_POOL)) return pool;
+    const chosen = new Set<EngineFacts>();
+    const add = (facts: EngineFacts | undefined): void => {
+      if (facts !== undefined && facts.role === pool[0]!.role && facts.available) chosen.add(facts);
+    };
+    for (const owner of owners) add(this.options.directory.get(owner));
+    // The cost of a choice must not grow with the fleet, so a large home is sampled as well.
+    if (engines.homeList.length <= count) engines.homeList.forEach(add);
+    else for (let draw = 0; draw < count; draw += 1) add(this.pick(engines.homeList));
     const size = Math.min(pool.length, chosen.size + count);
-    while (chosen.size < size) chosen.add(pool[Math.floor(this.options.random.float() * pool.length)]!);
+    while (chosen.size < size) chosen.add(this.pick(pool));
     return [...chosen];
   }
+
+  private pick(pool: readonly EngineFacts[]): EngineFacts {
+    return pool[Math.floor(this.options.random.float() * pool.length)]!;
+  }
 }
--- a/src/core/costrouter.ts
+++ b/src/core/costrouter.ts
@@ -36,8 +36,8 @@
   readonly healthWeight?: (engine: string) => number;
   /** Receives each own observation of a time between tokens or to a first token, with its expectation. */
   readonly onObservation?: (engine: string, observedMs: number, expectedMs: number) => void;
-  /** Sum of the demand that the other nodes published last. */
-  readonly othersDemand?: () => Demand;
+  /** Sum of the demand for a model that the other nodes published last. */
+  readonly othersDemand?: (model: string) => Demand;
   /** Extra delay in ms to another failure domain. */
   readonly distanceMs?: number;
   readonly speed?: EngineSpeed;
@@ -61,7 +61,7 @@
   readonly owners: readonly string[];
 }
 
-const DEFAULT_CANDIDATES = 12;
+const DEFAULT_CANDIDATES = 4;
 
 const DEFAULT_DISTANCE_MS = 1;
 
@@ -76,7 +76,7 @@
 
   private readonly pools: CandidatePools;
 
-  private readonly affinity: WorkAffinity;
+  private readonly affinities = new Map<string, WorkAffinity>();
 
   private readonly speed: EngineSpeed;
 
@@ -91,7 +91,6 @@
       peers: () => Math.max(0, options.nodes().length - 1),
       onObservation: options.onObservation ?? (() => {}),
     });
-    this.affinity = new WorkAffinity(this.speed);
     this.pools = new CandidatePools(options);
   }
 
@@ -105,9 +104,11 @@
     return this.tracker.load(engine).count;
   }
 
-  /** Smoothed demand that this node sees, for the other nodes and the role planner. */
-  public demand(): Demand {
-    return this.affinity.demand(this.options.clock.monotonic());
+  /** Smoothed demand that this node sees, of one model or of all, for the other nodes and the role planner. */
+  public demand(model?: string): Demand {
+    const now = this.options.clock.monotonic();
+    if (model !== undefined) return this.affinity(model).demand(now);
+    return sumDemand([...this.affinities.values()].map((affinity) => affinity.demand(now)));
   }
 
   public choose(item: WorkItem): Placement | null {
@@ -138,7 +139,9 @@
     const expectedOutput = Math.max(1, this.options.expectedOutput(item));
     this.tracker.started(placement, prefillTokens, expectedOutput);
     if (!imported) this.options.onPlaced?.(placement.prefill ?? placement.engine, item);
-    if (!imported) this.affinity.observe(this.options.clock.monotonic(), prefillTokens, expectedOutput);
+    if (!imported) {
+      this.affinity(item.model).observe(this.options.clock.monotonic(), prefillTokens, expectedOutput);
+    }
   }
 
   public firstToken(_item: WorkItem, placement: Placement, latencyMs: number): void {
@@ -168,7 +171,7 @@
   ): Choice | null {
     let best: Choice | null = null;
     for (const pool of pools) {
-      for (const facts of this.pools.sample(pool, question.engines.home, question.owners, candidates)) {
+      for (const facts of this.pools.sample(pool, question.engines, question.owners, candidates)) {
         const weight = this.weight(facts, question.item);
         if (weight === 0) continue;
         const estimate = this.estimate(facts, question, question.base);
@@ -225,12 +228,21 @@
     };
   }
 
+  private affinity(model: string): WorkAffinity {
+    let affinity = this.affinities.get(model);
+    if (affinity === undefined) {
+      affinity = new WorkAffinity(this.speed);
+      this.affinities.set(model, affinity);
+    }
+    return affinity;
+  }
+
   private engines(model: string): ModelEngines {
-    const own = this.demand();
-    const others = this.options.othersDemand?.();
+    const own = this.demand(model);
+    const others = this.options.othersDemand?.(model);
     const demand = others === undefined ? own : sumDemand([own, others]);
     return this.pools.of(model, (total) => (
-      this.affinity.shortEngines(total, this.options.nodes().length, demand)
+      this.affinity(model).shortEngines(total, this.options.nodes().length, demand)
     ));
   }
 
--- a/src/core/subset.ts
+++ b/src/core/subset.ts
@@ -14,8 +14,8 @@
   readonly enginesPerModel: number;
 }
 
-/** Eight nodes for each engine: with 10,000 engines and 1,800 nodes a node follows about 45. */
-export const DEFAULT_SUBSET_OPTIONS: SubsetOptions = { nodesPerEngine: 8, enginesPerModel: 3 };
+/** With 10,000 engines and 1,800 nodes a node follows about 40, whose reports fit into 4 KB/s. */
+export const DEFAULT_SUBSET_OPTIONS: SubsetOptions = { nodesPerEngine: 5, enginesPerModel: 3 };
 
 function hashName(name: string): number {
   let hash = 0x811c9dc5;
@@ -25,6 +25,18 @@
   return hash >>> 0;
 }
 
+const nodeHashes = new WeakMap<readonly string[], readonly number[]>();
+
+/** Hashes of all names of a list that does not change. */
+function hashesOf(nodes: readonly string[]): readonly number[] {
+  let hashes = nodeHashes.get(nodes);
+  if (hashes === undefined) {
+    hashes = nodes.map(hashName);
+    nodeHashes.set(nodes, hashes);
+  }
+  return hashes;
+}
+
 function mix(left: number, right: number): number {
   let hash = Math.imul(left ^ Math.imul(right, 0x9e3779b1), 0x85ebca6b);
   hash = Math.imul(hash ^ (hash >>> 15), 0xc2b2ae35);
@@ -61,7 +73,7 @@
   opts: SubsetOptions = DEFAULT_SUBSET_OPTIONS,
 ): string[] {
   const self = hashName(node);
-  const others = nodes.filter((name) => name !== node).map(hashName);
+  const others = hashesOf(nodes);
   const chosen = new Set<SubsetEngine>();
   const byWeight = engines
     .map((engine) => ({ engine, hash: hashName(engine.name) }))
@@ -87,7 +99,7 @@
 }
 
 /** Most pairs for which homes are balanced; beyond it each engine goes to the node of the highest weight. */
-const MAX_BALANCED_PAIRS = 4_096;
+const MAX_BALANCED_PAIRS = 1_024;
 
 function spread(buckets: readonly string[], items: readonly string[]): Map<string, string> {
   const pairs = buckets.flatMap((bucket) => items.map((item) => ({
@@ -115,7 +127,7 @@
   if (engines.length === 0 || !nodes.includes(node)) return homes;
   if (engines.length * nodes.length > MAX_BALANCED_PAIRS) {
     const self = hashName(node);
-    const others = nodes.filter((name) => name !== node).map(hashName);
+    const others = hashesOf(nodes);
     for (const engine of engines) {
       if (isAmongFirst(self, others, hashName(engine), 1)) homes.set(engine, 1);
     }
