Move long answers off engines for short ones, and follow demand within 6 s

Cause: after a swing to long answers, a few stragglers stayed on the engines that had come to serve short answers, and slowed every prompt there for two minutes; the division followed the demand too slowly. Change: CostRouter.shouldMove names such answers, which move by KV cache export; demand is smoothed over 6 s instead of 10 s.

--- a/src/bench/mixshift.ts
+++ b/src/bench/mixshift.ts
@@ -6,7 +6,7 @@
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
 import type { PolicyEntry, User } from './policy.js';
 import {
-  createBaselineEntry, createPolicyEntry, createSimulation, SEEDS, shareDemand, summarize, USERS,
+  createBaselineEntry, createPolicyEntry, createSimulation, moveMisplaced, SEEDS, shareDemand, summarize, USERS,
 } from './policy.js';
 import { nameOf, RoleDriver, rolesOf } from './roledriver.js';
 import { isGood } from './simulation.js';
@@ -64,6 +64,7 @@
     return entry;
   });
   shareDemand(simulation, entries, durationMs);
+  moveMisplaced(simulation, durationMs);
   drive(new RoleDriver(simulation, user.failureDomains), entries);
   simulation.run(arrivals, durationMs, TAIL_MS);
   return simulation;
--- a/src/bench/policy.ts
+++ b/src/bench/policy.ts
@@ -171,6 +171,25 @@
   });
 }
 
+const MOVE_PERIOD_MS = 500;
+
+/** Most streams that leave one engine at a time. */
+const MOVES_PER_ENGINE = 3;
+
+/** Moves long answers off engines that have come to serve short ones, by export and import of their KV cache. */
+export function moveMisplaced(simulation: Simulation, untilMs: number): void {
+  simulation.every(MOVE_PERIOD_MS, untilMs, () => {
+    for (const name of simulation.engines.keys()) {
+      simulation.attemptsAt(name)
+        .filter(({ options, placement }) => (
+          placement !== null && (options.entry as PolicyEntry).router.shouldMove(options.item, placement)
+        ))
+        .slice(0, MOVES_PER_ENGINE)
+        .forEach((attempt) => attempt.moveFrom(name));
+    }
+  });
+}
+
 /** Simulation of a user's deployment. */
 export function createSimulation(
   user: User,
--- a/src/core/affinity.ts
+++ b/src/core/affinity.ts
@@ -3,7 +3,7 @@
 import { rendezvousWeight } from './subset.js';
 
 /** Time over which the demand is smoothed, in ms. */
-const SMOOTHING_MS = 10_000;
+const SMOOTHING_MS = 6_000;
 
 /** Decodes that share a step at the target pace. */
 const TYPICAL_BATCH = 16;
--- a/src/core/costrouter.ts
+++ b/src/core/costrouter.ts
@@ -65,6 +65,9 @@
 
 const DEFAULT_DISTANCE_MS = 1;
 
+/** Expected output left below which a move is not worth its interruption. */
+const MIN_MOVE_TOKENS = 20;
+
 function better(a: Choice | null, b: Choice | null): Choice | null {
   if (a === null || b === null) return a ?? b;
   return b.cost < a.cost ? b : a;
@@ -156,6 +159,17 @@
     this.tracker.finished(placement);
   }
 
+  /**
+   * Whether a running long answer should move its KV cache elsewhere, because its engine has come to be one for short
+   * answers: a single decode there slows every prompt by a step for each chunk.
+   */
+  public shouldMove(item: WorkItem, placement: Placement): boolean {
+    const engines = this.engines(item.model);
+    if (!engines.forShort.has(placement.engine) || placement.prefill !== null) return false;
+    if (engines.mixed.length + engines.decode.length <= 1) return false;
+    return this.tracker.longLeft(placement) >= MIN_MOVE_TOKENS;
+  }
+
   private best(question: Question, candidates: number): Choice | null {
     const { engines, base } = question;
     const short = base.expectedOutput <= SHORT_ANSWER_TOKENS;
--- a/src/core/tracker.ts
+++ b/src/core/tracker.ts
@@ -117,6 +117,12 @@
     this.placed.delete(placement);
   }
 
+  /** Expected output left of a long answer that decodes now; 0 for any other. */
+  public longLeft(placement: Placement): number {
+    const work = this.placed.get(placement)?.[0]?.work;
+    return work === undefined || work.short || work.produced === 0 ? 0 : work.outputLeft;
+  }
+
   private firstTokenMs(engine: string, waitingTokens: number): number {
     const { prefillTokensPerMs, chunkTokens } = this.options.speed;
     const load = this.load(engine);
