Change roles only when the loss is three times the price, and prefill on mixed engines too

Cause: with long answers moved off, role changes in swings of a minute cost more than they gained, and prompts for decode engines all went to the few prefill engines. Change: patience 3, capacity of a mixed engine 0.76 tokens/ms, mixed engines prefill for decode engines.

--- a/src/core/costrouter.ts
+++ b/src/core/costrouter.ts
@@ -215,7 +215,7 @@
     if (engines.decode.length === 0) return null;
     const prefill = this.bestWhole(
       { ...question, base: { ...base, expectedOutput: 1 } },
-      engines.prefill.length > 0 ? [engines.prefill] : [engines.mixed],
+      [engines.prefill, engines.mixed],
       candidates,
     );
     const decode = this.bestWhole(
--- a/src/core/roles.ts
+++ b/src/core/roles.ts
@@ -46,7 +46,7 @@
 export const DEFAULT_PLANNER_OPTIONS = {
   changeMs: 6_000,
   moveMs: 50,
-  patience: 1,
+  patience: 3,
   enginesPerChange: 5,
 };
 
--- a/src/core/split.ts
+++ b/src/core/split.ts
@@ -20,7 +20,7 @@
 /** Figures for {@link DEFAULT_ENGINE_SPEED} and 46 ms between tokens. */
 export const DEFAULT_SPLIT_MODEL: SplitModel = {
   decodeTokensPerMs: 1,
-  mixedTokensPerMs: 0.64,
+  mixedTokensPerMs: 0.76,
   mixedPrefillShare: 0.9,
 };
 
