Weigh health observations by their duration

Change: observations are smoothed over 400 ms of observed time; the expected wait of a hedge no longer allows for a second prompt.

--- a/src/bench/hedges.ts
+++ b/src/bench/hedges.ts
@@ -12,9 +12,9 @@
 const EXPECTED_GAP_MS = 70;
 
 /** Typical wait behind one other prompt, and time per prompt token. */
-const EXPECTED_WAIT_MS = 150;
+const EXPECTED_WAIT_MS = 80;
 
-const PROMPT_MS_PER_TOKEN = 0.1;
+const PROMPT_MS_PER_TOKEN = 0.065;
 
 /** Sends hedges for late requests of a simulation, each entry within its own budget. */
 export class HedgeDriver {
--- a/src/core/health.ts
+++ b/src/core/health.ts
@@ -38,8 +38,8 @@
   goodInRow: number;
 }
 
-/** Weight of one observation in an engine's ratio; four slow ones in a row move it past half of the way. */
-const SMOOTHING = 0.2;
+/** Observed time over which an engine's ratio is smoothed; long waits say more than single gaps between tokens. */
+const SMOOTHING_MS = 400;
 
 const MIN_SAMPLES = 3;
 
@@ -85,7 +85,7 @@
     this.add(engine);
     const health = this.engines.get(engine)!;
     const ratio = Math.min(10, observedMs / Math.max(1, expectedMs));
-    health.ratio += SMOOTHING * (ratio - health.ratio);
+    health.ratio += (1 - Math.exp(-observedMs / SMOOTHING_MS)) * (ratio - health.ratio);
     health.samples += 1;
     health.lastAt = this.options.clock.monotonic();
     const limit = this.limit();
