--- a/src/emulator/engineserver.ts
+++ b/src/emulator/engineserver.ts
@@ -6,6 +6,7 @@
 import type { Result } from '../core/result.js';
 import type { EmulatedEngine } from './engine.js';
 import { answerJson, startStandIn } from './server.js';
+import type { StandInRecorder } from './server.js';
 
 const CALL_TIMEOUT_MS = 60_000;
 
@@ -55,7 +56,11 @@
 }
 
 /** Serves an emulated engine over HTTP in the shapes of docs/protocols.md. */
-export function startEngineServer(engine: EmulatedEngine, address: string): Promise<Server> {
+export function startEngineServer(
+  engine: EmulatedEngine,
+  address: string,
+  record?: StandInRecorder,
+): Promise<Server> {
   const opts = { timeoutMs: CALL_TIMEOUT_MS };
   return startStandIn(address, {
     'POST /v1/completions': (body, req, res) => (
@@ -83,5 +88,5 @@
       const after = Number(new URL(req.url ?? '', 'http://engine').searchParams.get('after') ?? 0);
       answer(res, await engine.cacheEvents(after, opts));
     },
-  });
+  }, record);
 }
--- a/src/emulator/server.ts
+++ b/src/emulator/server.ts
@@ -30,14 +30,24 @@
   return key === undefined ? undefined : routes[key];
 }
 
-async function handle(routes: StandInRoutes, req: IncomingMessage, res: ServerResponse): Promise<void> {
+/** Sees each request of a stand-in with its parsed body. */
+export type StandInRecorder = (req: IncomingMessage, body: unknown) => void;
+
+async function handle(
+  routes: StandInRoutes,
+  req: IncomingMessage,
+  res: ServerResponse,
+  record: StandInRecorder,
+): Promise<void> {
   const handler = findHandler(routes, req);
   if (handler === undefined) {
     answerJson(res, 404, { code: 'not_found', message: `no route ${req.method} ${req.url}` });
     return;
   }
   try {
-    await handler(await readJson(req), req, res);
+    const body = await readJson(req);
+    record(req, body);
+    await handler(body, req, res);
   } catch (err) {
     if (!res.headersSent) answerJson(res, 500, { code: 'broken', message: String(err) });
     else res.destroy();
@@ -45,10 +55,14 @@
 }
 
 /** Listens on `<IP>:<port>`; port 0 takes a free one. */
-export function startStandIn(address: string, routes: StandInRoutes): Promise<Server> {
+export function startStandIn(
+  address: string,
+  routes: StandInRoutes,
+  record: StandInRecorder = () => {},
+): Promise<Server> {
   const [host, port] = address.split(':');
   const server = createServer((req, res) => {
-    void handle(routes, req, res);
+    void handle(routes, req, res, record);
   });
   server.keepAliveTimeout = 60_000;
   return new Promise((resolve, reject) => {
--- a/src/emulator/standins.ts
+++ b/src/emulator/standins.ts
@@ -9,6 +9,7 @@
 import { KeyValueStore } from './keyvalue.js';
 import { startKeyValueServer } from './keyvalueserver.js';
 import { EmulatedHostList, EmulatedWeightStore } from './platform.js';
+import type { StandInRecorder } from './server.js';
 import { startPlatformServer } from './platformserver.js';
 import { EmulatedService, ServiceLedger } from './service.js';
 import { startServiceServer } from './serviceserver.js';
@@ -66,12 +67,13 @@
   standIns: StandIns,
   fleet: Fleet,
   platform: { readonly keyValue: string; readonly hostList: string },
+  record?: StandInRecorder,
 ): Promise<Server[]> {
   const { store, hosts, weights } = standIns;
   return Promise.all([
     startKeyValueServer(store, platform.keyValue),
     startPlatformServer(hosts, weights, platform.hostList),
-    ...fleet.engines.map(({ name, address }) => startEngineServer(standIns.engines.get(name)!, address)),
+    ...fleet.engines.map(({ name, address }) => startEngineServer(standIns.engines.get(name)!, address, record)),
     ...fleet.servers.map(({ name, address }) => startServiceServer(standIns.services.get(name)!, address)),
   ]);
 }
--- a/test/support/loopback.ts
+++ b/test/support/loopback.ts
@@ -9,6 +9,7 @@
 import type { EntryProcess } from '../../src/daemon/process.js';
 import type { EngineParameters } from '../../src/emulator/enginemodel.js';
 import { ENGINE_PARAMETERS } from '../../src/emulator/enginemodel.js';
+import type { StandInRecorder } from '../../src/emulator/server.js';
 import { createStandIns, serveStandIns } from '../../src/emulator/standins.js';
 import type { StandIns } from '../../src/emulator/standins.js';
 
@@ -64,13 +65,13 @@
 };
 
 /** Starts stand-ins and entries over loopback in this process and applies a fleet file. */
-export async function startLoopback(entries: number, engines = 2): Promise<Loopback> {
+export async function startLoopback(entries: number, engines = 2, record?: StandInRecorder): Promise<Loopback> {
   const addresses = await freeAddresses(2 + engines + 2 + entries * 3);
   const [keyValue, hostList] = addresses.splice(0, 2) as [string, string];
   const file = fleetFile(addresses.splice(0, engines), addresses.splice(0, 2));
   const fleet = parseFleet(file);
   const standIns = createStandIns(new SystemClock(), fleet, FAST_ENGINE);
-  const servers: Server[] = await serveStandIns(standIns, fleet, { keyValue, hostList });
+  const servers: Server[] = await serveStandIns(standIns, fleet, { keyValue, hostList }, record);
   const callers = addresses.splice(0, entries);
   const operators = addresses.splice(0, entries);
   const peers = addresses.splice(0, entries);
