--- /dev/null
+++ b/src/bench/child.ts
@@ -0,0 +1,62 @@
+import { createServer } from 'node:http';
+import { pipeline } from 'node:stream/promises';
+import { Agent, request } from 'undici';
+import { SystemClock } from '../adapters/system.js';
+import { startEntryProcess } from '../daemon/process.js';
+import { parseSettings, safeParseSecrets } from '../core/settings.js';
+import { EmulatedHostList, EmulatedWeightStore } from '../emulator/platform.js';
+import { KeyValueStore } from '../emulator/keyvalue.js';
+import { startKeyValueServer } from '../emulator/keyvalueserver.js';
+import { startPlatformServer } from '../emulator/platformserver.js';
+import {
+  ENGINE_PORT, ENTRY_SETTINGS, KEY_VALUE_PORT, PIPE_PORT, PLATFORM_PORT,
+} from './children.js';
+import type { ChildTask, Usage } from './children.js';
+import { startUpstream } from './upstream.js';
+
+/** The least that passes a request on: Node's HTTP server, undici, and nothing between. */
+function startPipe(): Promise<void> {
+  const agent = new Agent({ connections: 512, pipelining: 1 });
+  const server = createServer({ noDelay: true }, (req, res) => {
+    void (async () => {
+      const answer = await request(`http://127.0.0.1:${ENGINE_PORT}${req.url}`, {
+        dispatcher: agent, method: 'POST', body: req,
+      });
+      res.writeHead(answer.statusCode, { 'content-type': 'text/event-stream' });
+      await pipeline(answer.body, res);
+    })();
+  });
+  return new Promise((resolve) => {
+    server.listen(PIPE_PORT, '127.0.0.1', 4_096, resolve);
+  });
+}
+
+async function startEntry(): Promise<void> {
+  const settings = parseSettings(ENTRY_SETTINGS, 'bench.ini');
+  const secrets = safeParseSecrets('', 'environment', process.env);
+  if (!secrets.success) throw new Error('the bench sets all secrets');
+  const quiet = { info: () => {}, warn: () => {}, error: () => {} };
+  const started = await startEntryProcess(settings, secrets.data, quiet);
+  if (!started.success) throw new Error(started.error.message);
+}
+
+async function run(task: ChildTask): Promise<void> {
+  if (task.role === 'pipe') await startPipe();
+  else if (task.role === 'entry') await startEntry();
+  else {
+    await startKeyValueServer(new KeyValueStore(new SystemClock()), `127.0.0.1:${KEY_VALUE_PORT}`);
+    await startPlatformServer(new EmulatedHostList(), new EmulatedWeightStore(), `127.0.0.1:${PLATFORM_PORT}`);
+    for (let index = 0; index < task.engines; index += 1) {
+      await startUpstream(`engine-${index}`, ENGINE_PORT + index, task.upstream);
+    }
+  }
+}
+
+process.on('message', () => {
+  globalThis.gc?.();
+  const { user, system } = process.cpuUsage();
+  const usage: Usage = { cpuMs: (user + system) / 1_000, residentBytes: process.memoryUsage().rss };
+  process.send?.(usage);
+});
+await run(JSON.parse(process.argv[2] ?? '{}') as ChildTask);
+process.send?.('ready');
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,4 +1,5 @@
 import { bookings } from './bookings.js';
+import { overhead } from './overhead.js';
 import type { Experiment } from './experiment.js';
 import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
@@ -8,6 +9,7 @@
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
   mixShift,
+  overhead,
   bookings,
   peak,
   headOfLine,
--- /dev/null
+++ b/src/bench/upstream.ts
@@ -0,0 +1,72 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { z } from 'zod';
+
+/** How the wire-level engine answers; the engine's own speed must not matter where an entry is measured. */
+export interface UpstreamOptions {
+  readonly tokens: number;
+  /** Time between tokens in ms. */
+  readonly spacingMs: number;
+}
+
+const callSchema = z.object({ requestId: z.string(), attemptId: z.string() });
+
+async function readBody(req: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString();
+}
+
+function json(res: ServerResponse, body: unknown): void {
+  res.writeHead(200, { 'content-type': 'application/json' });
+  res.end(JSON.stringify(body));
+}
+
+async function generate(req: IncomingMessage, res: ServerResponse, opts: UpstreamOptions): Promise<void> {
+  const { requestId, attemptId } = callSchema.parse(JSON.parse(await readBody(req)));
+  const ids = { requestId, attemptId };
+  let index = 0;
+  res.writeHead(200, { 'content-type': 'text/event-stream' });
+  const step = (): void => {
+    if (res.destroyed) return;
+    if (index === opts.tokens) {
+      const end = {
+        type: 'end', ...ids, index, reason: 'stop', promptTokens: 100,
+      };
+      res.end(`data: ${JSON.stringify(end)}\n\n`);
+      return;
+    }
+    res.write(`data: ${JSON.stringify({
+      type: 'token', ...ids, index, text: ' word',
+    })}\n\n`);
+    index += 1;
+    setTimeout(step, opts.spacingMs);
+  };
+  step();
+}
+
+/** Serves one engine of the fleet over its wire protocol, without a timing model. */
+export function startUpstream(engine: string, port: number, opts: UpstreamOptions): Promise<void> {
+  const server = createServer({ keepAliveTimeout: 60_000, noDelay: true }, (req, res) => {
+    if (req.url === '/v1/completions') void generate(req, res, opts);
+    else if (req.url === '/admin/status') {
+      json(res, {
+        engine, incarnation: '1', role: 'mixed', models: [{ model: 'bench', version: '1' }], orders: {}, leaving: false,
+      });
+    } else if (req.url === '/load') {
+      json(res, {
+        engine,
+        ageMs: 0,
+        running: 0,
+        queued: 0,
+        queuedPromptTokens: 0,
+        kvBlocksUsed: 0,
+        kvBlocksTotal: 1_000_000,
+        leaving: false,
+      });
+    } else json(res, []);
+  });
+  return new Promise((resolve) => {
+    server.listen(port, '127.0.0.1', 4_096, resolve);
+  });
+}
