--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,5 +1,7 @@
 import { bookings } from './bookings.js';
 import { overhead } from './overhead.js';
+import { start } from './start.js';
+import { streams } from './streams.js';
 import type { Experiment } from './experiment.js';
 import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
@@ -10,6 +12,8 @@
 export const EXPERIMENTS: readonly Experiment[] = [
   mixShift,
   overhead,
+  streams,
+  start,
   bookings,
   peak,
   headOfLine,
--- /dev/null
+++ b/src/bench/start.ts
@@ -0,0 +1,82 @@
+import { execFileSync, spawn } from 'node:child_process';
+import {
+  existsSync, mkdtempSync, rmSync, writeFileSync,
+} from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { askEntry } from '../cli/client.js';
+import {
+  CALLER_PORT, Child, ENTRY_SETTINGS, SECRET_ENVIRONMENT,
+} from './children.js';
+import type { Experiment, Verdict } from './experiment.js';
+import { prepareEntry } from './overhead.js';
+
+const ENGINES = 10;
+const STARTS = 5;
+const BOUND_MS = 1_000;
+const POLL_MS = 5;
+const GIVE_UP_MS = 20_000;
+
+const root = fileURLToPath(new URL('../..', import.meta.url));
+const binary = join(root, 'dist', 'catkinscale');
+
+const BODY = JSON.stringify({ model: 'bench', prompt: 'Is the hen well?', max_tokens: 1 });
+
+/** Time from the start of the process to its first whole answer. */
+async function coldStart(settings: string): Promise<number> {
+  const started = performance.now();
+  const child = spawn(binary, ['serve', settings], {
+    env: { ...process.env, ...SECRET_ENVIRONMENT }, stdio: 'ignore',
+  });
+  try {
+    while (performance.now() - started < GIVE_UP_MS) {
+      const reply = await askEntry({
+        address: `127.0.0.1:${CALLER_PORT}`, method: 'POST', path: '/v1/completions', body: BODY, timeoutMs: 5_000,
+      });
+      if (reply.success && reply.data.status === 200) return performance.now() - started;
+      await new Promise((resolve) => {
+        setTimeout(resolve, POLL_MS);
+      });
+    }
+    return GIVE_UP_MS;
+  } finally {
+    const exited = new Promise((resolve) => {
+      child.once('exit', resolve);
+    });
+    child.kill('SIGKILL');
+    await exited;
+  }
+}
+
+/** Cold start of the binary to its first served request. */
+export const start: Experiment = {
+  name: 'start',
+  shows: 'time from starting the binary, with the fleet file in the key-value service, to the first whole answer',
+  target: 'under 1 s',
+  variants: ['binary'],
+  async run(opts): Promise<Verdict> {
+    if (!existsSync(binary)) execFileSync('npm', ['run', 'build'], { cwd: root, stdio: 'ignore' });
+    const directory = mkdtempSync(join(tmpdir(), 'catkinscale-'));
+    const settings = join(directory, 'entry.ini');
+    writeFileSync(settings, ENTRY_SETTINGS);
+    const upstream = await Child.start({
+      role: 'upstream', engines: ENGINES, upstream: { tokens: 1, spacingMs: 1 },
+    });
+    try {
+      const first = await Child.start({ role: 'entry' });
+      await prepareEntry(ENGINES);
+      await first.stop();
+      let slowest = 0;
+      for (let { seed } = opts; seed < opts.seed + STARTS; seed += 1) {
+        const startMs = Math.round(await coldStart(settings));
+        slowest = Math.max(slowest, startMs);
+        opts.emit({ variant: `start-${seed}`, start_ms: startMs });
+      }
+      return { pass: slowest < BOUND_MS, figure: { slowest_ms: slowest } };
+    } finally {
+      await upstream.stop();
+      rmSync(directory, { recursive: true });
+    }
+  },
+};
