--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -26,8 +26,8 @@
   const stop = (): void => {
     void running.stop();
   };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
   const report = await running.stopped;
   process.off('SIGTERM', stop);
   process.off('SIGINT', stop);
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -89,8 +89,9 @@
     const lines: string[] = [];
     const simple = (series: Series<number>, type: string, suffix: string): void => {
       for (const [name, cells] of series) {
-        lines.push(`# TYPE ${PREFIX}${name}${suffix} ${type}`);
-        for (const [labels, value] of cells) lines.push(`${PREFIX}${name}${suffix}${braces(labels)} ${value}`);
+        const full = `${PREFIX}${name.endsWith(suffix) ? name : name + suffix}`;
+        lines.push(`# TYPE ${full} ${type}`);
+        for (const [labels, value] of cells) lines.push(`${full}${braces(labels)} ${value}`);
       }
     };
     simple(this.counters, 'counter', '_total');
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -88,10 +88,12 @@
 
   it('renders metrics in the Prometheus text format', async () => {
     metrics.count('caller_answers', 2, { form: 'stream' });
+    metrics.count('stream_moves_total');
     metrics.gauge('open_streams', 5);
     metrics.record('caller_first_token_ms', 12.5);
     const { text } = await send('GET', '/metrics');
     expect(text).toContain('# TYPE catkinscale_caller_answers_total counter\ncatkinscale_caller_answers_total{form="stream"} 2\n');
+    expect(text).toContain('catkinscale_stream_moves_total 1\n');
     expect(text).toContain('catkinscale_open_streams 5\n');
     expect(text).toMatch(/catkinscale_caller_first_token_ms\{quantile="0.99"\} 12\.\d+\n/);
     expect(text).toContain('catkinscale_caller_first_token_ms_count 1\n');
