Run the processes of the bench from a bundle

Cause: the development loader wraps every function, which could have been the cost that the overhead bench showed. Change: the child program of the bench is bundled as the product is.

--- a/src/bench/child.ts
+++ b/src/bench/child.ts
@@ -58,5 +58,7 @@
   const usage: Usage = { cpuMs: (user + system) / 1_000, residentBytes: process.memoryUsage().rss };
   process.send?.(usage);
 });
-await run(JSON.parse(process.argv[2] ?? '{}') as ChildTask);
-process.send?.('ready');
+void (async () => {
+  await run(JSON.parse(process.argv[2] ?? '{}') as ChildTask);
+  process.send?.('ready');
+})();
--- a/src/bench/children.ts
+++ b/src/bench/children.ts
@@ -1,6 +1,7 @@
 import { fork } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
+import { build } from 'esbuild';
 import type { UpstreamOptions } from './upstream.js';
 
 /** Work of a child process of the bench. */
@@ -68,15 +69,34 @@
   return `[fleet]\nname = bench\n[model.bench]\nversion = 1\n[workspace.default]\nweight = 1\n${sections.join('')}`;
 }
 
+let bundled: Promise<string> | null = null;
+
+/** Bundles the child program as the product is bundled; the development loader adds a cost to every function. */
+async function bundle(): Promise<string> {
+  const outfile = fileURLToPath(new URL('../../dist/bench/child.cjs', import.meta.url));
+  await build({
+    entryPoints: [fileURLToPath(new URL('./child.ts', import.meta.url))],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    logLevel: 'error',
+    define: { 'import.meta.url': 'importMetaUrl' },
+    banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href;" },
+  });
+  return outfile;
+}
+
 /** Child process of the bench. */
 export class Child {
   private constructor(private readonly child: ChildProcess) {}
 
   /** Starts a child and waits until it is ready. */
   public static async start(task: ChildTask): Promise<Child> {
-    const file = fileURLToPath(new URL('./child.ts', import.meta.url));
-    const child = fork(file, [JSON.stringify(task)], {
-      execArgv: [...process.execArgv, '--expose-gc'],
+    bundled ??= bundle();
+    const child = fork(await bundled, [JSON.stringify(task)], {
+      execArgv: ['--expose-gc'],
       env: { ...process.env, ...SECRET_ENVIRONMENT },
       stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
     });
