--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -9,13 +9,13 @@
 import { ExitCode } from '../src/cli/outcome.js';
 import { run } from '../src/cli/program.js';
 import type { RunningEntry, StartEntry } from '../src/cli/serve.js';
-import { listenCallers } from '../src/daemon/callers.js';
 import type { HttpListener } from '../src/daemon/http.js';
 import { listenOperators } from '../src/daemon/operators.js';
-import { SystemClock } from '../src/adapters/system.js';
 import { fail, ok } from '../src/core/result.js';
 import { Secret } from '../src/core/settings.js';
-import { FakeEntry, quietLog, quietMeter } from './support/fakes.js';
+import { CallerBench } from './support/callers.js';
+import { quietLog } from './support/fakes.js';
+import type { FakeEntry } from './support/fakes.js';
 
 const TOKEN = 'operator-token-of-the-test';
 const FLEET = '[fleet]\nname = halvorsen\n';
@@ -39,7 +39,7 @@
 
 let entry: FakeEntry;
 let operators: HttpListener;
-let callers: HttpListener;
+let callers: CallerBench;
 let directory: string;
 let output: string;
 
@@ -56,30 +56,17 @@
 }
 
 beforeEach(async () => {
-  entry = new FakeEntry();
-  const clock = new SystemClock();
-  const opened = await Promise.all([
-    listenOperators(entry, {
-      address: '127.0.0.1:0',
-      token: new Secret(TOKEN),
-      log: quietLog,
-      renderMetrics: () => '',
-      drain: () => entry.drain(),
-    }),
-    listenCallers(entry, {
-      address: '127.0.0.1:0',
-      limits: { body: 1_000, connections: 8, headerTimeout: 1_000 },
-      buffer: 1_024,
-      stall: 1_000,
-      clock,
-      log: quietLog,
-      meter: quietMeter,
-    }),
-  ]);
-  [operators, callers] = opened.map((result) => {
-    if (!result.success) throw new Error(result.error.message);
-    return result.data;
-  }) as [HttpListener, HttpListener];
+  callers = await CallerBench.open();
+  entry = callers.entry;
+  const opened = await listenOperators(entry, {
+    address: '127.0.0.1:0',
+    token: new Secret(TOKEN),
+    log: quietLog,
+    renderMetrics: () => '',
+    drain: () => entry.drain(),
+  });
+  if (!opened.success) throw new Error(opened.error.message);
+  operators = opened.data;
   directory = mkdtempSync(join(tmpdir(), 'catkinscale-'));
   vi.stubEnv('CATKINSCALE_OPERATOR_TOKEN', TOKEN);
   output = '';
@@ -95,7 +82,7 @@
   vi.restoreAllMocks();
   vi.unstubAllEnvs();
   operators.destroy();
-  callers.destroy();
+  callers.close();
   rmSync(directory, { recursive: true });
 });
 
@@ -189,7 +176,7 @@
     expect(await cli('show', ...at)).toBe(ExitCode.Done);
     expect(await cli('dump', ...at)).toBe(ExitCode.Done);
     expect(await cli('drain', ...at)).toBe(ExitCode.Done);
-    expect(await cli('address', '--at', callers.address)).toBe(ExitCode.Done);
+    expect(await cli('address', '--at', callers.base.slice('http://'.length))).toBe(ExitCode.Done);
     const [shown, dumped, drained, address] = output.trimEnd().split('\n');
     expect(JSON.parse(shown!)).toMatchObject({ revision: 3 });
     expect(JSON.parse(dumped!)).toEqual({ entry: { name: 'one' } });
