--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,4 +1,7 @@
 import { bookings } from './bookings.js';
+import { overhead } from './overhead.js';
+import { start } from './start.js';
+import { streams } from './streams.js';
 import type { Experiment } from './experiment.js';
 import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
@@ -8,6 +11,9 @@
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
   mixShift,
+  overhead,
+  streams,
+  start,
   bookings,
   peak,
   headOfLine,
