--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -114,8 +114,7 @@
     if (intent?.state !== 'open') {
       return { type: this.isClear(name, intent, status) ? 'ready' : 'waiting', status };
     }
-    const current = intent.term === tenure.term ? intent : await this.takeOver(name, intent, tenure);
-    if (current !== null) await this.continue(engine, current, status, tenure, mayDisturb);
+    await this.continue(engine, intent, status, tenure, mayDisturb);
     return { type: 'open', status, action: intent.action };
   }
 
@@ -171,14 +170,20 @@
     const state = status.orders[intent.orderId];
     if (state !== undefined) {
       this.deliveries.arrived(name, intent);
-      if (state !== OrderState.Running) await this.settle(name, intent, state === OrderState.Done ? 'done' : 'failed');
+      if (state === OrderState.Running) return;
+      // A holder has at most one copy on its way, so the only sender of an order that the engine knows has no other.
+      const [sender] = intent.senders;
+      const arrived = intent.senders.length === 1 && sender?.term === intent.term && !this.deliveries.isPending(name);
+      const settled = arrived ? { ...intent, senders: [] } : intent;
+      await this.settle(name, settled, state === OrderState.Done ? 'done' : 'failed');
       return;
     }
     if (this.deliveries.isPending(name) || Object.values(status.orders).includes(OrderState.Running)) return;
     if (inEffect(intent.action, status)) await this.settle(name, intent, 'done');
     else if (this.deliveries.count(name, intent) >= MAX_SENDS) await this.settle(name, intent, 'failed');
     else if (mayDisturb(intent.action, status) && await this.permits.mayRun(name, intent.action)) {
-      await this.send(engine, intent, tenure);
+      const own = intent.term === tenure.term ? intent : await this.takeOver(name, intent, tenure);
+      if (own !== null) await this.send(engine, own, tenure);
     }
   }
 
