--- a/src/bench/policy.ts
+++ b/src/bench/policy.ts
@@ -1,3 +1,5 @@
+import type { Demand } from '../core/affinity.js';
+import { NO_DEMAND, sumDemand } from '../core/affinity.js';
 import { FifoDispatcher } from '../core/dispatch.js';
 import { EngineDirectory } from '../core/directory.js';
 import type { Role } from '../core/edges.js';
@@ -93,6 +95,8 @@
 export interface PolicyEntry extends SimulatedEntry {
   readonly router: CostRouter;
   readonly health: HealthTracker;
+  /** Demand of the other entries as last published. */
+  readonly others: Demand;
 }
 
 /** Options of {@link createPolicyEntry}. */
@@ -112,6 +116,7 @@
   const { clock, random, user } = opts;
   const directory = new EngineDirectory();
   const health = new HealthTracker({ clock, ...DEFAULT_HEALTH_OPTIONS });
+  const others: Demand = { ...NO_DEMAND };
   const learner = new MeanOutput();
   const router = new CostRouter({
     clock,
@@ -122,6 +127,7 @@
     failureDomain: user.failureDomains[opts.index % user.failureDomains.length]!,
     hasRoom: () => true,
     expectedOutput: (item) => learner.expected(item),
+    othersDemand: () => others,
     ...(opts.health === false ? {} : {
       healthWeight: (engine: string) => health.weight(engine),
       onObservation: (engine: string, observedMs: number, expectedMs: number) => {
@@ -135,6 +141,7 @@
     directory,
     router,
     health,
+    others,
     dispatcher: new FifoDispatcher({ clock, router: learner, maxQueued: 10_000 }),
     report: (engine, load) => router.report(engine, load, clock.monotonic() - load.at),
   };
@@ -147,6 +154,18 @@
   return { directory, dispatcher: new FifoDispatcher({ clock, router, maxQueued: 10_000 }) };
 }
 
+const DEMAND_PERIOD_MS = 1_000;
+
+/** Lets entries publish their demand to each other every second, as they do with their heartbeats. */
+export function shareDemand(simulation: Simulation, entries: readonly PolicyEntry[], untilMs: number): void {
+  simulation.every(DEMAND_PERIOD_MS, untilMs, () => {
+    const published = entries.map((entry) => entry.router.demand());
+    entries.forEach((entry, index) => {
+      Object.assign(entry.others, sumDemand(published.filter((_, other) => other !== index)));
+    });
+  });
+}
+
 /** Simulation of a user's deployment. */
 export function createSimulation(
   user: User,
--- a/src/core/tracker.ts
+++ b/src/core/tracker.ts
@@ -1,12 +1,14 @@
 import type { Clock } from './edges.js';
-import type { EngineSpeed, OwnWork, ReportedLoad } from './load.js';
-import { EngineLoad, SHORT_ANSWER_TOKENS } from './load.js';
+import type { EngineSpeed, ReportedLoad } from './load.js';
+import { EngineLoad, OwnWork, SHORT_ANSWER_TOKENS } from './load.js';
 import type { Placement } from './placement.js';
 
 /** Options of {@link WorkTracker}. */
 export interface WorkTrackerOptions {
   readonly clock: Clock;
   readonly speed: EngineSpeed;
+  /** Number of other nodes that use the same engines. */
+  readonly peers: () => number;
   /** Receives each own observation of a time between tokens or to a first token, with its expectation. */
   readonly onObservation: (engine: string, observedMs: number, expectedMs: number) => void;
 }
@@ -19,7 +21,7 @@
 }
 
 /** Added to the expected first-token time, so that work of other nodes does not look like a slow engine. */
-const FIRST_TOKEN_ALLOWANCE_MS = 150;
+const FIRST_TOKEN_ALLOWANCE_MS = 300;
 
 /** Counts the work of this node at each engine, and keeps the late reports. */
 export class WorkTracker {
@@ -27,8 +29,6 @@
 
   private readonly placed = new Map<Placement, Placed[]>();
 
-  private reportedOthers = 0;
-
   public constructor(private readonly options: WorkTrackerOptions) {}
 
   /** Load of an engine; created on first use. */
@@ -43,7 +43,7 @@
 
   /** Requests of other nodes that are expected to run at an engine. */
   public others(engine: string): number {
-    return this.load(engine).others(this.options.clock.monotonic(), this.reportedOthers / this.loads.size);
+    return this.load(engine).others(this.options.clock.monotonic(), this.options.peers());
   }
 
   /** Own prompt tokens that are expected to wait for prefill at an engine. */
@@ -58,10 +58,7 @@
   }
 
   public report(engine: string, reported: ReportedLoad, ageMs: number): void {
-    const load = this.load(engine);
-    this.reportedOthers -= load.reportedOthers;
-    load.report(this.options.clock.monotonic(), reported, ageMs);
-    this.reportedOthers += load.reportedOthers;
+    this.load(engine).report(this.options.clock.monotonic(), reported, ageMs);
   }
 
   public started(placement: Placement, prefillTokens: number, expectedOutput: number): void {
@@ -69,14 +66,13 @@
     const short = expectedOutput <= SHORT_ANSWER_TOKENS;
     const add = (engine: string, promptLeft: number, outputLeft: number, prefillOnly: boolean): void => {
       const load = this.load(engine);
-      const work: OwnWork = {
+      const work = new OwnWork(
         promptLeft,
         outputLeft,
-        short: short && placement.prefill === null,
-        expectedFirstTokenMs: this.firstTokenMs(engine, this.promptWaiting(engine) + promptLeft),
-        lastTokenAt: this.options.clock.monotonic(),
-        produced: 0,
-      };
+        short && placement.prefill === null,
+        this.firstTokenMs(engine, this.promptWaiting(engine) + promptLeft),
+        this.options.clock.monotonic(),
+      );
       load.add(work, this.options.clock.monotonic());
       placed.push({ engine, work, prefillOnly });
     };
@@ -109,7 +105,7 @@
         this.options.onObservation(engine, (now - work.lastTokenAt) / tokens, this.gapMs(engine));
       }
       const expected = work.produced + work.outputLeft;
-      Object.assign(work, { produced, lastTokenAt: now });
+      work.advance(produced, now);
       // An answer that outruns its estimate is expected to run on for a quarter of its length.
       load.update(work, work.promptLeft, Math.max(expected - produced, produced / 4), now);
     }
@@ -129,10 +125,9 @@
       + (decodes ? Math.ceil(waitingTokens / chunkTokens) * this.stepMs(engine) : 0);
   }
 
+  // A chunk of prefill work may be in any step, so it is always part of the expectation.
   private gapMs(engine: string): number {
     const { prefillTokensPerMs, chunkTokens } = this.options.speed;
-    const load = this.load(engine);
-    const prefill = load.promptLeft > 0 || load.prefillShare > 0.05;
-    return this.stepMs(engine) + (prefill ? chunkTokens / prefillTokensPerMs : 0);
+    return this.stepMs(engine) + chunkTokens / prefillTokensPerMs;
   }
 }
