Test planning, and leave the drains of an ended tenure to expire

Cause: a holder whose tenure had ended released its drains at all entries, which could end a drain of the next holder and cut requests. A role planner that reuses its map was followed only at the next survey of an engine. Change: drains end with the tenure's signal. The role plan is copied.

--- a/src/bench/planners.ts
+++ b/src/bench/planners.ts
@@ -7,7 +7,7 @@
 import type { EngineSpec, Fleet } from '../core/fleet.js';
 import { Orders } from '../core/orders.js';
 import { Planning } from '../core/planning.js';
-import type { EngineDrain } from '../core/planning.js';
+import type { EngineDrain, RolePlanner } from '../core/planning.js';
 import { sleep } from '../core/time.js';
 import { SimulatedClock } from '../emulator/clock.js';
 import { EmulatedEngine } from '../emulator/engine.js';
@@ -28,6 +28,8 @@
   readonly engines?: number;
   readonly without?: Protection | undefined;
   readonly drain?: EngineDrain;
+  readonly roles?: RolePlanner;
+  readonly awayShare?: number;
 }
 
 /** Length of the authority lease in ms. */
@@ -129,7 +131,7 @@
       orders,
       fleet: () => this.fleet,
       engine: ({ name }) => reached.get(name)!,
-      roles: { plan: () => new Map() },
+      roles: this.options.roles ?? { plan: () => new Map() },
       drain: this.options.drain ?? {
         drain: async () => {
           await sleep(host.clock, 50);
@@ -137,7 +139,7 @@
         },
         release: () => {},
       },
-      awayShare: 1,
+      awayShare: this.options.awayShare ?? 1,
     });
     const { signal } = new AbortController();
     void authority.run(signal);
--- a/src/core/planning.ts
+++ b/src/core/planning.ts
@@ -24,7 +24,7 @@
 export interface EngineDrain {
   /**
    * Stops new work at the engine on all entries and waits until it has none. False if work is left after `boundMs`
-   * or `signal` aborts. A drain ends by itself when the process that asked for it is gone.
+   * or `signal` aborts. A drain ends by itself when `signal` aborts or the process that asked for it is gone.
    */
   drain(engine: string, opts: { readonly boundMs: number; readonly signal: AbortSignal }): Promise<boolean>;
   /** Lets new work in again. */
@@ -141,7 +141,9 @@
       this.pass(signal);
       await sleep(clock, PASS_MS, signal);
     }
-    for (const engine of [...this.drains.keys()]) this.endDrain(engine);
+    // The drains end with the signal. A release from here could end a drain of the next holder.
+    for (const engine of this.drains.keys()) orders.unreserve(engine);
+    this.drains.clear();
   }
 
   private pass(signal: AbortSignal): void {
@@ -151,7 +153,7 @@
     this.passes += 1;
     if (fleet !== this.fleet) this.dueAt.clear();
     this.fleet = fleet;
-    const planned = roles.plan(fleet, this.statuses);
+    const planned = new Map(roles.plan(fleet, this.statuses));
     for (const spec of fleet.engines) {
       if (planned.get(spec.name) !== this.planned.get(spec.name)) this.dueAt.delete(spec.name);
     }
