Keep the rate of reads for authority independent of the size of the fleet

Cause: every entry looked for a free lease more than once a second, which 1,800 nodes would turn into 2,400 reads/s. Change: the 5 lowest members by rendezvous hash read often, the others so rarely that their total stays the same. The records of authority move to core/terms.ts. Conclusion: the reads for authority no longer grow with the fleet.

--- a/src/core/abandonment.ts
+++ b/src/core/abandonment.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import type { Authority, Holder } from './authority.js';
+import type { Authority } from './authority.js';
 import type {
   Clock, Disposable, PeerClient, PeerError, PeerServer,
 } from './edges.js';
@@ -101,7 +101,7 @@
 
   private async ask(sender: Sender, found: Case): Promise<void> {
     const { clock, peers } = this.options;
-    const holder: Holder = sender.holder;
+    const { holder } = sender;
     const params = { term: sender.term };
     const result = await peers.call(holder.address, ABANDON_METHOD, params, { timeoutMs: CALL_TIMEOUT_MS });
     const answer = result.success ? answerSchema.safeParse(result.data) : null;
--- a/src/core/authority.ts
+++ b/src/core/authority.ts
@@ -1,24 +1,16 @@
-import { z } from 'zod';
-import { KeyValueErrorCode } from './edges.js';
 import type {
-  CallOptions, CasOperation, Clock, Disposable, KeyValue, KeyValueEntry, Log, Meter, Random,
+  Clock, Disposable, KeyValue, Log, Meter, Random,
 } from './edges.js';
+import type { Members } from './membership.js';
+import { lowestByRendezvous } from './rendezvous.js';
+import { AUTHORITY_KEY, Terms } from './terms.js';
+import type { Holder, Seen } from './terms.js';
 import { sleep } from './time.js';
 
-/** Key that the holder's lease keeps alive. */
-export const AUTHORITY_KEY = 'authority';
+export type { Holder } from './terms.js';
 
-/** Key without lease that holds the last term, so that no term is used twice across expiry. */
-export const TERM_KEY = 'authority/term';
-
-export const holderSchema = z.object({ member: z.string(), address: z.string(), incarnation: z.string() });
-
-/** Process that holds or held authority. */
-export type Holder = z.infer<typeof holderSchema>;
-
-const recordSchema = z.object({ attempt: z.string(), holder: holderSchema });
-
-const termSchema = z.object({ attempt: z.string(), term: z.number().int().nonnegative() });
+/** Entries that look for a free lease several times in each lease length. */
+const FREQUENT_READERS = 5;
 
 /** Time for which this process holds authority under one term. */
 export interface Tenure {
@@ -36,13 +28,6 @@
   validUntil: number;
 }
 
-interface Seen {
-  readonly authority: z.infer<typeof recordSchema> | null;
-  readonly held: boolean;
-  readonly term: z.infer<typeof termSchema> | null;
-  readonly termVersion: number;
-}
-
 type Attempt = 'acquired' | 'taken' | 'unavailable';
 
 /** Options of {@link Authority}. */
@@ -56,17 +41,10 @@
   readonly leaseMs?: number;
   /** Share of the lease kept as a margin for clock drift between this process and the service. */
   readonly marginShare?: number;
-  /** Whether this process competes for authority now; a large fleet lets only a few do so. */
+  /** Whether this process competes for authority now. */
   readonly isCandidate?: () => boolean;
-}
-
-function decode<T>(schema: z.ZodType<T>, entry: KeyValueEntry | undefined): T | null {
-  if (entry === undefined) return null;
-  try {
-    return schema.safeParse(JSON.parse(entry.value)).data ?? null;
-  } catch {
-    return null;
-  }
+  /** Other entries; in a large fleet, only a few of them look for a free lease often. */
+  readonly members?: Members;
 }
 
 /** Planning authority: at most one process may act at a time, under a term that grows with each acquisition. */
@@ -75,6 +53,8 @@
 
   public readonly holder: Holder;
 
+  private readonly terms: Terms;
+
   private held: Held | null = null;
 
   private highestTerm = 0;
@@ -83,8 +63,6 @@
 
   private released = false;
 
-  private calls = 0;
-
   private acquisitions = 0;
 
   private lastLoss: { readonly reason: string; readonly at: number } | null = null;
@@ -94,6 +72,7 @@
   public constructor(private readonly options: AuthorityOptions) {
     this.leaseMs = options.leaseMs ?? 3_000;
     this.holder = options.holder;
+    this.terms = new Terms(options.keyValue, { timeoutMs: this.leaseMs / 3 });
   }
 
   /** Highest term that this process has held; 0 before the first. */
@@ -129,7 +108,7 @@
     const { held } = this;
     if (held === null) return;
     this.standDown('released');
-    await this.revoke(held.leaseId);
+    await this.terms.revoke(held.leaseId);
   }
 
   /** Competes for authority and renews it until `signal` aborts; an abort leaves the lease to expire. */
@@ -155,27 +134,26 @@
       abandoned_term: this.abandonedTerm,
       acquisitions: this.acquisitions,
       last_loss: this.lastLoss === null ? null : { reason: this.lastLoss.reason, age_ms: now - this.lastLoss.at },
-      service_calls: this.calls,
+      service_calls: this.terms.calls,
     };
   }
 
   private async attempt(signal: AbortSignal): Promise<Attempt> {
-    const { clock, random, keyValue } = this.options;
-    const first = await this.read();
+    const { clock, random } = this.options;
+    const first = await this.terms.read();
     if (first === null) return 'unavailable';
     if (first.held) return 'taken';
     // Candidates find the key absent at about the same time; the spread lets the first one win before others write.
     await sleep(clock, random.float() * (this.leaseMs / 6), signal);
     if (signal.aborted || this.released) return 'taken';
-    const seen = await this.read();
+    const seen = await this.terms.read();
     if (seen === null) return 'unavailable';
     if (seen.held) return 'taken';
     const grantedAt = clock.monotonic();
-    this.calls += 1;
-    const lease = await keyValue.leaseGrant(this.leaseMs, this.callOptions());
-    if (!lease.success) return 'unavailable';
-    const outcome = await this.take(lease.data, grantedAt, seen);
-    if (outcome !== 'acquired') await this.revoke(lease.data);
+    const leaseId = await this.terms.grant(this.leaseMs);
+    if (leaseId === null) return 'unavailable';
+    const outcome = await this.take(leaseId, grantedAt, seen);
+    if (outcome !== 'acquired') await this.terms.revoke(leaseId);
     return outcome;
   }
 
@@ -191,15 +169,12 @@
         return this.begin(seen.term.term, leaseId, validUntil);
       }
       const term = Math.max(seen.term?.term ?? 0, this.highestTerm, this.abandonedTerm) + 1;
-      const write = await this.write([
-        ...(owned ? [] : [{
-          key: AUTHORITY_KEY, expected: 0, value: JSON.stringify({ attempt, holder }), leaseId,
-        }]),
-        { key: TERM_KEY, expected: seen.termVersion, value: JSON.stringify({ attempt, term }) },
-      ]);
-      if (write === 'unavailable') return 'unavailable';
+      const claim = {
+        attempt, holder, leaseId, term,
+      };
+      if (!await this.terms.take(owned, seen, claim)) return 'unavailable';
       // The read settles a lost answer and a term that another candidate took in between.
-      const next = await this.read();
+      const next = await this.terms.read();
       if (next === null) return 'unavailable';
       seen = next;
     }
@@ -224,7 +199,7 @@
   }
 
   private async keep(signal: AbortSignal): Promise<void> {
-    const { clock, random, keyValue } = this.options;
+    const { clock, random } = this.options;
     const { held } = this;
     if (held === null) return;
     let delayMs = this.leaseMs / 3;
@@ -233,22 +208,17 @@
       const remainingMs = held.validUntil - clock.monotonic();
       if (remainingMs <= 0) {
         this.standDown('not renewed in time');
-        await this.revoke(held.leaseId);
+        await this.terms.revoke(held.leaseId);
         return;
       }
       await sleep(clock, Math.min(delayMs, remainingMs), ended);
       const sentAt = clock.monotonic();
       if (ended.aborted || sentAt >= held.validUntil) continue;
-      this.calls += 1;
-      const renewed = await keyValue.leaseRenew(held.leaseId, this.callOptions());
-      if (renewed.success) {
-        held.validUntil = sentAt + this.validMs();
-        delayMs = this.leaseMs / 3;
-      } else if (renewed.error.code === KeyValueErrorCode.LeaseNotFound) {
-        if (this.held === held) this.standDown('lease expired');
-      } else {
-        delayMs = (this.leaseMs / 12) * (0.5 + random.float());
-      }
+      const renewed = await this.terms.renew(held.leaseId);
+      delayMs = this.leaseMs / 3;
+      if (renewed === 'renewed') held.validUntil = sentAt + this.validMs();
+      else if (renewed === 'unknown') delayMs = (this.leaseMs / 12) * (0.5 + random.float());
+      else if (this.held === held) this.standDown('lease expired');
     }
   }
 
@@ -263,46 +233,27 @@
     this.notify();
   }
 
-  private async revoke(leaseId: string): Promise<void> {
-    this.calls += 1;
-    await this.options.keyValue.leaseRevoke(leaseId, this.callOptions());
-  }
-
-  private async read(): Promise<Seen | null> {
-    this.calls += 1;
-    const result = await this.options.keyValue.range(AUTHORITY_KEY, this.callOptions());
-    if (!result.success) return null;
-    const authority = result.data.find(({ key }) => key === AUTHORITY_KEY);
-    const term = result.data.find(({ key }) => key === TERM_KEY);
-    return {
-      authority: decode(recordSchema, authority),
-      held: authority !== undefined,
-      term: decode(termSchema, term),
-      termVersion: term?.version ?? 0,
-    };
-  }
-
-  private async write(operations: readonly CasOperation[]): Promise<'sent' | 'unavailable'> {
-    this.calls += 1;
-    const result = await this.options.keyValue.transact(operations, this.callOptions());
-    if (result.success || result.error.code === KeyValueErrorCode.OutcomeUnknown) return 'sent';
-    return 'unavailable';
-  }
-
-  private callOptions(): CallOptions {
-    return { timeoutMs: this.leaseMs / 3 };
-  }
-
   private validMs(): number {
     return this.leaseMs * (1 - (this.options.marginShare ?? 0.2));
   }
 
   /** Jittered wait; doubles with failures up to one lease, so that candidates return spread out after an outage. */
   private waitMs(failures: number): number {
-    const spreadMs = Math.min(this.leaseMs, (this.leaseMs / 3) * 2 ** Math.max(0, failures - 1));
+    const spreadMs = this.isFrequentReader()
+      ? Math.min(this.leaseMs, (this.leaseMs / 3) * 2 ** Math.max(0, failures - 1))
+      : this.leaseMs * Math.max(1, (this.options.members?.live().length ?? 0) / FREQUENT_READERS);
     return spreadMs * (0.5 + 0.5 * this.options.random.float());
   }
 
+  /** The others read so rarely that the total rate stays the same as the fleet grows. */
+  private isFrequentReader(): boolean {
+    const { members } = this.options;
+    if (members === undefined) return true;
+    const self = members.self();
+    const ids = [self, ...members.live()].filter(({ leaving }) => !leaving).map(({ id }) => id);
+    return lowestByRendezvous(ids, AUTHORITY_KEY, FREQUENT_READERS).includes(self.id);
+  }
+
   private notify(): void {
     for (const listener of [...this.listeners]) listener();
   }
--- a/src/daemon/parts.ts
+++ b/src/daemon/parts.ts
@@ -110,6 +110,7 @@
       holder: { member: options.name, address: options.peerAddress, incarnation: this.incarnation },
       leaseMs: options.leaseMs,
       isCandidate: () => !this.membership.self().leaving,
+      members: this.membership,
     });
     this.retries = new RetryPolicy({ clock, random, budget: new RetryBudget() });
     this.draining = new Draining(this.membership, clock, edges.log, {
--- a/test/authority.test.ts
+++ b/test/authority.test.ts
@@ -1,8 +1,9 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { AUTHORITY_KEY, Authority, TERM_KEY } from '../src/core/authority.js';
+import { Authority } from '../src/core/authority.js';
+import { AUTHORITY_KEY, TERM_KEY } from '../src/core/terms.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
-import { EmulatedEntry, silent } from '../src/emulator/entry.js';
+import { EmulatedEntry, EmulatedMembers, silent } from '../src/emulator/entry.js';
 import { KeyValueStore } from '../src/emulator/keyvalue.js';
 import { EmulatedNetwork } from '../src/emulator/peers.js';
 import { SeededRandom } from '../src/emulator/random.js';
@@ -16,6 +17,8 @@
 
   public readonly network = new EmulatedNetwork(this.clock);
 
+  private readonly members = new EmulatedMembers();
+
   public readonly hosts: EmulatedEntry[] = [];
 
   public readonly authorities: Authority[] = [];
@@ -39,6 +42,7 @@
       holder: { member: `m${index}`, address, incarnation: '1' },
       leaseMs: LEASE_MS,
       marginShare: this.marginShare,
+      members: this.members.view(address, String(index)),
     });
     void authority.run(new AbortController().signal);
     this.hosts.push(host);
@@ -167,6 +171,19 @@
     expect(world.check()).toBeGreaterThanOrEqual(0);
   });
 
+  // Guards against a rate of reads at the service that grows with the fleet.
+  it('reads the service little more often in a fleet of ten times the size', async () => {
+    const reads = async (entries: number): Promise<number> => {
+      const world = new World(3, entries);
+      await world.untilHeld();
+      await world.clock.advance(60_000);
+      const before = world.store.calls.range!;
+      await world.clock.advance(60_000);
+      return world.store.calls.range! - before;
+    };
+    expect(await reads(60)).toBeLessThan(2 * await reads(6));
+  });
+
   const faults: Record<string, (world: World, host: EmulatedEntry) => void> = {
     pause: (_world, host) => host.pause(),
     resume: (_world, host) => host.resume(),
