Check orders against their intents at every step, with unreachable engines and partitions

Cause: the property looked at conflicts only, and engines and peers were always reachable. Change: faults cut engines and the links between entries; each order that took effect must be on record.

--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -2,6 +2,8 @@
 import { describe, expect, it } from 'vitest';
 import { LEASE_MS, PAUSE_ALLOWANCE_MS, PlannerGroup } from '../src/bench/planners.js';
 import type { Protection } from '../src/bench/planners.js';
+import { INTENT_PREFIX } from '../src/core/intents.js';
+import type { Intent } from '../src/core/intents.js';
 
 const ALLOWED_MS = LEASE_MS + 2_000 + PAUSE_ALLOWANCE_MS;
 
@@ -138,6 +140,11 @@
   lostAnswer: (group) => Object.assign(group.store, { loseAnswers: 1 }),
   cut: (group, target) => Object.assign(group.hosts[target]!.connection, { cut: true }),
   mend: (group) => group.hosts.forEach(({ connection }) => Object.assign(connection, { cut: false })),
+  cutEngine: (group, target) => Object.assign(group.engines[target]!.faults, { cut: true }),
+  mendEngines: (group) => group.engines.forEach((engine) => Object.assign(engine.faults, { cut: false })),
+  partition: ({ network }, target) => [0, 1, 2].forEach((other) => {
+    network.setCut(`10.0.0.${target}:1`, `10.0.0.${other}:1`, true);
+  }),
   outage: ({ store }) => Object.assign(store, { down: true }),
   recovery: ({ store }) => Object.assign(store, { down: false }),
 };
@@ -148,6 +155,18 @@
   waitMs: fc.integer({ min: 1, max: 5_000 }),
 });
 
+/** I1 and I3: no conflict, and no order takes effect that is not, or was not, on record as the engine's intent. */
+function check(group: PlannerGroup): void {
+  expect(group.conflicts()).toBe(0);
+  for (const { name, accepted } of group.engines) {
+    const last = accepted.at(-1);
+    if (last === undefined) continue;
+    const intent = JSON.parse(group.store.peek(INTENT_PREFIX + name)?.value ?? '{}') as Partial<Intent>;
+    expect(intent.sequence).toBeGreaterThanOrEqual(last.sequence);
+    if (intent.sequence === last.sequence) expect(intent.orderId).toBe(last.orderId);
+  }
+}
+
 /** No schedule leads to conflicting orders, and afterwards every engine becomes what the fleet file wants. */
 const property = (without?: Protection) => fc.asyncProperty(
   fc.array(step, { maxLength: 30, size: 'max' }),
@@ -157,14 +176,14 @@
       faults[fault]!(group, target);
       for (let elapsed = 0; elapsed < waitMs; elapsed += 250) {
         await group.clock.advance(250);
-        expect(group.conflicts()).toBe(0);
+        check(group);
       }
     }
     group.hosts.forEach((host, index) => {
       host.resume();
       if (!host.running) group.start(index);
     });
-    for (const fault of ['mend', 'recovery', 'fastOrders']) [0, 1].forEach((target) => faults[fault]!(group, target));
+    for (const fault of ['mend', 'mendEngines', 'recovery', 'fastOrders']) [0, 1].forEach((target) => faults[fault]!(group, target));
     await group.clock.advance(LEASE_MS * 20);
     expect(group.conflicts()).toBe(0);
     expect(await group.settled()).toBe(true);
