--- a/src/core/abandonment.ts
+++ b/src/core/abandonment.ts
@@ -66,6 +66,8 @@
     const { holder } = authority;
     const own = sender.holder.address === holder.address && sender.holder.incarnation === holder.incarnation;
     if (own) return !unanswered(sender.term).includes(engine);
+    // A later holder must not be asked to give up; this process has lost authority without knowing it yet.
+    if (sender.term > authority.term) return false;
     const found = this.caseOf(sender);
     const now = clock.monotonic();
     if (now - found.firstSeenAt >= this.options.longestDeliveryMs) return true;
