--- a/src/bench/planners.ts
+++ b/src/bench/planners.ts
@@ -7,7 +7,7 @@
 import type { EngineSpec, Fleet } from '../core/fleet.js';
 import { Orders } from '../core/orders.js';
 import { Planning } from '../core/planning.js';
-import type { EngineDrain } from '../core/planning.js';
+import type { EngineDrain, RolePlanner } from '../core/planning.js';
 import { sleep } from '../core/time.js';
 import { SimulatedClock } from '../emulator/clock.js';
 import { EmulatedEngine } from '../emulator/engine.js';
@@ -28,6 +28,8 @@
   readonly engines?: number;
   readonly without?: Protection | undefined;
   readonly drain?: EngineDrain;
+  readonly roles?: RolePlanner;
+  readonly awayShare?: number;
 }
 
 /** Length of the authority lease in ms. */
@@ -129,7 +131,7 @@
       orders,
       fleet: () => this.fleet,
       engine: ({ name }) => reached.get(name)!,
-      roles: { plan: () => new Map() },
+      roles: this.options.roles ?? { plan: () => new Map() },
       drain: this.options.drain ?? {
         drain: async () => {
           await sleep(host.clock, 50);
@@ -137,7 +139,7 @@
         },
         release: () => {},
       },
-      awayShare: 1,
+      awayShare: this.options.awayShare ?? 1,
     });
     const { signal } = new AbortController();
     void authority.run(signal);
@@ -152,11 +154,12 @@
     return this.authorities.findIndex((authority, index) => this.hosts[index]!.running && authority.mayAct());
   }
 
-  /** Asks for another role than the one asked for now. */
+  /** Asks for another role than the engine has, and than the one asked for now. */
   public wantOtherRole(index: number): void {
+    const has = String(this.engines[index]!.model.role);
+    const wanted = String(this.fleet.engines[index]!.role);
     const roles = [DesiredRole.Mixed, DesiredRole.Decode, DesiredRole.Prefill];
-    const position = roles.indexOf(this.fleet.engines[index]!.role);
-    this.wantRole(index, roles[(position + 1) % roles.length]!);
+    this.wantRole(index, roles.find((role) => ![has, wanted].includes(String(role)))!);
   }
 
   public wantRole(index: number, role: DesiredRole): void {
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -3,13 +3,17 @@
 import { start } from './start.js';
 import { streams } from './streams.js';
 import type { Experiment } from './experiment.js';
-import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
 import { headOfLine } from './headofline.js';
+import { mixShift } from './mixshift.js';
 import { peak } from './peak.js';
+import { propagation } from './propagation.js';
+import { takeover } from './takeover.js';
 
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
+  takeover,
+  propagation,
   mixShift,
   overhead,
   streams,
--- a/src/core/abandonment.ts
+++ b/src/core/abandonment.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import type { Authority, Holder } from './authority.js';
+import type { Authority } from './authority.js';
 import type {
   Clock, Disposable, PeerClient, PeerError, PeerServer,
 } from './edges.js';
@@ -66,6 +66,8 @@
     const { holder } = authority;
     const own = sender.holder.address === holder.address && sender.holder.incarnation === holder.incarnation;
     if (own) return !unanswered(sender.term).includes(engine);
+    // A later holder must not be asked to give up; this process has lost authority without knowing it yet.
+    if (sender.term > authority.term) return false;
     const found = this.caseOf(sender);
     const now = clock.monotonic();
     if (now - found.firstSeenAt >= this.options.longestDeliveryMs) return true;
@@ -101,7 +103,7 @@
 
   private async ask(sender: Sender, found: Case): Promise<void> {
     const { clock, peers } = this.options;
-    const holder: Holder = sender.holder;
+    const { holder } = sender;
     const params = { term: sender.term };
     const result = await peers.call(holder.address, ABANDON_METHOD, params, { timeoutMs: CALL_TIMEOUT_MS });
     const answer = result.success ? answerSchema.safeParse(result.data) : null;
