--- /dev/null
+++ b/test/admission.test.ts
@@ -0,0 +1,172 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { AdmissionQueue } from '../src/core/admission.js';
+import type { Queued } from '../src/core/admission.js';
+import { EngineDirectory } from '../src/core/directory.js';
+import type { DispatchHandle } from '../src/core/dispatch.js';
+import { Priority, Role } from '../src/core/edges.js';
+import { AttemptOutcome } from '../src/core/placement.js';
+import type { WorkItem } from '../src/core/placement.js';
+import { PolicyDispatcher } from '../src/core/policy.js';
+import { LeastRequestsRouter } from '../src/core/routing.js';
+import { SimulatedClock } from '../src/emulator/clock.js';
+import { SeededRandom } from '../src/emulator/random.js';
+
+const PRIORITIES = [Priority.Urgent, Priority.Normal, Priority.Bulk];
+
+function itemOf(overrides: Partial<WorkItem> = {}): WorkItem {
+  return {
+    requestId: 'r',
+    workspace: 'w',
+    model: 'm',
+    kind: 'k',
+    priority: Priority.Normal,
+    promptTokens: 1_000,
+    maxTokens: 100,
+    blocks: [],
+    deadline: 60_000,
+    arrival: 0,
+    ...overrides,
+  };
+}
+
+function queuedOf(overrides: Partial<WorkItem> = {}, queuedAt = 0): Queued {
+  return {
+    item: itemOf(overrides), group: 'm', cost: 1_000, firstTokenMs: 0, queuedAt,
+  };
+}
+
+function createQueue(maxQueued = 1_000) {
+  const clock = new SimulatedClock();
+  const queue = new AdmissionQueue<Queued>({
+    clock, random: new SeededRandom(1), maxQueued, firstTokenMs: 740,
+  });
+  return { clock, queue };
+}
+
+function takeOne(queue: AdmissionQueue<Queued>): Queued | null {
+  let taken: Queued | null = null;
+  queue.pump((entry) => {
+    if (taken !== null) return false;
+    taken = entry;
+    return true;
+  });
+  return taken;
+}
+
+describe('AdmissionQueue', () => {
+  // Guards against a workspace that fills the queue and so takes the turns of the others.
+  it('shares between workspaces by tokens', () => {
+    const { queue } = createQueue();
+    for (let count = 0; count < 100; count += 1) queue.offer(queuedOf({ workspace: 'greedy' }));
+    for (let count = 0; count < 20; count += 1) queue.offer(queuedOf({ workspace: 'modest' }));
+    const first = Array.from({ length: 40 }, () => takeOne(queue)!.item.workspace);
+    expect(first.filter((workspace) => workspace === 'modest').length).toBeGreaterThanOrEqual(16);
+  });
+
+  it('serves urgent work first, and bulk work that has aged in its turn', () => {
+    const { queue, clock } = createQueue();
+    const bulk = queuedOf({ priority: Priority.Bulk });
+    queue.offer(bulk);
+    for (let count = 0; count < 20; count += 1) queue.offer(queuedOf({ priority: Priority.Urgent }));
+    expect(takeOne(queue)!.item.priority).toBe(Priority.Urgent);
+    clock.advanceSync(3_500);
+    const next = Array.from({ length: 4 }, () => takeOne(queue));
+    expect(next).toContain(bulk);
+  });
+
+  // Guards against refusals that are only given after the deadline has passed.
+  it('refuses at once what cannot meet its deadline', () => {
+    const { queue, clock } = createQueue();
+    for (let count = 0; count < 30; count += 1) {
+      queue.offer(queuedOf({ priority: Priority.Bulk }));
+      clock.advanceSync(100);
+      takeOne(queue);
+    }
+    for (let count = 0; count < 20; count += 1) queue.offer(queuedOf({ priority: Priority.Bulk }));
+    const refusal = queue.offer(queuedOf({ priority: Priority.Bulk, deadline: clock.monotonic() + 200 }));
+    expect(refusal?.code).toBe('deadline_unreachable');
+    expect(refusal!.retryAfterMs).toBeGreaterThan(0);
+  });
+
+  it('never holds more than its bound', () => {
+    const { queue } = createQueue(10);
+    const refusals = Array.from({ length: 15 }, () => queue.offer(queuedOf()));
+    expect(queue.length).toBe(10);
+    expect(refusals.filter((refusal) => refusal?.code === 'queue_full').length).toBe(5);
+  });
+});
+
+function createDispatcher() {
+  const clock = new SimulatedClock();
+  const random = new SeededRandom(3);
+  const directory = new EngineDirectory();
+  const dispatcher = new PolicyDispatcher({
+    clock,
+    random,
+    directory,
+    createRouter: (hasRoom) => new LeastRequestsRouter({ directory, random, hasRoom }),
+    maxQueued: 50,
+  });
+  for (const name of ['a', 'b', 'c']) {
+    directory.set({
+      name, failureDomain: 'd', models: ['m'], role: Role.Mixed, available: true,
+    });
+  }
+  return { clock, dispatcher };
+}
+
+const ARRIVAL = fc.record({
+  gapMs: fc.integer({ min: 0, max: 60 }),
+  workspace: fc.constantFrom('x', 'y', 'z'),
+  priority: fc.constantFrom(...PRIORITIES),
+  promptTokens: fc.integer({ min: 10, max: 9_000 }),
+  serviceMs: fc.integer({ min: 1, max: 900 }),
+});
+
+describe('PolicyDispatcher', () => {
+  // Guards against requests that are forgotten in a queue, or answered and refused at the same time.
+  it('settles every request exactly once', () => {
+    fc.assert(fc.property(fc.array(ARRIVAL, { minLength: 1, maxLength: 120 }), (arrivals) => {
+      const { clock, dispatcher } = createDispatcher();
+      const settled: number[] = arrivals.map(() => 0);
+      arrivals.forEach(({ gapMs, serviceMs, ...rest }, index) => {
+        clock.advanceSync(gapMs);
+        const now = clock.monotonic();
+        let handle: DispatchHandle | null = null;
+        const item = itemOf({ ...rest, arrival: now, deadline: now + 7_400 });
+        handle = dispatcher.submit(item, {
+          placed: () => {
+            settled[index]! += 1;
+            clock.after(serviceMs, () => {
+              handle!.firstToken();
+              handle!.finish(AttemptOutcome.Done);
+            });
+          },
+          refused: () => {
+            settled[index]! += 1;
+          },
+        });
+      });
+      clock.advanceSync(60_000);
+      expect(settled.every((count) => count === 1)).toBe(true);
+    }), { seed: 11, numRuns: 60 });
+  });
+
+  // Guards against a full queue that cuts answers while an engine is drained.
+  it('places an answer that has begun before all others', () => {
+    const { clock, dispatcher } = createDispatcher();
+    const listener = { placed: () => {}, refused: () => {} };
+    for (let count = 0; count < 200; count += 1) {
+      dispatcher.submit(itemOf({ arrival: clock.monotonic(), deadline: clock.monotonic() + 7_400 }), listener);
+    }
+    let placed = false;
+    dispatcher.submit(itemOf({ continuation: true, deadline: 0 }), {
+      placed: () => {
+        placed = true;
+      },
+      refused: () => {},
+    });
+    expect(placed).toBe(true);
+  });
+});
--- /dev/null
+++ b/test/limits.test.ts
@@ -0,0 +1,98 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { EngineDirectory } from '../src/core/directory.js';
+import { Priority, Role } from '../src/core/edges.js';
+import { LanePlan } from '../src/core/lanes.js';
+import { AdaptiveLimit, EngineLimits } from '../src/core/limits.js';
+import type { WorkItem } from '../src/core/placement.js';
+import { SimulatedClock } from '../src/emulator/clock.js';
+
+const OPTIONS = {
+  initial: 10, min: 1, max: 100, step: 1, tolerance: 0.1,
+};
+
+const item: WorkItem = {
+  requestId: 'r',
+  workspace: 'w',
+  model: 'm',
+  kind: 'k',
+  priority: Priority.Normal,
+  promptTokens: 300,
+  maxTokens: 1_000,
+  blocks: [],
+  deadline: 1_000,
+  arrival: 0,
+};
+
+function createLimits(engines: number) {
+  const clock = new SimulatedClock();
+  const directory = new EngineDirectory();
+  for (let index = 0; index < engines; index += 1) {
+    directory.set({
+      name: `e${index}`, failureDomain: 'd', models: ['m'], role: Role.Mixed, available: true,
+    });
+  }
+  return new EngineLimits({ clock, directory, lanes: new LanePlan({ directory }) });
+}
+
+function window(limit: AdaptiveLimit, at: number, late: boolean): void {
+  limit.noteUsed();
+  for (let sample = 0; sample < 6; sample += 1) limit.sample(at + sample * 100, late);
+}
+
+describe('AdaptiveLimit', () => {
+  it('stays within its bounds whatever is observed', () => {
+    fc.assert(fc.property(fc.array(fc.boolean(), { maxLength: 300 }), (observations) => {
+      const limit = new AdaptiveLimit(0, OPTIONS);
+      observations.forEach((late, index) => {
+        limit.noteUsed();
+        limit.sample(index * 150, late);
+        expect(limit.value).toBeGreaterThanOrEqual(1);
+        expect(limit.value).toBeLessThanOrEqual(100);
+      });
+    }), { seed: 7 });
+  });
+
+  // Guards against one entry that keeps a larger share of the engines than the others for good.
+  it('converges with another limit that sees the same lateness', () => {
+    const large = new AdaptiveLimit(0, { ...OPTIONS, initial: 40 });
+    const small = new AdaptiveLimit(0, { ...OPTIONS, initial: 4 });
+    for (let round = 0; round < 200; round += 1) {
+      const late = large.value + small.value > 60;
+      window(large, round * 600, late);
+      window(small, round * 600, late);
+    }
+    expect(large.value / small.value).toBeLessThan(1.2);
+  });
+
+  it('recovers from its minimum within 10 s of good observations', () => {
+    const limit = new AdaptiveLimit(0, { ...OPTIONS, initial: 1 });
+    for (let round = 0; round < 16; round += 1) window(limit, round * 600, false);
+    expect(limit.value).toBeGreaterThan(30);
+  });
+});
+
+describe('EngineLimits', () => {
+  // Guards against work that can never run because it exceeds the limit by itself.
+  it('lets an idle engine take any request', () => {
+    expect(createLimits(1).hasRoom('e0', { ...item, promptTokens: 500_000 })).toBe(true);
+  });
+
+  it('frees what a request held exactly once', () => {
+    const limits = createLimits(1);
+    const held = Array.from({ length: 40 }, () => limits.started(item, { engine: 'e0', prefill: null }));
+    expect(limits.hasRoom('e0', item)).toBe(false);
+    for (const each of held) {
+      limits.firstToken(each, 50);
+      limits.finished(each);
+    }
+    expect(limits.hasRoom('e0', item)).toBe(true);
+  });
+
+  // Guards against a planned drain that cuts an answer because its target is at its limit.
+  it('never holds back an answer that has begun', () => {
+    const limits = createLimits(1);
+    for (let count = 0; count < 40; count += 1) limits.started(item, { engine: 'e0', prefill: null });
+    expect(limits.hasRoom('e0', { ...item, continuation: true })).toBe(true);
+  });
+});
