--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -1,19 +1,29 @@
+import { writeFileSync } from 'node:fs';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import type { Experiment } from './experiment.js';
 import { EXPERIMENTS } from './registry.js';
+import { renderReport } from './report.js';
+import type { ReportLine } from './report.js';
 
-function print(line: Record<string, unknown>): void {
+type Print = (line: ReportLine) => void;
+
+function print(line: ReportLine): void {
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
 
-async function runExperiment(experiment: Experiment, seed: number, variant: string | undefined): Promise<boolean> {
+async function runExperiment(
+  experiment: Experiment,
+  seed: number,
+  variant: string | undefined,
+  emit: Print,
+): Promise<boolean> {
   const verdict = await experiment.run({
     seed,
     ...(variant === undefined ? {} : { variant }),
-    emit: (line) => print({ experiment: experiment.name, seed, ...line }),
+    emit: (line) => emit({ experiment: experiment.name, seed, ...line }),
   });
-  print({
+  emit({
     experiment: experiment.name,
     seed,
     verdict: verdict.pass ? 'pass' : 'fail',
@@ -26,10 +36,12 @@
 async function main(): Promise<number> {
   const args = await yargs(hideBin(process.argv))
     .scriptName('npm run bench --')
-    .usage('$0 NAME --seed N [--variant V]')
+    .usage('$0 NAME --seed N [--variant V]\n\nNAME is an experiment, `all`, or `report` (all, written as HTML)')
     .option('seed', { type: 'number', default: 1, describe: 'first seed' })
     .option('variant', { type: 'string', describe: 'run one variant only' })
     .option('list', { type: 'boolean', default: false, describe: 'name the experiments' })
+    .option('out', { type: 'string', default: 'report.html', describe: 'file that `report` writes' })
+    .option('only', { type: 'string', array: true, describe: 'experiments of `report`; absent means all' })
     .strictOptions()
     .parse();
   if (args.list) {
@@ -37,13 +49,24 @@
     return 0;
   }
   const name = String(args._[0] ?? 'all');
-  const chosen = EXPERIMENTS.filter((experiment) => name === 'all' || experiment.name === name);
+  const report = name === 'report';
+  const chosen = EXPERIMENTS.filter((experiment) => (report
+    ? args.only?.includes(experiment.name) ?? true
+    : name === 'all' || experiment.name === name));
   if (chosen.length === 0) {
     process.stderr.write(`unknown experiment ${name}; --list names them\n`);
     return 2;
   }
+  const lines: ReportLine[] = [];
+  const emit: Print = (line) => {
+    lines.push(line);
+    print(line);
+  };
   let passed = true;
-  for (const experiment of chosen) passed = (await runExperiment(experiment, args.seed, args.variant)) && passed;
+  for (const experiment of chosen) {
+    passed = (await runExperiment(experiment, args.seed, args.variant, emit)) && passed;
+  }
+  if (report) writeFileSync(args.out, renderReport(lines));
   return passed ? 0 : 1;
 }
 
--- a/src/bench/retrystorm.ts
+++ b/src/bench/retrystorm.ts
@@ -132,7 +132,8 @@
         attempts, sent, safe: true, deadline: call.at + DEADLINE_MS, expectedMs: SERVICE_MS,
       });
       if (decision.retry) {
-        this.clock.after(Math.max(ROUND_TRIP_MS, decision.delayMs), () => this.attempt(call, policy, attempts + 1, settled));
+        const delayMs = Math.max(ROUND_TRIP_MS, decision.delayMs);
+        this.clock.after(delayMs, () => this.attempt(call, policy, attempts + 1, settled));
         return;
       }
       Object.assign(call, { failedAt: this.clock.monotonic() });
