--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,4 +1,6 @@
+import { bookings } from './bookings.js';
 import type { Experiment } from './experiment.js';
+import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
 import { headOfLine } from './headofline.js';
 import { peak } from './peak.js';
@@ -6,6 +8,8 @@
 
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
+  mixShift,
+  bookings,
   peak,
   headOfLine,
   fairness,
