Divide the engines between the lanes per model

Cause: lanes and limits counted the engines of all models together, so that all engines of one model could fall into a lane that its work does not use; a lane once seen kept an engine for good; a repeated request could exclude the only long-lane engine of its entry. Change: LanePlan and EngineLimits keep their state per model; lanes below 1% of the work get no engines of their own; a request that excludes engines may use any lane. AdaptiveLimit has a file of its own.

--- a/src/core/lanes.ts
+++ b/src/core/lanes.ts
@@ -48,6 +48,9 @@
   return createHash('sha256').update(name).digest().readUInt32BE(0);
 }
 
+/** Lanes with a smaller share of the work get no engines of their own and use all. */
+const MIN_DEMAND_SHARE = 0.01;
+
 /** Whole number of engines for an ideal one; keeps the current number while the ideal is near it. */
 function settle(current: number, ideal: number, max: number): number {
   if (ideal === 0) return 0;
@@ -55,23 +58,80 @@
   return Math.max(1, Math.min(max, next));
 }
 
-/** Divides the mixed engines between the lanes; every entry orders them in the same way without talking. */
-export class LanePlan {
-  private readonly longPromptTokens: number;
+/** Lanes of the mixed engines that hold one model. */
+class ModelLanes {
+  private ranks: ReadonlyMap<string, number> = new Map();
 
-  private ranks = new Map<string, number>();
+  private readonly demand: Record<Lane, number> = { [Lane.Short]: 0, [Lane.Long]: 0, [Lane.Quick]: 0 };
 
-  private mixed = 0;
+  public long = 0;
 
-  private stale = true;
+  public quick = 0;
 
-  private readonly demand: Record<Lane, number> = { [Lane.Short]: 0, [Lane.Long]: 0, [Lane.Quick]: 0 };
+  public get mixed(): number {
+    return this.ranks.size;
+  }
 
-  private latest: { readonly item: WorkItem; readonly lane: Lane } | null = null;
+  public setEngines(names: readonly string[]): void {
+    this.ranks = new Map(names.map((name, index) => [name, index]));
+    this.divide();
+  }
+
+  public serves(name: string, lane: Lane, share: EntryShare | undefined): boolean {
+    const rank = this.ranks.get(name) ?? 0;
+    const { long, quick, mixed } = this;
+    switch (lane) {
+      case Lane.Long:
+        return long === 0 || (rank < long && this.owns(rank, share));
+      case Lane.Quick:
+        return quick === 0 ? rank >= long || long === mixed : rank >= mixed - quick;
+      case Lane.Short:
+        return long + quick >= mixed || (rank >= long && rank < mixed - quick);
+      default:
+        return assertNever(lane);
+    }
+  }
+
+  public arrived(lane: Lane, tokens: number): void {
+    this.demand[lane] += tokens * (lane === Lane.Quick ? QUICK_WEIGHT : 1);
+  }
+
+  public rebalance(keep: number): void {
+    for (const lane of LANES) this.demand[lane] *= keep;
+    this.divide();
+  }
 
-  private longEngines = 0;
+  private divide(): void {
+    const total = LANES.reduce((sum, lane) => sum + this.demand[lane], 0);
+    const present = (lane: Lane): number => (this.demand[lane] < MIN_DEMAND_SHARE * total ? 0 : this.demand[lane]);
+    const [short, long, quick] = [present(Lane.Short), present(Lane.Long), present(Lane.Quick)];
+    const engines = this.mixed;
+    const lanes = [short, long, quick].filter((demand) => demand > 0).length;
+    if (lanes < 2 || engines < lanes) {
+      this.long = 0;
+      this.quick = 0;
+      return;
+    }
+    this.quick = settle(this.quick, (quick / (short + long + quick)) * engines, engines - lanes + 1);
+    const rest = engines - this.quick;
+    this.long = long === 0 ? 0 : settle(this.long, (long / (short + long)) * rest, rest - (short > 0 ? 1 : 0));
+  }
 
-  private quickEngines = 0;
+  private owns(rank: number, share: EntryShare | undefined): boolean {
+    if (share === undefined || share.count <= 1) return true;
+    return this.long >= share.count ? rank % share.count === share.index : rank === share.index % this.long;
+  }
+}
+
+/** Divides the mixed engines of each model between the lanes; entries order them in the same way without talking. */
+export class LanePlan {
+  private readonly longPromptTokens: number;
+
+  private readonly models = new Map<string, ModelLanes>();
+
+  private stale = true;
+
+  private latest: { readonly item: WorkItem; readonly lane: Lane } | null = null;
 
   public constructor(private readonly options: LanePlanOptions) {
     this.longPromptTokens = options.longPromptTokens ?? LONG_PROMPT_TOKENS;
@@ -89,72 +149,52 @@
     return this.latest.lane;
   }
 
-  /** Whether an engine takes work of a lane. */
-  public serves(engine: EngineFacts, lane: Lane): boolean {
-    if (this.stale) this.rank();
+  /** Whether an engine takes work of a model and lane. */
+  public serves(engine: EngineFacts, model: string, lane: Lane): boolean {
     if (this.options.separate === false || engine.role !== Role.Mixed) return true;
-    const rank = this.ranks.get(engine.name) ?? 0;
-    const long = this.longEngines;
-    const quick = this.quickEngines;
-    switch (lane) {
-      case Lane.Long:
-        return long === 0 || (rank < long && this.owns(rank, long));
-      case Lane.Quick:
-        return quick === 0 ? rank >= long || long === this.mixed : rank >= this.mixed - quick;
-      case Lane.Short:
-        return long + quick >= this.mixed || (rank >= long && rank < this.mixed - quick);
-      default:
-        return assertNever(lane);
-    }
+    if (this.stale) this.rank();
+    const lanes = this.models.get(model);
+    return lanes === undefined || lanes.serves(engine.name, lane, this.options.share?.());
   }
 
   /** Adds the expected engine work of one arrival in tokens. */
-  public arrived(lane: Lane, tokens: number): void {
-    this.demand[lane] += tokens * (lane === Lane.Quick ? QUICK_WEIGHT : 1);
+  public arrived(model: string, lane: Lane, tokens: number): void {
+    if (this.stale) this.rank();
+    this.models.get(model)?.arrived(lane, tokens);
   }
 
   /** Forgets old demand with this time constant and divides the engines by what remains. */
   public rebalance(elapsedMs: number, timeConstantMs: number): void {
     const keep = Math.exp(-elapsedMs / timeConstantMs);
-    for (const lane of LANES) this.demand[lane] *= keep;
-    this.divide();
-  }
-
-  /** Engines per lane, for the state dump. */
-  public dump(): Record<string, number> {
-    return { mixed: this.mixed, long: this.longEngines, quick: this.quickEngines };
+    for (const lanes of this.models.values()) lanes.rebalance(keep);
   }
 
-  private divide(): void {
-    const { [Lane.Short]: short, [Lane.Long]: long, [Lane.Quick]: quick } = this.demand;
-    const engines = this.mixed;
-    const present = [short, long, quick].filter((demand) => demand > 0).length;
-    if (present < 2 || engines < present) {
-      this.longEngines = 0;
-      this.quickEngines = 0;
-      return;
-    }
-    const quickIdeal = (quick / (short + long + quick)) * engines;
-    this.quickEngines = settle(this.quickEngines, quickIdeal, engines - present + 1);
-    const rest = engines - this.quickEngines;
-    const longIdeal = (long / (short + long)) * rest;
-    this.longEngines = settle(this.longEngines, longIdeal, rest - (short > 0 ? 1 : 0));
-  }
-
-  private owns(rank: number, engines: number): boolean {
-    const share = this.options.share?.();
-    if (share === undefined || share.count <= 1) return true;
-    return engines >= share.count ? rank % share.count === share.index : rank === share.index % engines;
+  /** Engines per model and lane, for the state dump. */
+  public dump(): Record<string, { mixed: number; long: number; quick: number }> {
+    const rows = [...this.models].map(([model, { mixed, long, quick }]) => [model, { mixed, long, quick }]);
+    return Object.fromEntries(rows);
   }
 
   private rank(): void {
-    const mixed = this.options.directory.all()
+    this.stale = false;
+    const engines = this.options.directory.all()
       .filter((engine) => engine.role === Role.Mixed && engine.available)
-      .map(({ name }) => ({ name, hash: hash(name) }))
+      .map(({ name, models }) => ({ name, models, hash: hash(name) }))
       .sort((a, b) => a.hash - b.hash || a.name.localeCompare(b.name));
-    this.ranks = new Map(mixed.map((engine, index) => [engine.name, index]));
-    this.mixed = mixed.length;
-    this.stale = false;
-    this.divide();
+    const names = new Map<string, string[]>();
+    for (const model of this.models.keys()) names.set(model, []);
+    for (const { name, models } of engines) {
+      for (const model of models) {
+        const list = names.get(model);
+        if (list === undefined) names.set(model, [name]);
+        else list.push(name);
+      }
+    }
+    for (const [model, list] of names) {
+      const lanes = this.models.get(model) ?? new ModelLanes();
+      this.models.set(model, lanes);
+      lanes.setEngines(list);
+      if (list.length === 0) this.models.delete(model);
+    }
   }
 }
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -1,9 +1,10 @@
+import { AdaptiveLimit } from './adaptive.js';
 import type { EngineDirectory } from './directory.js';
 import type { Clock } from './edges.js';
 import { Priority, Role } from './edges.js';
 import { LANES, Lane } from './lanes.js';
 import type { LanePlan } from './lanes.js';
-import type { EngineFacts, Placement, WorkItem } from './placement.js';
+import type { Placement, WorkItem } from './placement.js';
 
 /** Times that 95 of 100 answers should meet, in ms. */
 export interface ServiceTarget {
@@ -14,78 +15,6 @@
 /** Service level that users state. */
 export const SERVICE_TARGET: ServiceTarget = { firstTokenMs: 740, perTokenMs: 46 };
 
-/** Options of {@link AdaptiveLimit}. */
-export interface AdaptiveLimitOptions {
-  readonly initial: number;
-  readonly min: number;
-  readonly max: number;
-  /** Increase of one window in which the target was met. */
-  readonly step: number;
-  /** Share of late samples that is accepted. */
-  readonly tolerance: number;
-  readonly windowMs?: number;
-}
-
-const WINDOW_MS = 500;
-const MIN_SAMPLES = 5;
-const MAX_DECREASE = 0.3;
-const STEP_GROWTH = 1.5;
-const MAX_STEPS = 8;
-
-/** Limit that grows additively while enough samples meet the target and shrinks multiplicatively otherwise. */
-export class AdaptiveLimit {
-  public value: number;
-
-  private windowStart: number;
-
-  private samples = 0;
-
-  private late = 0;
-
-  private used = false;
-
-  private steps = 1;
-
-  public constructor(now: number, private readonly options: AdaptiveLimitOptions) {
-    this.value = options.initial;
-    this.windowStart = now;
-  }
-
-  /** Tells that the limit held work back, or nearly did, in this window. */
-  public noteUsed(): void {
-    this.used = true;
-  }
-
-  /** Adds one observation; `late` when it missed the target. */
-  public sample(now: number, late: boolean): void {
-    this.samples += 1;
-    if (late) this.late += 1;
-    const { windowMs = WINDOW_MS, tolerance } = this.options;
-    if (now - this.windowStart < windowMs || this.samples < MIN_SAMPLES) return;
-    const share = this.late / this.samples;
-    // Increases do not depend on the number of samples: an entry with much work gains no faster than one with little,
-    // while decreases are proportional, so the limits of several entries converge.
-    if (share > tolerance) this.shrink(share - tolerance);
-    else if (this.used) this.grow();
-    this.windowStart = now;
-    this.samples = 0;
-    this.late = 0;
-    this.used = false;
-  }
-
-  private shrink(excess: number): void {
-    const { min } = this.options;
-    this.value = Math.max(min, this.value * (1 - Math.min(MAX_DECREASE, excess)));
-    this.steps = 1;
-  }
-
-  private grow(): void {
-    const { max, step } = this.options;
-    this.value = Math.min(max, this.value + step * this.steps);
-    this.steps = Math.min(MAX_STEPS, this.steps * STEP_GROWTH);
-  }
-}
-
 /** Kind of work on an engine that has a limit of its own. */
 enum Phase {
   /** Prompt tokens that wait for prefill. */
@@ -179,22 +108,26 @@
     // An answer that has begun continues on any engine; holding it back would cut it.
     if (item.continuation === true || (item.importedTokens ?? 0) > 0) return true;
     let lane = lanes.laneOf(item);
-    if (!lanes.serves(engine, lane)) {
-      // Quick work beyond its own engines runs beside other short work.
-      if (lane !== Lane.Quick || !this.isFull(engine.role, lane) || !lanes.serves(engine, Lane.Short)) return false;
-      lane = Lane.Short;
+    if (!lanes.serves(engine, item.model, lane)) {
+      // Quick work beyond its own engines runs beside other short work, and work whose lane may not be used, anywhere.
+      const beyond = lane === Lane.Quick && lanes.serves(engine, item.model, Lane.Short)
+        && this.isFull(this.group(item.model, engine.role, lane));
+      const displaced = item.excluded !== undefined && item.excluded.size > 0;
+      if (!beyond && !displaced) return false;
+      if (beyond) lane = Lane.Short;
     }
+    const group = this.group(item.model, engine.role, lane);
     const headroom = HEADROOM[item.priority] * (aboveShare ? ABOVE_SHARE_HEADROOM : 1);
-    return (engine.role === Role.Decode || this.phaseHasRoom(engine, lane, Phase.Prefill, headroom))
-      && (engine.role === Role.Prefill || this.phaseHasRoom(engine, lane, Phase.Decode, headroom));
+    return (engine.role === Role.Decode || this.phaseHasRoom(engine.name, group, lane, Phase.Prefill, headroom))
+      && (engine.role === Role.Prefill || this.phaseHasRoom(engine.name, group, lane, Phase.Decode, headroom));
   }
 
   /** Counts a placed request; the returned record goes back to the methods below. */
   public started(item: WorkItem, placement: Placement): Held {
     const lane = this.laneAt(item, placement.engine);
     const held: Held = {
-      prefill: this.share(placement.prefill ?? placement.engine, lane),
-      decode: this.share(placement.engine, lane),
+      prefill: this.share(item.model, placement.prefill ?? placement.engine, lane),
+      decode: this.share(item.model, placement.engine, lane),
       promptTokens: Math.max(0, item.promptTokens - (item.importedTokens ?? 0)),
       prefilled: false,
     };
@@ -232,10 +165,9 @@
     }]));
   }
 
-  private phaseHasRoom(engine: EngineFacts, lane: Lane, phase: Phase, headroom: number): boolean {
-    const group = this.group(engine.role, lane);
+  private phaseHasRoom(name: string, group: Group, lane: Lane, phase: Phase, headroom: number): boolean {
     if (this.stale) this.count();
-    const load = this.load(engine.name);
+    const load = this.load(name);
     const limit = group.limits[phase].value * headroom;
     // The last request may exceed a limit. A share of an engine can be smaller than one request, therefore an idle
     // engine takes one as long as the sum over the group allows it.
@@ -250,11 +182,11 @@
   private laneAt(item: WorkItem, name: string): Lane {
     const lane = this.options.lanes.laneOf(item);
     const engine = this.options.directory.get(name);
-    return lane === Lane.Quick && engine !== undefined && !this.options.lanes.serves(engine, lane) ? Lane.Short : lane;
+    return lane === Lane.Quick && engine !== undefined && !this.options.lanes.serves(engine, item.model, lane)
+      ? Lane.Short : lane;
   }
 
-  private isFull(role: Role, lane: Lane): boolean {
-    const group = this.group(role, lane);
+  private isFull(group: Group): boolean {
     return [Phase.Prefill, Phase.Decode]
       .some((phase) => group.inFlight[phase] >= group.limits[phase].value * Math.max(1, group.engines));
   }
@@ -276,10 +208,10 @@
     });
   }
 
-  private share(name: string, lane: Lane): HeldShare {
+  private share(model: string, name: string, lane: Lane): HeldShare {
     // An engine that left the directory between choice and start is counted with the mixed ones.
     const role = this.options.directory.get(name)?.role ?? Role.Mixed;
-    return { load: this.load(name), group: this.group(role, lane) };
+    return { load: this.load(name), group: this.group(model, role, lane) };
   }
 
   private load(name: string): Load {
@@ -291,8 +223,8 @@
     return load;
   }
 
-  private group(role: Role, lane: Lane): Group {
-    const key = `${role}/${lane}`;
+  private group(model: string, role: Role, lane: Lane): Group {
+    const key = `${model}/${role}/${lane}`;
     let group = this.groups.get(key);
     if (group === undefined) {
       group = this.createGroup();
@@ -333,9 +265,11 @@
     for (const group of this.groups.values()) group.engines = 0;
     for (const engine of this.options.directory.all()) {
       if (!engine.available) continue;
-      for (const lane of LANES) {
-        const group = this.groups.get(`${engine.role}/${lane}`);
-        if (group !== undefined && this.options.lanes.serves(engine, lane)) group.engines += 1;
+      for (const model of engine.models) {
+        for (const lane of LANES) {
+          const group = this.groups.get(`${model}/${engine.role}/${lane}`);
+          if (group !== undefined && this.options.lanes.serves(engine, model, lane)) group.engines += 1;
+        }
       }
     }
   }
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -133,7 +133,7 @@
     const lane = this.lanes.laneOf(item);
     const prefill = item.promptTokens - (item.importedTokens ?? 0);
     const cost = Math.max(0, prefill) + OUTPUT_TOKEN_COST * this.estimates.outputTokens(item);
-    this.lanes.arrived(lane, cost);
+    this.lanes.arrived(item.model, lane, cost);
     if (now - this.rebalancedAt >= REBALANCE_PERIOD_MS) {
       this.lanes.rebalance(now - this.rebalancedAt, LANE_TIME_CONSTANT_MS);
       this.limits.lanesMoved();
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,4 +1,5 @@
 export * from './core/addresses.js';
+export * from './core/adaptive.js';
 export * from './core/admission.js';
 export * from './core/authority.js';
 export * from './core/batching.js';
@@ -31,3 +32,4 @@
 export * from './core/streams.js';
 export * from './core/time.js';
 export * from './core/units.js';
+export * from './core/shares.js';
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -1,9 +1,10 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { AdaptiveLimit } from '../src/core/adaptive.js';
 import { EngineDirectory } from '../src/core/directory.js';
 import { Priority, Role } from '../src/core/edges.js';
-import { LanePlan } from '../src/core/lanes.js';
-import { AdaptiveLimit, EngineLimits } from '../src/core/limits.js';
+import { Lane, LanePlan } from '../src/core/lanes.js';
+import { EngineLimits } from '../src/core/limits.js';
 import type { WorkItem } from '../src/core/placement.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 
@@ -95,4 +96,27 @@
     for (let count = 0; count < 40; count += 1) limits.started(item, { engine: 'e0', prefill: null });
     expect(limits.hasRoom('e0', { ...item, continuation: true })).toBe(true);
   });
+
+  // Guards against a model whose engines all fall into the lane of another model's work.
+  it('leaves every lane of every model an engine', () => {
+    const clock = new SimulatedClock();
+    const directory = new EngineDirectory();
+    const lanes = new LanePlan({ directory, share: () => ({ index: 4, count: 6 }) });
+    for (let index = 0; index < 9; index += 1) {
+      directory.set({
+        name: `e${index}`, failureDomain: 'd', models: [`m${index % 3}`], role: Role.Mixed, available: true,
+      });
+    }
+    const limits = new EngineLimits({ clock, directory, lanes });
+    lanes.arrived('m0', Lane.Long, 90_000);
+    lanes.arrived('m1', Lane.Short, 500);
+    lanes.arrived('m1', Lane.Long, 90_000);
+    lanes.rebalance(500, 30_000);
+    for (const model of ['m0', 'm1', 'm2']) {
+      for (const promptTokens of [300, 5_000]) {
+        const engines = directory.serving(model);
+        expect(engines.some(({ name }) => limits.hasRoom(name, { ...item, model, promptTokens }))).toBe(true);
+      }
+    }
+  });
 });
