--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -9,6 +9,7 @@
 import { peak } from './peak.js';
 import { propagation } from './propagation.js';
 import { takeover } from './takeover.js';
+import { retryStorm } from './retrystorm.js';
 
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
@@ -22,4 +23,5 @@
   peak,
   headOfLine,
   fairness,
+  retryStorm,
 ];
