--- a/src/core/load.ts
+++ b/src/core/load.ts
@@ -24,14 +24,29 @@
 export const SHORT_ANSWER_TOKENS = 8;
 
 /** Work that this node has at one engine for one request. */
-export interface OwnWork {
-  promptLeft: number;
-  outputLeft: number;
-  readonly short: boolean;
-  /** Expected time to the first token when the request was placed. */
-  readonly expectedFirstTokenMs: number;
-  lastTokenAt: number;
-  produced: number;
+export class OwnWork {
+  public produced = 0;
+
+  public constructor(
+    public promptLeft: number,
+    public outputLeft: number,
+    public readonly short: boolean,
+    /** Expected time to the first token when the request was placed. */
+    public readonly expectedFirstTokenMs: number,
+    public lastTokenAt: number,
+  ) {}
+
+  /** Sets the work left. */
+  public leave(promptLeft: number, outputLeft: number): void {
+    this.promptLeft = promptLeft;
+    this.outputLeft = outputLeft;
+  }
+
+  /** Counts tokens up to `produced` as arrived. */
+  public advance(produced: number, now: number): void {
+    this.produced = produced;
+    this.lastTokenAt = now;
+  }
 }
 
 /** Load figures of a late report, without its age. */
@@ -46,8 +61,8 @@
 /** Weight of one report in the smoothed figures. */
 const REPORT_SMOOTHING = 0.3;
 
-/** Time after which a report's deviation from the fleet's mean counts half. */
-const REPORT_HALF_LIFE_MS = 500;
+/** Age at which a report counts half. */
+const REPORT_HALF_LIFE_MS = 1_000;
 
 /** What one node knows of the load of one engine. */
 export class EngineLoad {
@@ -86,15 +101,14 @@
     this.prefillShare += REPORT_SMOOTHING * ((load.queuedPromptTokens > 0 ? 1 : 0) - this.prefillShare);
   }
 
-  /** Requests of other nodes that are expected to run now, given the mean over all engines. */
-  public others(now: number, mean: number): number {
+  /**
+   * Requests of other nodes that are expected to run now. As a report ages, the expectation moves to what `peers`
+   * nodes with the same work as this one would have there.
+   */
+  public others(now: number, peers: number): number {
     const trust = 0.5 ** ((now - this.reportedAt) / REPORT_HALF_LIFE_MS);
-    return mean + trust * (this.othersRunning - mean);
-  }
-
-  /** Requests of other nodes as last reported. */
-  public get reportedOthers(): number {
-    return this.othersRunning;
+    const alike = (this.count - this.shorts) * peers;
+    return alike + trust * (this.othersRunning - alike);
   }
 
   /** Own prompt tokens that are expected to wait for prefill now. */
@@ -116,9 +130,9 @@
   /** Changes the work left of a request that is counted here. */
   public update(work: OwnWork, promptLeft: number, outputLeft: number, now: number): void {
     if (promptLeft < work.promptLeft) this.prefillSince = now;
-    this.apply(work, -1);
-    Object.assign(work, { promptLeft, outputLeft });
-    this.apply(work, 1);
+    this.promptLeft += promptLeft - work.promptLeft;
+    if (!work.short) this.outputLeft += outputLeft - work.outputLeft;
+    work.leave(promptLeft, outputLeft);
   }
 
   private apply(work: OwnWork, sign: 1 | -1): void {
