Measure the control traffic and stop newcomers from repeating the roster

Cause: a newcomer passed on every row that it had just been sent, which filled the probes for a minute at 48 nodes.

--- /dev/null
+++ b/src/bench/control.ts
@@ -0,0 +1,227 @@
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import type { Clock } from '../core/edges.js';
+import { createIncarnation, Membership } from '../core/membership.js';
+import { SimulatedClock } from '../emulator/clock.js';
+import { Deployment } from '../emulator/deployment.js';
+import { EmulatedNetwork } from '../emulator/peers.js';
+import { SeededRandom } from '../emulator/random.js';
+import { CountingMeter, RecordingLog } from '../emulator/recording.js';
+import { scenarioFleet } from '../scenario/fleets.js';
+import type { Experiment, Verdict } from './experiment.js';
+import { measurePeerCost } from './peercost.js';
+import type { PeerCost } from './peercost.js';
+import { round } from './summary.js';
+
+const NODE_COUNTS = [6, 12, 24, 48];
+const WARM_UP_MS = 20_000;
+const MEASURED_MS = 60_000;
+
+const TARGET_CORE_SHARE = 0.023;
+const TARGET_MEMORY_MB = 32;
+const TARGET_BYTES = 4_096;
+
+const BACKEND_EDGES = ['status', 'loadReport', 'cacheEvents', 'call', 'list'];
+const KEY_VALUE_EDGES = ['get', 'range', 'transact', 'leaseGrant', 'leaseRenew'];
+
+/** Traffic of one kind of edge; bytes are those of JSON payloads in both directions. */
+interface Traffic {
+  calls: number;
+  bytes: number;
+}
+
+/** Started nodes of one variant. */
+interface Running {
+  readonly clock: SimulatedClock;
+  readonly traffic: Readonly<Record<string, Traffic>>;
+  /** Kept so that the memory of the nodes is not freed before it has been measured. */
+  readonly keep: unknown;
+}
+
+const collectGarbage = ((): (() => void) => {
+  setFlagsFromString('--expose-gc');
+  return runInNewContext('gc') as () => void;
+})();
+
+function heapBytes(): number {
+  collectGarbage();
+  collectGarbage();
+  return process.memoryUsage().heapUsed;
+}
+
+/** Counts calls and payload bytes of some methods of an edge. */
+function countEdge(edge: object, methods: readonly string[], traffic: Traffic): void {
+  const sink = traffic;
+  for (const method of methods) {
+    const inner: unknown = Reflect.get(edge, method);
+    if (typeof inner !== 'function') continue;
+    Reflect.set(edge, method, async (...args: unknown[]) => {
+      const result: unknown = await (inner as (...values: unknown[]) => unknown).apply(edge, args);
+      sink.calls += 1;
+      sink.bytes += Buffer.byteLength(JSON.stringify(args.slice(0, -1))) + Buffer.byteLength(JSON.stringify(result));
+      return result;
+    });
+  }
+}
+
+/** Counts calls between entries. */
+function countPeers(network: EmulatedNetwork, traffic: Traffic): void {
+  const sink = traffic;
+  const inner = network.client.bind(network);
+  Object.assign(network, {
+    client: (from: string) => {
+      const client = inner(from);
+      countEdge(client, ['call'], sink);
+      return client;
+    },
+  });
+}
+
+/** Gives a member a new load every second, as an entry does. */
+function changeLoad(clock: Clock, membership: Membership, random: SeededRandom): void {
+  membership.update({ load: random.float() });
+  clock.after(1_000, () => changeLoad(clock, membership, random));
+}
+
+/** Membership alone. */
+async function startMembers(nodes: number, seed: number): Promise<Running> {
+  const clock = new SimulatedClock();
+  const network = new EmulatedNetwork(clock);
+  const traffic = { peers: { calls: 0, bytes: 0 } };
+  countPeers(network, traffic.peers);
+  const address = (index: number): string => `10.0.${Math.floor(index / 250)}.${index % 250}:7000`;
+  const seeds = [0, 1, 2].map(address);
+  const keep = Array.from({ length: nodes }, (_, index) => {
+    const random = new SeededRandom(seed * 10_000 + index);
+    const membership = new Membership({
+      id: `entry-${index}`,
+      incarnation: createIncarnation(clock, random),
+      address: address(index),
+      callerAddress: address(index).replace(':7000', ':8000'),
+      failureDomain: ['regina', 'brandon', 'saskatoon'][index % 3]!,
+      leaving: false,
+      revision: 1,
+      load: 0,
+    }, {
+      clock, random, client: network.client(address(index)), server: network.listen(address(index)), log: new RecordingLog().of(''),
+    }, { seeds });
+    void membership.run(new AbortController().signal);
+    changeLoad(clock, membership, random);
+    return membership;
+  });
+  return { clock, traffic, keep };
+}
+
+/** Whole entries at rest with a fleet of 10 engines and 3 backend servers in force. */
+async function startEntries(nodes: number, seed: number): Promise<Running> {
+  const deployment = new Deployment({
+    seed,
+    fleetFile: scenarioFleet({ engines: 10, servers: 3 }),
+    entries: nodes,
+    log: new RecordingLog(),
+    meter: new CountingMeter(),
+  });
+  const none = (): Traffic => ({ calls: 0, bytes: 0 });
+  const traffic = { peers: none(), keyValue: none(), backends: none() };
+  countPeers(deployment.network, traffic.peers);
+  for (const engine of deployment.standIns.engines.values()) countEdge(engine, BACKEND_EDGES, traffic.backends);
+  countEdge(deployment.standIns.hosts, BACKEND_EDGES, traffic.backends);
+  for (const name of deployment.names) {
+    countEdge(deployment.start(name).keyValue, KEY_VALUE_EDGES, traffic.keyValue);
+  }
+  await deployment.clock.advance(3_000);
+  const first = deployment.get(deployment.names[0]!)!;
+  void first.entry.apply(scenarioFleet({ engines: 10, servers: 3 }), undefined, 2_000);
+  await deployment.clock.advance(5_000);
+  return { clock: deployment.clock, traffic, keep: deployment };
+}
+
+const VARIANTS: Record<string, (nodes: number, seed: number) => Promise<Running>> = {
+  membership: startMembers, entry: startEntries,
+};
+
+/** Figures per node and second; bytes are those sent and received, with headers. */
+interface Figures {
+  readonly bytesPerSecond: number;
+  readonly peerCallsPerSecond: number;
+  readonly coreShare: number;
+  readonly heapMb: number;
+  readonly details: Readonly<Record<string, Traffic>>;
+}
+
+async function measure(
+  start: (nodes: number, seed: number) => Promise<Running>,
+  nodes: number,
+  seed: number,
+  cost: PeerCost,
+): Promise<Figures> {
+  const heapBefore = heapBytes();
+  const running = await start(nodes, seed);
+  await running.clock.advance(WARM_UP_MS);
+  const before = structuredClone(running.traffic) as Record<string, Traffic>;
+  const processor = process.cpuUsage();
+  await running.clock.advance(MEASURED_MS);
+  const { user, system } = process.cpuUsage(processor);
+  const perNodeSecond = nodes * (MEASURED_MS / 1_000);
+  const details = Object.fromEntries(Object.entries(running.traffic).map(([kind, { calls, bytes }]) => [kind, {
+    calls: round((calls - before[kind]!.calls) / perNodeSecond),
+    bytes: Math.round((bytes - before[kind]!.bytes) / perNodeSecond),
+  }]));
+  const heapMb = (heapBytes() - heapBefore) / nodes / 1e6;
+  if (running.keep === null) throw new Error('the nodes were freed');
+  const calls = Object.values(details).reduce((sum, traffic) => sum + traffic.calls, 0);
+  const headerBytes = cost.requestBytes + cost.responseBytes;
+  const bytesOf = (traffic: Traffic): number => traffic.bytes + traffic.calls * headerBytes;
+  const total = Object.values(details).reduce((sum, traffic) => sum + bytesOf(traffic), 0);
+  return {
+    // A call between entries is traffic of both, so it counts twice.
+    bytesPerSecond: Math.round(total + bytesOf(details.peers!)),
+    peerCallsPerSecond: details.peers!.calls,
+    coreShare: round(((user + system) / 1_000 + calls * perNodeSecond * cost.processorMs) / perNodeSecond / 1_000, 5),
+    heapMb: round(heapMb, 3),
+    details,
+  };
+}
+
+/** Cost of the control traffic. */
+export const control: Experiment = {
+  name: 'control',
+  shows: 'bytes, calls, processor time and memory of control traffic per node and second at 6, 12, 24 and 48 nodes',
+  target: 'at 6 nodes: 2.3% of a core, 32 MB beyond an idle process, 4 KB/s',
+  variants: Object.keys(VARIANTS),
+  async run(opts): Promise<Verdict> {
+    const sample = { from: 'x'.repeat(100), rows: ['x'.repeat(200)] };
+    const cost = await measurePeerCost(sample);
+    opts.emit({ http: cost });
+    const figure: Record<string, number> = {};
+    let pass = true;
+    for (const [variant, start] of Object.entries(VARIANTS)) {
+      if (opts.variant !== undefined && opts.variant !== variant) continue;
+      const figures: Figures[] = [];
+      for (const nodes of NODE_COUNTS) {
+        figures.push(await measure(start, nodes, opts.seed, cost));
+        opts.emit({ variant, nodes, ...figures.at(-1)! });
+      }
+      const [small, large] = [figures[0]!, figures.at(-1)!];
+      const span = NODE_COUNTS.at(-1)! - NODE_COUNTS[0]!;
+      opts.emit({
+        variant,
+        slopePerNode: {
+          bytesPerSecond: round((large.bytesPerSecond - small.bytesPerSecond) / span),
+          calls: round((large.peerCallsPerSecond - small.peerCallsPerSecond) / span, 4),
+          coreShare: round((large.coreShare - small.coreShare) / span, 7),
+          heapMb: round((large.heapMb - small.heapMb) / span, 5),
+        },
+      });
+      const memoryMb = round(small.heapMb + cost.residentMb, 1);
+      pass &&= small.bytesPerSecond <= TARGET_BYTES && small.coreShare <= TARGET_CORE_SHARE
+        && memoryMb <= TARGET_MEMORY_MB;
+      Object.assign(figure, {
+        [`${variant}BytesPerSecond`]: small.bytesPerSecond,
+        [`${variant}CoreShare`]: small.coreShare,
+        [`${variant}MemoryMb`]: memoryMb,
+      });
+    }
+    return { pass, figure };
+  },
+};
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,4 +1,5 @@
 import { bookings } from './bookings.js';
+import { control } from './control.js';
 import type { Experiment } from './experiment.js';
 import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
@@ -9,6 +10,7 @@
 export const EXPERIMENTS: readonly Experiment[] = [
   mixShift,
   bookings,
+  control,
   peak,
   headOfLine,
   fairness,
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -98,7 +98,7 @@
       this.roster,
       edges,
       { seeds: opts.seeds, periodMs: opts.exchangeMs ?? 10_000 },
-      (message, direct) => this.receive(message, direct),
+      (message, direct) => this.receive(message, direct, true),
     );
   }
 
@@ -223,18 +223,22 @@
   }
 
   /** Takes in a message; `direct` means that `from` is the answer of the process at the called address. */
-  private receive(message: RowsFrom & { readonly notes?: readonly Note[] | undefined }, direct: boolean): MemberRow {
+  private receive(
+    message: RowsFrom & { readonly notes?: readonly Note[] | undefined },
+    direct: boolean,
+    repair = false,
+  ): MemberRow {
     const sender = decodeRow(message.from);
-    let changed = this.roster.merge(sender, direct);
-    changed = this.merge(message.rows) || changed;
+    let changed = this.roster.merge(sender, { direct });
+    changed = this.merge(message.rows, repair) || changed;
     if (changed) this.notify();
     this.notes.receive(message.notes ?? []);
     return sender;
   }
 
-  private merge(rows: readonly WireRow[]): boolean {
+  private merge(rows: readonly WireRow[], repair = false): boolean {
     let changed = false;
-    for (const row of rows) changed = this.roster.merge(decodeRow(row)) || changed;
+    for (const row of rows) changed = this.roster.merge(decodeRow(row), { repair }) || changed;
     return changed;
   }
 
--- a/src/core/roster.ts
+++ b/src/core/roster.ts
@@ -77,15 +77,17 @@
 
   /**
    * Merges a row. `direct` means that the process itself answered at its address, which proves that every other
-   * process at this address has ended. Returns whether anything changed.
+   * process at this address has ended. `repair` means that the row comes from an exchange: unknown members are not
+   * passed on then, because a newcomer would repeat the whole roster to those who sent it. Returns whether anything
+   * changed.
    */
-  public merge(row: MemberRow, direct = false): boolean {
+  public merge(row: MemberRow, { direct = false, repair = false } = {}): boolean {
     const { incarnation, address } = row.member;
     if (incarnation === this.own.member.incarnation) return this.refute(row);
     if (address === this.own.member.address) return this.bury(row);
     const known = this.known.get(incarnation);
     if (known !== undefined) return this.mergeKnown(known, row, direct);
-    return this.mergeUnknown(row, direct);
+    return this.mergeUnknown(row, direct, repair);
   }
 
   /** Suspects a live member; `spread` is false while this process doubts its own observation. */
@@ -201,14 +203,14 @@
     return true;
   }
 
-  private mergeUnknown(row: MemberRow, direct: boolean): boolean {
+  private mergeUnknown(row: MemberRow, direct: boolean, repair: boolean): boolean {
     if (row.state === MemberState.Dead) {
       this.insert(row);
       return false;
     }
     if (!this.displace(row, direct)) return false;
     this.insert(row);
-    this.events.spread(row.member.incarnation);
+    if (!repair) this.events.spread(row.member.incarnation);
     this.events.added(row.member.incarnation);
     return true;
   }
