Measure leaving servers and planned stops with whole entries under load

Change: experiment leaving runs six real entries with callers that keep addresses; servers leave by every source while the host list is stale, and entries are stopped and replaced.

--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,6 +1,7 @@
 import { bookings } from './bookings.js';
 import { control } from './control.js';
 import type { Experiment } from './experiment.js';
+import { leaving } from './leaving.js';
 import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
 import { headOfLine } from './headofline.js';
@@ -11,6 +12,7 @@
   mixShift,
   bookings,
   control,
+  leaving,
   peak,
   headOfLine,
   fairness,
