Carry more changes per probe after a large loss

Cause: 512 bytes of rows per probe spread the loss of 50 of 200 members in 26 s. Change: probes carry up to 4 KB of rows while more than 8 changes wait.

--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -49,6 +49,9 @@
 
 /** Bytes of rows and notes in one probe; several changes fit, and the rate stays far below 4 KB/s. */
 const PROBE_ROWS_BYTES = 512;
+/** While many changes wait, as after the loss of a region, probes carry more of them for a few seconds. */
+const BURST_ROWS_BYTES = 4_096;
+const BURST_CHANGES = 8;
 const PROBE_NOTES_BYTES = 256;
 /** Rows of recent load and revision that fill up a probe, beside changes. */
 const FACT_ROWS = 2;
@@ -209,7 +212,8 @@
     const view = this.roster.get(receiver);
     if (view !== null && view.state !== MemberState.Alive) add(encodeRow(view));
     const members = this.roster.live().length;
-    this.changes.take(PROBE_ROWS_BYTES, members, MESSAGE_MAX_ROWS / 2).forEach(add);
+    const budgetBytes = this.changes.size > BURST_CHANGES ? BURST_ROWS_BYTES : PROBE_ROWS_BYTES;
+    this.changes.take(budgetBytes, members, MESSAGE_MAX_ROWS / 2).forEach(add);
     let spare = PROBE_ROWS_BYTES - rows.reduce((sum, row) => sum + messageBytes(row), 0);
     for (const row of this.rounds.sample(FACT_ROWS)) {
       const facts = row === receiver ? null : this.roster.get(row);
