Test leases, refused groups and arbitrary membership messages

Cause: retention, a lost lease, a refused group and malformed input were not covered. Change: four tests. Conclusion: no fault found.

--- a/test/bookings.test.ts
+++ b/test/bookings.test.ts
@@ -159,6 +159,43 @@
     expect((rig.store.calls.transact ?? 0) - before).toBe(2);
   });
 
+  // Guards against records that outlive, or do not reach, the time for which a key is valid.
+  it('keeps records for 24 h under one lease for each hour', async () => {
+    const rig = new Rig();
+    await rig.settle(rig.book(0, 'first', 1_000, 'first'));
+    await rig.clock.advance(3_500_000);
+    await rig.settle(rig.book(0, 'last', 1_000, 'last'));
+    expect(rig.store.leaseIds()).toHaveLength(1);
+    const hour = 3_600_000;
+    await rig.clock.advance(24 * hour - 10_000);
+    expect(rig.store.peek('bookings/shop/last')).toBeDefined();
+    await rig.clock.advance(2 * hour);
+    expect(rig.store.peek('bookings/shop/last')).toBeUndefined();
+  });
+
+  // Guards against bookings that fail for an hour after the service has lost their lease.
+  it('takes a new lease when the service has lost the old one', async () => {
+    const rig = new Rig();
+    await rig.settle(rig.book(0, 'one', 1_000, 'one'));
+    rig.store.expireLease(rig.store.leaseIds()[0]!);
+    expect(await rig.settle(rig.book(0, 'two', 1_000, 'two'))).toMatchObject({ success: true });
+  });
+
+  // Guards against a group in which one bad operation fails the bookings of all.
+  it('sends the operations of a refused group again one by one', async () => {
+    const rig = new Rig();
+    const keyValue = new BatchingKeyValue(new EmulatedKeyValue(rig.store, rig.clock), rig.clock);
+    const put = (key: string, leaseId?: string) => keyValue.transact([
+      {
+        key, expected: 0, value: key, ...(leaseId === undefined ? {} : { leaseId }),
+      },
+    ], { timeoutMs: 100 });
+    const results = Promise.all([put('good'), put('bad', 'no-such-lease'), put('fine')]);
+    await rig.clock.advance(200);
+    expect((await results).map(({ success }) => success)).toEqual([true, false, true]);
+    expect(rig.store.peek('good')).toBeDefined();
+  });
+
   // Guards against a second call of an unsafe operation, and against idempotent calls that fail needlessly.
   it('tries an idempotent call at another backend server', async () => {
     const rig = new Rig();
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -197,6 +197,34 @@
     }
     expect(cluster.seen(0)).toEqual(['entry-1']);
   });
+
+  // Guards against input that throws, or that makes a member accept itself as dead or grow without bound.
+  it('survives arbitrary messages', async () => {
+    const cluster = new Cluster(2);
+    await cluster.clock.advance(2_000);
+    const own = cluster.nodes[0]!.membership.self();
+    const row = fc.tuple(
+      fc.string(),
+      fc.constantFrom(own.incarnation, 'x-1', ''),
+      fc.constantFrom(own.address, '10.9.9.9:1'),
+      fc.string(),
+      fc.string(),
+      fc.constantFrom('alive', 'suspect', 'dead', 'gone'),
+      fc.integer(),
+      fc.boolean(),
+      fc.integer(),
+      fc.integer(),
+      fc.double(),
+    );
+    const message = fc.oneof(fc.jsonValue(), fc.record({ from: row, rows: fc.array(row, { maxLength: 4 }) }));
+    const client = cluster.network.client('10.9.9.9:1');
+    await fc.assert(fc.asyncProperty(fc.constantFrom('probe', 'exchange'), message, async (method, params) => {
+      void client.call(own.address, method, params, { timeoutMs: 100 });
+      await cluster.clock.advance(10);
+      expect(cluster.nodes[0]!.membership.self().incarnation).toBe(own.incarnation);
+      expect(cluster.nodes[0]!.membership.live().length).toBeLessThan(4);
+    }), { seed: 31, numRuns: 300 });
+  });
 });
 
 const NODES = 5;
