Let a few entries read the host list and send each change less often

Cause: the list of a large fleet is too long to be read by every entry each second; changes were sent up to 33 times by each member. Change: 3 entries read the list each second, the others every 30 s or slower, and notes spread the news at once, also over restarts on the host; 8 sendings, or 4 for each power of ten.

--- a/src/core/gossip.ts
+++ b/src/core/gossip.ts
@@ -3,8 +3,9 @@
 /** Most changes that wait for retransmission; beyond it the most often sent one is dropped. */
 const QUEUE_MAX = 512;
 
-/** Retransmissions of each change, as a multiple of the logarithm of the number of members. */
-const RETRANSMIT_FACTOR = 3;
+/** Sendings of each change, for each power of ten in the number of members, and their least number. */
+const SENDINGS_PER_DECADE = 4;
+const SENDINGS_MIN = 8;
 
 /** Changes that travel on other messages, each a bounded number of times, least often sent first. */
 export class GossipQueue<T> {
@@ -37,7 +38,7 @@
     if (this.sent.size === 0) return [];
     const taken: T[] = [];
     let bytes = 0;
-    const sendings = RETRANSMIT_FACTOR * Math.ceil(Math.log2(members + 2));
+    const sendings = Math.max(SENDINGS_MIN, SENDINGS_PER_DECADE * Math.ceil(Math.log10(members + 1)));
     for (const [key, sent] of [...this.sent].sort(([, a], [, b]) => a - b)) {
       const value = this.resolve(key);
       bytes += value === null ? 0 : messageBytes(value);
--- a/src/core/leaving.ts
+++ b/src/core/leaving.ts
@@ -5,14 +5,16 @@
 import { ServerState } from './fleet.js';
 import type { Fleet } from './fleet.js';
 import { LeavingSource, ServerLife } from './life.js';
+import type { Members } from './members.js';
 import type { NoteListener } from './notes.js';
+import { lowestByRendezvous } from './rendezvous.js';
 import type { ServerDirectory } from './servers.js';
 import { sleep } from './time.js';
 
 export { LeavingSource } from './life.js';
 
 /** Spreads small facts among the entries; implemented by `Membership`. */
-export interface NoteBoard {
+export interface NoteBoard extends Pick<Members, 'self' | 'live'> {
   publish(topic: string, key: string, value: string): void;
   onNote(topic: string, listener: NoteListener): Disposable;
 }
@@ -32,6 +34,13 @@
 const POLL_MS = 1_000;
 const POLL_TIMEOUT_MS = 1_000;
 
+/** Entries that read the host list in each period. */
+const HOST_READERS = 3;
+
+/** Period in which the other entries read it, and the least period for each host in the list. */
+const REPAIR_MS = 30_000;
+const REPAIR_PER_HOST_MS = 60;
+
 /** A host that was missing from the list for this long and comes back is a new one. */
 const HOST_ABSENT_MS = 60_000;
 
@@ -105,18 +114,28 @@
     }
   }
 
-  /** Reads the host list every second and listens to the other entries until `signal` aborts. */
+  /** Reads the host list and listens to the other entries until `signal` aborts. */
   public async run(signal: AbortSignal): Promise<void> {
     const { clock, random, hosts } = this.edges;
-    const subscription = this.edges.notes.onNote(TOPIC, (server, note) => (
+    const subscription = this.edges.notes.onNote(TOPIC, (server, note) => {
+      let news = false;
       this.apply(server, LeavingSource.Peers, (life, time) => {
-        if (!life.leaving && life.matches(note)) life.signal(LeavingSource.Peers, time);
-      })
-    ));
+        news = life.takeNote(note, time);
+      });
+      return news;
+    });
+    let readAt = -Infinity;
+    let repairMs = REPAIR_MS;
     while (!signal.aborted) {
-      const opts: CallOptions = { timeoutMs: POLL_TIMEOUT_MS, signal };
-      const records = await hosts.list(opts);
-      if (records.success) this.observeHosts(records.data);
+      if (this.readsOften() || clock.monotonic() - readAt >= repairMs) {
+        const opts: CallOptions = { timeoutMs: POLL_TIMEOUT_MS, signal };
+        const records = await hosts.list(opts);
+        if (records.success) {
+          readAt = clock.monotonic();
+          this.observeHosts(records.data);
+          repairMs = Math.max(REPAIR_MS, records.data.length * REPAIR_PER_HOST_MS) * (0.75 + random.float() / 2);
+        }
+      }
       await sleep(clock, POLL_MS * (0.75 + random.float() / 2), signal);
     }
     subscription.dispose();
@@ -130,18 +149,27 @@
       : [{ server, source: first.source, ageMs: time - first.since }]));
   }
 
-  /** Applies a signal; returns whether the server started or stopped leaving. */
-  private apply(server: string, source: LeavingSource, signal: (life: ServerLife, time: number) => void): boolean {
+  /** True on a few entries, which tell the others; the list of a large fleet is too long for all to read often. */
+  private readsOften(): boolean {
+    const { notes } = this.edges;
+    const own = notes.self().incarnation;
+    const members = [own, ...notes.live().map(({ incarnation }) => incarnation)];
+    return lowestByRendezvous(members, TOPIC, HOST_READERS).includes(own);
+  }
+
+  private apply(server: string, source: LeavingSource, signal: (life: ServerLife, time: number) => void): void {
     const life = this.watched.get(server);
-    if (life === undefined) return false;
-    const before = life.leaving;
+    if (life === undefined) return;
+    const { leaving } = life;
+    const said = life.has(source);
     signal(life, this.edges.clock.monotonic());
-    if (life.leaving === before) return false;
+    // The membership passes on notes from peers by itself.
+    if (source !== LeavingSource.Peers && !said && life.has(source)) {
+      this.edges.notes.publish(TOPIC, server, life.describe(source));
+    }
+    if (life.leaving === leaving) return;
     this.edges.log.info(life.leaving ? 'server_leaving' : 'server_returned', { server, source });
     this.changed(server);
-    // The membership passes on notes from peers by itself.
-    if (life.leaving && source !== LeavingSource.Peers) this.edges.notes.publish(TOPIC, server, life.describe());
-    return true;
   }
 
   private changed(server: string): void {
--- a/src/core/life.ts
+++ b/src/core/life.ts
@@ -13,6 +13,9 @@
 /** Earlier incarnations that are remembered, so that late news of them is recognised as stale. */
 const PAST_LIVES_MAX = 8;
 
+const HOST_NOTE = 'host';
+const SERVER_NOTE = 'server';
+
 /** Short form of text of any length, so that a note stays small. */
 function digest(text: string): string {
   return createHash('sha256').update(text).digest('base64url').slice(0, 12);
@@ -24,6 +27,9 @@
 
   private readonly past: string[] = [];
 
+  /** Incarnations from before the last time that the host list took back its word. */
+  private ended: readonly string[] = [];
+
   private incarnation: string | null = null;
 
   /** True if the server was restarted or explicitly changed after the host list said that it leaves. */
@@ -42,15 +48,27 @@
     return first === undefined ? null : { source: first[0], since: first[1] };
   }
 
-  /** Name under which entries speak of this life: fleet file part and incarnation, if known. */
-  public describe(): string {
-    return `${digest(this.spec)}|${this.incarnation === null ? '' : digest(this.incarnation)}`;
+  public has(source: LeavingSource): boolean {
+    return this.signals.has(source);
+  }
+
+  /** Note that tells other entries of a signal from `source`. */
+  public describe(source: LeavingSource): string {
+    const incarnation = this.incarnation === null ? '' : digest(this.incarnation);
+    return `${source === LeavingSource.HostList ? HOST_NOTE : SERVER_NOTE}|${digest(this.spec)}|${incarnation}`;
   }
 
-  /** True if a note speaks of this life, or of one that this process has not seen yet. */
-  public matches(note: string): boolean {
-    const [spec, incarnation] = note.split('|');
-    return spec === digest(this.spec) && !this.past.some((earlier) => digest(earlier) === incarnation);
+  /** Takes a note of another entry; false if it is stale or tells nothing new. */
+  public takeNote(note: string, time: number): boolean {
+    const [kind, spec, incarnation] = note.split('|');
+    if (spec !== digest(this.spec)) return false;
+    // The word of the host list holds for the host, so it outlives a restart of the server.
+    const source = kind === HOST_NOTE ? LeavingSource.HostList : LeavingSource.Peers;
+    const past = source === LeavingSource.HostList ? this.ended : this.past;
+    const stale = past.some((earlier) => digest(earlier) === incarnation);
+    if (stale || this.signals.has(source)) return false;
+    this.signal(source, time);
+    return true;
   }
 
   public signal(source: LeavingSource, time: number): void {
@@ -80,7 +98,7 @@
   /** Takes the state in the host list. It lags, so `live` counts only for a server that was renewed since. */
   public list(state: HostState, time: number): void {
     if (state === HostState.Leaving) this.signal(LeavingSource.HostList, time);
-    else if (this.renewed) this.signals.delete(LeavingSource.HostList);
+    else if (this.renewed && this.signals.delete(LeavingSource.HostList)) this.ended = [...this.past];
   }
 
   /** Takes over what the host list says of an earlier life on the same host. */
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -236,7 +236,8 @@
     let changed = this.roster.merge(sender, { direct });
     changed = this.merge(message.rows, repair) || changed;
     if (changed) this.notify();
-    this.notes.receive(message.notes ?? []);
+    // News is passed on at once, so that it crosses a large fleet within a few hops instead of a few periods.
+    if (this.notes.receive(message.notes ?? [])) this.hurry();
     return sender;
   }
 
--- a/src/core/notes.ts
+++ b/src/core/notes.ts
@@ -28,10 +28,15 @@
     return { dispose: () => this.listeners.delete(topic) };
   }
 
-  public receive(notes: readonly Note[]): void {
+  /** Hands notes to their listeners; true if any of them was new. */
+  public receive(notes: readonly Note[]): boolean {
+    let news = false;
     for (const note of notes) {
-      if (this.listeners.get(note[0])?.(note[1], note[2]) === true) this.put(note);
+      if (this.listeners.get(note[0])?.(note[1], note[2]) !== true) continue;
+      this.put(note);
+      news = true;
     }
+    return news;
   }
 
   public take(budgetBytes: number, members: number, limit: number): Note[] {
--- a/test/leaving.test.ts
+++ b/test/leaving.test.ts
@@ -6,6 +6,7 @@
 import { fleetSchema, ServerState } from '../src/core/fleet.js';
 import type { Fleet } from '../src/core/fleet.js';
 import { LeavingServers } from '../src/core/leaving.js';
+import type { Member } from '../src/core/membership.js';
 import type { NoteListener } from '../src/core/notes.js';
 import { ServerDirectory } from '../src/core/servers.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
@@ -40,6 +41,8 @@
 class Board {
   public readonly sent: string[] = [];
 
+  public others: readonly Member[] = [];
+
   private readonly listeners = new Set<NoteListener>();
 
   public publish(_topic: string, key: string, value: string): void {
@@ -47,6 +50,14 @@
     for (const listener of this.listeners) listener(key, value);
   }
 
+  public self() {
+    return { incarnation: 'life-0' } as Member;
+  }
+
+  public live(): readonly Member[] {
+    return this.others;
+  }
+
   public onNote(_topic: string, listener: NoteListener) {
     this.listeners.add(listener);
     return { dispose: () => this.listeners.delete(listener) };
@@ -155,6 +166,28 @@
     expect(rig.leaving.accepts('engine-0')).toBe(true);
   });
 
+  // Guards against a list that every entry of a large fleet reads each second, and against readers that keep its word.
+  it('learns from the few readers of the host list, also over a restart', async () => {
+    const board = new Board();
+    const reader = new Rig(board);
+    const rig = new Rig(board);
+    rig.leaving.observe('engine-0', false, 'a');
+    let reads = 0;
+    const { list } = reader.hosts;
+    reader.hosts.list = () => {
+      reads += 1;
+      return list.call(reader.hosts);
+    };
+    // Among these members the own one is not a reader.
+    board.others = Array.from({ length: 40 }, (_, index) => ({ incarnation: `other-${index}` }) as Member);
+    reader.hosts.set('host-e', 'regina', HostState.Leaving);
+    await reader.clock.advance(45_000);
+    expect(reads).toBeLessThan(4);
+    expect(rig.leaving.accepts('engine-0')).toBe(false);
+    rig.leaving.observe('engine-0', false, 'b');
+    expect(rig.leaving.accepts('engine-0')).toBe(false);
+  });
+
   // Guards against an operator's word that does not count.
   it('ends with an explicit change of the fleet file', async () => {
     const rig = new Rig();
