--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -3,6 +3,10 @@
 import { start } from './start.js';
 import { streams } from './streams.js';
 import type { Experiment } from './experiment.js';
+import { control } from './control.js';
+import type { Experiment } from './experiment.js';
+import { leaving } from './leaving.js';
+import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
 import { headOfLine } from './headofline.js';
 import { mixShift } from './mixshift.js';
@@ -20,6 +24,8 @@
   streams,
   start,
   bookings,
+  control,
+  leaving,
   peak,
   headOfLine,
   fairness,
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -49,6 +49,9 @@
 
 /** Bytes of rows and notes in one probe; several changes fit, and the rate stays far below 4 KB/s. */
 const PROBE_ROWS_BYTES = 512;
+/** While many changes wait, as after the loss of a region, probes carry more of them for a few seconds. */
+const BURST_ROWS_BYTES = 4_096;
+const BURST_CHANGES = 8;
 const PROBE_NOTES_BYTES = 256;
 /** Rows of recent load and revision that fill up a probe, beside changes. */
 const FACT_ROWS = 2;
@@ -81,7 +84,7 @@
   ) {
     this.rounds = new Rounds(edges.random);
     this.roster = new Roster(self, edges.clock, {
-      spread: (incarnation) => this.changes.put(incarnation),
+      spread: (incarnation) => this.spread(incarnation),
       added: (incarnation) => this.rounds.add(incarnation),
       verify: (address) => this.detector.verify(address),
     });
@@ -98,7 +101,7 @@
       this.roster,
       edges,
       { seeds: opts.seeds, periodMs: opts.exchangeMs ?? 10_000 },
-      (message, direct) => this.receive(message, direct),
+      (message, direct) => this.receive(message, direct, true),
     );
   }
 
@@ -110,17 +113,19 @@
     return this.roster.live().map(({ member }) => member);
   }
 
-  /** True while a member has not answered and has not refuted that yet. */
+  /**
+   * True while a member has not answered and has not refuted that yet. After a pause of this process it is true for
+   * all others until news had time to arrive, because they may have left in the meantime.
+   */
   public suspected(incarnation: string): boolean {
-    return this.roster.get(incarnation)?.state === MemberState.Suspect;
+    if (incarnation === this.self().incarnation) return false;
+    return this.roster.get(incarnation)?.state === MemberState.Suspect || this.detector.stale(this.spreadMs());
   }
 
   public update(facts: Partial<LocalFacts>): void {
     const { leaving } = this.self();
     this.roster.update(facts);
-    if (this.self().leaving === leaving) return;
-    this.hurry();
-    this.notify();
+    if (this.self().leaving !== leaving) this.notify();
   }
 
   public onChange(listener: () => void): Disposable {
@@ -207,7 +212,8 @@
     const view = this.roster.get(receiver);
     if (view !== null && view.state !== MemberState.Alive) add(encodeRow(view));
     const members = this.roster.live().length;
-    this.changes.take(PROBE_ROWS_BYTES, members, MESSAGE_MAX_ROWS / 2).forEach(add);
+    const budgetBytes = this.changes.size > BURST_CHANGES ? BURST_ROWS_BYTES : PROBE_ROWS_BYTES;
+    this.changes.take(budgetBytes, members, MESSAGE_MAX_ROWS / 2).forEach(add);
     let spare = PROBE_ROWS_BYTES - rows.reduce((sum, row) => sum + messageBytes(row), 0);
     for (const row of this.rounds.sample(FACT_ROWS)) {
       const facts = row === receiver ? null : this.roster.get(row);
@@ -221,21 +227,32 @@
   }
 
   /** Takes in a message; `direct` means that `from` is the answer of the process at the called address. */
-  private receive(message: RowsFrom & { readonly notes?: readonly Note[] | undefined }, direct: boolean): MemberRow {
+  private receive(
+    message: RowsFrom & { readonly notes?: readonly Note[] | undefined },
+    direct: boolean,
+    repair = false,
+  ): MemberRow {
     const sender = decodeRow(message.from);
-    let changed = this.roster.merge(sender, direct);
-    changed = this.merge(message.rows) || changed;
+    let changed = this.roster.merge(sender, { direct });
+    changed = this.merge(message.rows, repair) || changed;
     if (changed) this.notify();
-    this.notes.receive(message.notes ?? []);
+    // News is passed on at once, so that it crosses a large fleet within a few hops instead of a few periods.
+    if (this.notes.receive(message.notes ?? [])) this.hurry();
     return sender;
   }
 
-  private merge(rows: readonly WireRow[]): boolean {
+  private merge(rows: readonly WireRow[], repair = false): boolean {
     let changed = false;
-    for (const row of rows) changed = this.roster.merge(decodeRow(row)) || changed;
+    for (const row of rows) changed = this.roster.merge(decodeRow(row), { repair }) || changed;
     return changed;
   }
 
+  private spread(incarnation: string): void {
+    this.changes.put(incarnation);
+    // A refutation must arrive before the suspicion runs out anywhere.
+    if (incarnation === this.self().incarnation) this.hurry();
+  }
+
   /** Probes a few members at once, so that an urgent change does not wait for the next round. */
   private hurry(): void {
     for (const member of this.detector.healthy('', HURRY_TARGETS)) {
