--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -14,6 +14,9 @@
 import { propagation } from './propagation.js';
 import { takeover } from './takeover.js';
 import { retryStorm } from './retrystorm.js';
+import { prefix } from './prefix.js';
+import { scale } from './scale.js';
+import { slowServers } from './slowservers.js';
 
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
@@ -23,6 +26,9 @@
   overhead,
   streams,
   start,
+  slowServers,
+  prefix,
+  scale,
   bookings,
   control,
   leaving,
