--- a/src/bench/planners.ts
+++ b/src/bench/planners.ts
@@ -7,7 +7,7 @@
 import type { EngineSpec, Fleet } from '../core/fleet.js';
 import { Orders } from '../core/orders.js';
 import { Planning } from '../core/planning.js';
-import type { EngineDrain, RolePlanner } from '../core/planning.js';
+import type { EngineDrain, RoleSource } from '../core/planning.js';
 import { sleep } from '../core/time.js';
 import { SimulatedClock } from '../emulator/clock.js';
 import { EmulatedEngine } from '../emulator/engine.js';
@@ -28,7 +28,7 @@
   readonly engines?: number;
   readonly without?: Protection | undefined;
   readonly drain?: EngineDrain;
-  readonly roles?: RolePlanner;
+  readonly roles?: RoleSource;
   readonly awayShare?: number;
 }
 
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,39 +1,37 @@
 import { bookings } from './bookings.js';
-import { overhead } from './overhead.js';
-import { start } from './start.js';
-import { streams } from './streams.js';
-import type { Experiment } from './experiment.js';
 import { control } from './control.js';
 import type { Experiment } from './experiment.js';
-import { leaving } from './leaving.js';
-import { mixShift } from './mixshift.js';
 import { fairness } from './fairness.js';
 import { headOfLine } from './headofline.js';
+import { leaving } from './leaving.js';
 import { mixShift } from './mixshift.js';
+import { overhead } from './overhead.js';
 import { peak } from './peak.js';
+import { prefix } from './prefix.js';
 import { propagation } from './propagation.js';
-import { takeover } from './takeover.js';
 import { retryStorm } from './retrystorm.js';
-import { prefix } from './prefix.js';
 import { scale } from './scale.js';
 import { slowServers } from './slowservers.js';
+import { start } from './start.js';
+import { streams } from './streams.js';
+import { takeover } from './takeover.js';
 
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
-  takeover,
-  propagation,
-  mixShift,
   overhead,
   streams,
   start,
-  slowServers,
-  prefix,
-  scale,
+  takeover,
+  propagation,
   bookings,
-  control,
   leaving,
+  control,
+  mixShift,
   peak,
   headOfLine,
-  fairness,
+  slowServers,
   retryStorm,
+  prefix,
+  fairness,
+  scale,
 ];
--- a/src/core/planning.ts
+++ b/src/core/planning.ts
@@ -32,7 +32,7 @@
 }
 
 /** Chooses the roles of engines whose fleet file says `auto`; engines that it leaves out keep their role. */
-export interface RolePlanner {
+export interface RoleSource {
   plan(fleet: Fleet, engines: ReadonlyMap<string, EngineStatus>): ReadonlyMap<string, Role>;
 }
 
@@ -45,7 +45,7 @@
   /** Fleet file in force, or `null` before the first. */
   readonly fleet: () => Fleet | null;
   readonly engine: (spec: EngineSpec) => Engine;
-  readonly roles: RolePlanner;
+  readonly roles: RoleSource;
   readonly drain: EngineDrain;
   readonly log: Log;
   readonly meter: Meter;
--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -41,8 +41,9 @@
     case 'no_server':
     case 'not_ready':
     case 'draining':
-    case 'invalid_event_id':
       return Ran.No;
+    // The request that a caller wants to resume with an unreadable event id may have run.
+    case 'invalid_event_id':
     case 'outcome_unknown':
       return Ran.Unknown;
     case 'stream_lost':
--- a/src/daemon/roleplans.ts
+++ b/src/daemon/roleplans.ts
@@ -4,7 +4,7 @@
 } from '../core/edges.js';
 import { DesiredRole, ServerState } from '../core/fleet.js';
 import type { EngineSpec, Fleet } from '../core/fleet.js';
-import type { RolePlanner as RoleSource } from '../core/planning.js';
+import type { RoleSource } from '../core/planning.js';
 import { DEFAULT_PLANNER_OPTIONS, RolePlanner } from '../core/roles.js';
 import type { PlannedEngine } from '../core/roles.js';
 import { DEFAULT_SPLIT_MODEL } from '../core/split.js';
