--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,6 +1,6 @@
+import type { Experiment } from './experiment.js';
 import { bookings } from './bookings.js';
 import { control } from './control.js';
-import type { Experiment } from './experiment.js';
 import { fairness } from './fairness.js';
 import { headOfLine } from './headofline.js';
 import { leaving } from './leaving.js';
