--- a/src/core/costrouter.ts
+++ b/src/core/costrouter.ts
@@ -65,6 +65,9 @@
 
 const DEFAULT_DISTANCE_MS = 1;
 
+/** Price of a collision at a shared home relative to any other engine; at the full price shared homes stay idle. */
+const SHARED_HOME_PRICE = 0.1;
+
 /** Expected output left below which a move is not worth its interruption. */
 const MIN_MOVE_TOKENS = 20;
 
@@ -270,7 +273,7 @@
       promptWaiting: this.tracker.promptWaiting(facts.name),
       others: this.tracker.others(facts.name),
       distanceMs: far ? this.options.distanceMs ?? DEFAULT_DISTANCE_MS : 0,
-      foreign: sharers === undefined ? 1 : (sharers - 1) / sharers,
+      foreign: sharers === undefined ? 1 : (SHARED_HOME_PRICE * (sharers - 1)) / sharers,
       forShort: question.engines.forShort.has(facts.name),
       chunkTokens: facts.role === Role.Prefill ? this.speed.prefillChunkTokens : this.speed.chunkTokens,
     }, this.speed, this.target);
