Measure the joined policy of the daemon against its parts

Cause: admission and routing were measured apart, and the demo showed refusals and late first tokens at a quarter of the capacity. Ruled out with the same load on a simulated clock: role changes, loads and lost entries. Change: the prefix index is joined in, and the experiment 'combined' runs baseline, router, admission and the daemon's ServingPolicy at a quiet, a busy and an overload level.

--- /dev/null
+++ b/src/bench/combined.ts
@@ -0,0 +1,202 @@
+import { EngineDirectory } from '../core/directory.js';
+import type { Demand } from '../core/affinity.js';
+import { NO_DEMAND, sumDemand } from '../core/affinity.js';
+import { Role } from '../core/edges.js';
+import { PolicyDispatcher } from '../core/policy.js';
+import { LeastRequestsRouter } from '../core/routing.js';
+import { ServingPolicy } from '../daemon/policy.js';
+import type { SimulatedClock } from '../emulator/clock.js';
+import { SeededRandom } from '../emulator/random.js';
+import type { Experiment, RunOptions, Verdict } from './experiment.js';
+import type { User } from './policy.js';
+import {
+  createBaselineEntry, createPolicyEntry, createSimulation, ENTRIES, SEEDS, shareDemand, USERS,
+} from './policy.js';
+import type { SimulatedEntry, Simulation } from './simulation.js';
+import { firstTokenMs, isGood, quantile } from './simulation.js';
+import type { Arrival, ClassRate } from './workload.js';
+import { generateArrivals } from './workload.js';
+
+const DURATION_MS = 60_000;
+const TAIL_MS = 30_000;
+const HALF_CYCLE_MS = 20_000;
+
+/** Requests a second of the first (long prompts) and the other classes, in both halves of a cycle. */
+interface Load {
+  readonly name: string;
+  readonly scale: number;
+}
+
+/** Shares of the load at which one user's engines are just saturated by the baseline. */
+const LOADS: readonly Load[] = [
+  { name: 'quiet', scale: 0.3 },
+  { name: 'busy', scale: 0.7 },
+  { name: 'overload', scale: 2 },
+];
+
+const LONG_PER_SECOND = [14, 4] as const;
+const SHORT_PER_SECOND = [6, 22] as const;
+const URGENT_PER_SECOND = 3;
+
+const VARIANTS = ['baseline', 'router', 'admission', 'daemon'];
+
+function ratesOf(user: User, scale: number): ClassRate[] {
+  return user.classes.map((requestClass, index) => {
+    const rate = (timeMs: number): number => {
+      const half = Math.floor(timeMs / HALF_CYCLE_MS) % 2;
+      if (requestClass.name === 'urgent') return URGENT_PER_SECOND * scale;
+      const rates = index === 0 ? LONG_PER_SECOND : SHORT_PER_SECOND;
+      return (rates[half] ?? 0) * scale * (user.engines / 10);
+    };
+    return { requestClass, ratePerSecond: rate, maxRatePerSecond: Math.max(rate(0), rate(HALF_CYCLE_MS)) };
+  });
+}
+
+interface DaemonEntry extends SimulatedEntry {
+  readonly policy: ServingPolicy;
+}
+
+const NODES = Array.from({ length: ENTRIES }, (_, index) => `entry-${index}`);
+
+/** Entry with the policy that the daemon runs. */
+function createDaemonEntry(
+  clock: SimulatedClock,
+  random: SeededRandom,
+  user: User,
+  index: number,
+  entries: readonly DaemonEntry[],
+): DaemonEntry {
+  const directory = new EngineDirectory();
+  const others = (): Demand => entries
+    .filter((_, other) => other !== index)
+    .reduce((sum, { policy }) => sumDemand([sum, policy.demand()]), NO_DEMAND);
+  const policy = new ServingPolicy({
+    clock,
+    random,
+    directory,
+    node: NODES[index]!,
+    failureDomain: user.failureDomains[index % user.failureDomains.length]!,
+    nodes: () => NODES,
+    othersDemand: others,
+    maxQueued: 2_000,
+  });
+  return {
+    directory,
+    policy,
+    dispatcher: policy.dispatcher,
+    report: (engine, load) => {
+      policy.follow(engine);
+      policy.report({
+        engine,
+        ageMs: clock.monotonic() - load.at,
+        running: load.running,
+        queued: load.queued,
+        queuedPromptTokens: load.queuedPromptTokens,
+        kvBlocksUsed: load.kvBlocksUsed,
+        kvBlocksTotal: 1,
+        leaving: false,
+      });
+    },
+  };
+}
+
+function run(user: User, variant: string, seed: number, arrivals: readonly Arrival[]): Simulation {
+  const roles = Array<Role>(user.engines).fill(Role.Mixed);
+  const daemons: DaemonEntry[] = [];
+  const routers: ReturnType<typeof createPolicyEntry>[] = [];
+  const { simulation } = createSimulation(user, seed, roles, (clock, random, index) => {
+    switch (variant) {
+      case 'router': {
+        const entry = createPolicyEntry({
+          clock, random, user, index,
+        });
+        routers.push(entry);
+        return entry;
+      }
+      case 'admission': {
+        const directory = new EngineDirectory();
+        const dispatcher = new PolicyDispatcher({
+          clock,
+          random,
+          directory,
+          maxQueued: 2_000,
+          createRouter: (hasRoom) => new LeastRequestsRouter({ directory, random, hasRoom }),
+        });
+        return { directory, dispatcher };
+      }
+      case 'daemon': {
+        const entry = createDaemonEntry(clock, random, user, index, daemons);
+        daemons.push(entry);
+        return entry;
+      }
+      default:
+        return createBaselineEntry(clock, random);
+    }
+  });
+  if (routers.length > 0) shareDemand(simulation, routers, DURATION_MS);
+  simulation.run(arrivals, DURATION_MS, TAIL_MS);
+  return simulation;
+}
+
+interface Figures {
+  good: number;
+  refused: number;
+  sent: number;
+  readonly firstTokens: number[];
+}
+
+function measure(user: User, load: Load, variant: string, firstSeed: number): Figures {
+  const figures: Figures = {
+    good: 0, refused: 0, sent: 0, firstTokens: [],
+  };
+  for (let seed = firstSeed; seed < firstSeed + SEEDS; seed += 1) {
+    const arrivals = generateArrivals(new SeededRandom(seed * 77 + 5), ratesOf(user, load.scale), DURATION_MS);
+    const { records } = run(user, variant, seed, arrivals);
+    figures.sent += records.length;
+    figures.good += records.filter((record) => isGood(record)).length;
+    figures.refused += records.filter(({ refusedAt }) => refusedAt !== null).length;
+    for (const record of records) {
+      if (record.firstTokenAt !== null) figures.firstTokens.push(firstTokenMs(record));
+    }
+  }
+  return figures;
+}
+
+async function runCombined(opts: RunOptions): Promise<Verdict> {
+  const figure: Record<string, number> = {};
+  let pass = true;
+  for (const user of USERS) {
+    for (const load of LOADS) {
+      const good: Record<string, number> = {};
+      for (const variant of VARIANTS.filter((name) => opts.variant === undefined || name === opts.variant)) {
+        const figures = measure(user, load, variant, opts.seed);
+        good[variant] = figures.good;
+        opts.emit({
+          user: user.name,
+          load: load.name,
+          variant,
+          sent: figures.sent,
+          good: figures.good,
+          refused: figures.refused,
+          ttft_p50_ms: Math.round(quantile(figures.firstTokens, 0.5)),
+          ttft_p95_ms: Math.round(quantile(figures.firstTokens, 0.95)),
+        });
+        if (variant === 'daemon' && load.name === 'quiet' && figures.refused > 0) pass = false;
+      }
+      const parts = Math.max(good.baseline ?? 0, good.router ?? 0, good.admission ?? 0);
+      const ratio = (good.daemon ?? 0) / Math.max(1, parts);
+      figure[`${user.name}_${load.name}`] = Math.round(ratio * 1_000) / 1_000;
+      pass = pass && ratio >= 0.95;
+    }
+  }
+  return { pass, figure };
+}
+
+/** Whether the policy as the daemon joins it is as good as the best of its parts alone. */
+export const combined: Experiment = {
+  name: 'combined',
+  shows: 'goodput of the policy that the daemon runs against each of its parts alone',
+  target: 'at least 0.95 of the best part at each load; nothing refused at the quiet load',
+  variants: VARIANTS,
+  run: runCombined,
+};
--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,4 +1,5 @@
 import { bookings } from './bookings.js';
+import { combined } from './combined.js';
 import { control } from './control.js';
 import type { Experiment } from './experiment.js';
 import { fairness } from './fairness.js';
@@ -34,4 +35,5 @@
   prefix,
   fairness,
   scale,
+  combined,
 ];
--- a/src/daemon/backends.ts
+++ b/src/daemon/backends.ts
@@ -19,6 +19,8 @@
   status(spec: EngineSpec, status: EngineStatus): void;
   load(report: LoadReport): void;
   cacheEvents(engine: string, events: readonly CacheEvent[]): void;
+  /** The engine has restarted or changed role, and its prefix cache is empty. */
+  cacheLost(engine: string): void;
 }
 
 /** Options of {@link Backends}. */
@@ -216,9 +218,15 @@
       this.countFailure(engine, status.error.code);
       return;
     }
-    const restarted = engine.status !== null && engine.status.incarnation !== status.data.incarnation;
+    const { status: before } = engine;
+    const restarted = before !== null && before.incarnation !== status.data.incarnation;
+    engine.status = status.data;
+    engine.failures = 0;
     // A restarted engine numbers its cache events from the beginning.
-    Object.assign(engine, { status: status.data, failures: 0, ...(restarted ? { cacheSequence: 0 } : {}) });
+    if (restarted) engine.cacheSequence = 0;
+    if (restarted || (before !== null && before.role !== status.data.role)) {
+      this.options.observer.cacheLost(engine.spec.name);
+    }
     this.options.observer.status(engine.spec, status.data);
   }
 
--- a/src/daemon/parts.ts
+++ b/src/daemon/parts.ts
@@ -276,7 +276,8 @@
           this.leaving.observe(report.engine, report.leaving);
           this.policy.report(report);
         },
-        cacheEvents: () => {},
+        cacheEvents: (engine, events) => this.policy.cacheEvents(engine, events),
+        cacheLost: (engine) => this.policy.forgetCache(engine),
       },
       accepts: (engine) => this.leaving.accepts(engine) && this.holds.accepts(engine),
       changed: () => this.policy.dispatcher.pump(),
--- a/src/daemon/policy.ts
+++ b/src/daemon/policy.ts
@@ -2,10 +2,13 @@
 import type { Demand } from '../core/affinity.js';
 import type { EngineDirectory } from '../core/directory.js';
 import type { Dispatcher } from '../core/dispatch.js';
-import type { Clock, LoadReport, Random } from '../core/edges.js';
+import type {
+  CacheEvent, Clock, LoadReport, Random,
+} from '../core/edges.js';
 import { DEFAULT_HEALTH_OPTIONS, HealthTracker } from '../core/health.js';
 import { PolicyDispatcher } from '../core/policy.js';
 import { CostRouter } from '../core/costrouter.js';
+import { PrefixIndex } from '../core/prefixes.js';
 
 /** Options of {@link ServingPolicy}. */
 export interface ServingPolicyOptions {
@@ -27,6 +30,8 @@
 
   private readonly health: HealthTracker;
 
+  private readonly prefixes = new PrefixIndex();
+
   private readonly policy: PolicyDispatcher;
 
   private router: CostRouter | null = null;
@@ -51,13 +56,25 @@
     this.router?.report(engine, load, ageMs);
   }
 
-  /** Share of normal work that an engine gets. */
+  /** Takes in late cache events of an engine. */
+  public cacheEvents(engine: string, events: readonly CacheEvent[]): void {
+    this.prefixes.apply(engine, events);
+  }
+
+  /** Starts to watch an engine's health. */
   public follow(engine: string): void {
     this.health.add(engine);
   }
 
+  /** Forgets an engine that is no longer in the fleet. */
   public forget(engine: string): void {
     this.health.remove(engine);
+    this.prefixes.remove(engine);
+  }
+
+  /** Forgets the cache of an engine that has restarted or changed role. */
+  public forgetCache(engine: string): void {
+    this.prefixes.remove(engine);
   }
 
   /** Smoothed demand that this entry sees. */
@@ -66,7 +83,7 @@
   }
 
   public dump(): Record<string, unknown> {
-    return { ...this.policy.dump(), health: this.health.dump() };
+    return { ...this.policy.dump(), prefix_entries: this.prefixes.size, health: this.health.dump() };
   }
 
   private createRouter(hasRoom: ConstructorParameters<typeof CostRouter>[0]['hasRoom']): CostRouter {
@@ -81,6 +98,9 @@
       nodes: options.nodes,
       othersDemand: options.othersDemand,
       expectedOutput: (item) => this.policy.estimates.outputTokens(item),
+      prefixTokens: (engine, item) => this.prefixes.match(engine, item.blocks),
+      prefixOwners: (item) => this.prefixes.owners(item.blocks),
+      onPlaced: (engine, item) => this.prefixes.placed(engine, item.blocks),
       healthWeight: (engine) => health.weight(engine),
       onObservation: (engine, observedMs, expectedMs) => health.observe(engine, observedMs, expectedMs),
     });
