--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,5 +1,6 @@
 import type { Experiment } from './experiment.js';
 import { bookings } from './bookings.js';
+import { combined } from './combined.js';
 import { control } from './control.js';
 import { fairness } from './fairness.js';
 import { headOfLine } from './headofline.js';
@@ -34,4 +35,5 @@
   prefix,
   fairness,
   scale,
+  combined,
 ];
