--- a/src/core/bookings.ts
+++ b/src/core/bookings.ts
@@ -142,7 +142,7 @@
     if (idempotencyKey.length === 0 || idempotencyKey.length > IDEMPOTENCY_KEY_MAX) {
       return fail({ code: 'invalid_request', path: 'Idempotency-Key', expected: `1 to ${IDEMPOTENCY_KEY_MAX} characters` });
     }
-    if (!this.caller.has(req.service)) return fail({ code: 'unknown_service', service: req.service });
+    // Whether the service still has servers is asked after the record, because an earlier attempt may have run.
     this.counters.bookings += 1;
     const deadline = this.edges.clock.monotonic() + req.deadlineMs;
     const answer = await this.claimAndRun(req, recordKey(req.workspace, idempotencyKey), deadline);
--- a/test/bookings.test.ts
+++ b/test/bookings.test.ts
@@ -33,6 +33,8 @@
 
   public readonly servers = ['ledger-0', 'ledger-1'].map((name) => new EmulatedService(name, this.clock, this.ledger));
 
+  public readonly directories: ServerDirectory[] = [];
+
   public readonly entries = [0, 1].map((index) => this.entry(index));
 
   public runs(): number {
@@ -54,6 +56,7 @@
     const random = new SeededRandom(index + 1);
     const { clock } = this;
     const directory = new ServerDirectory('regina', random);
+    this.directories.push(directory);
     for (const client of this.servers) {
       directory.set({
         name: client.name, service: 'ledger', host: client.name, failureDomain: 'regina', available: true, client,
@@ -159,6 +162,15 @@
     expect((rig.store.calls.transact ?? 0) - before).toBe(2);
   });
 
+  // Guards I5: a booking that ran must not be refused with `ran: no` because its service has no servers any more.
+  it('gives the stored outcome after the last backend server is gone', async () => {
+    const rig = new Rig();
+    await rig.settle(rig.book(0));
+    rig.directories[1]!.remove('ledger-0');
+    rig.directories[1]!.remove('ledger-1');
+    expect(await rig.settle(rig.book(1))).toMatchObject({ success: true, data: { repeated: true } });
+  });
+
   // Guards against records that outlive, or do not reach, the time for which a key is valid.
   it('keeps records for 24 h under one lease for each hour', async () => {
     const rig = new Rig();
