--- a/src/daemon/parts.ts
+++ b/src/daemon/parts.ts
@@ -110,6 +110,7 @@
       holder: { member: options.name, address: options.peerAddress, incarnation: this.incarnation },
       leaseMs: options.leaseMs,
       isCandidate: () => !this.membership.self().leaving,
+      members: this.membership,
     });
     this.retries = new RetryPolicy({ clock, random, budget: new RetryBudget() });
     this.draining = new Draining(this.membership, clock, edges.log, {
@@ -275,7 +276,8 @@
           this.leaving.observe(report.engine, report.leaving);
           this.policy.report(report);
         },
-        cacheEvents: () => {},
+        cacheEvents: (engine, events) => this.policy.cacheEvents(engine, events),
+        cacheLost: (engine) => this.policy.forgetCache(engine),
       },
       accepts: (engine) => this.leaving.accepts(engine) && this.holds.accepts(engine),
       changed: () => this.policy.dispatcher.pump(),
