Serve late requests behind the others, and judge a first token by its prompt

Cause: below capacity a third of the long prompts were refused. Engines were also divided twice, by lanes and by the router. Change: estimates count from the first observation; a first token is late only beyond twice the fastest prefill seen for its length; late requests wait behind the others until their deadline; limits start higher and hold at 20% late samples; the daemon leaves the division of engines to the router.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -16,6 +16,11 @@
   readonly mustRun?: boolean;
   /** The workspace is above its share, so that others of the same priority go first. */
   readonly aboveShare?: boolean;
+  /**
+   * True once the first token cannot arrive within the target any more. Such a request waits behind those that still
+   * can, until its own deadline: serving it first would make the others late as well.
+   */
+  late?: boolean;
 }
 
 /** Options of {@link AdmissionQueue}. */
@@ -56,6 +61,7 @@
 const RANKS: Record<Priority, number> = { [Priority.Urgent]: 1, [Priority.Normal]: 2, [Priority.Bulk]: 3 };
 const FIRST_RANK = 0;
 const ABOVE_SHARE_RANK = 0.5;
+const LATE_RANK = 0.75;
 const QUANTUM_TOKENS = 4_096;
 const MAX_FAILED_PLACEMENTS = 4;
 const DRAIN_WINDOW_MS = 500;
@@ -67,6 +73,7 @@
 
 function rankOf(entry: Queued): number {
   if (entry.mustRun === true) return FIRST_RANK;
+  if (entry.late === true) return RANKS[entry.item.priority] + LATE_RANK;
   return RANKS[entry.item.priority] + (entry.aboveShare === true ? ABOVE_SHARE_RANK : 0);
 }
 
@@ -94,13 +101,11 @@
   }
 
   private refusalNow(entry: T): PolicyRefusal | null {
+    entry.late = this.expectedWaitMs(entry) > this.allowedWaitMs(entry);
     const wait = this.expectedWaitMs(entry);
-    const allowed = this.allowedWaitMs(entry);
     const untilDeadline = entry.item.deadline - this.options.clock.monotonic() - entry.firstTokenMs;
     if (wait > untilDeadline) return { code: 'deadline_unreachable', retryAfterMs: this.retryAfterMs(wait - untilDeadline) };
-    if (this.count >= this.options.maxQueued || wait > allowed) {
-      return { code: 'queue_full', retryAfterMs: this.retryAfterMs(wait - allowed) };
-    }
+    if (this.count >= this.options.maxQueued) return { code: 'queue_full', retryAfterMs: this.retryAfterMs(wait) };
     return null;
   }
 
@@ -139,14 +144,18 @@
     }
   }
 
-  /** Removes and returns the requests whose wait has become too long. */
+  /** Puts requests that miss the target behind the others; removes and returns those that miss their deadline. */
   public expire(): T[] {
     const expired: T[] = [];
-    for (const queue of this.classes) {
+    for (const queue of [...this.classes]) {
       for (const flow of [...queue.ring]) {
         for (let entry = flow.items[0]; entry !== undefined && this.tooLate(entry); [entry] = flow.items) {
           this.take(queue, flow, 0);
-          expired.push(entry);
+          if (this.missesDeadline(entry)) expired.push(entry);
+          else {
+            entry.late = true;
+            this.insert(entry);
+          }
         }
       }
     }
@@ -155,9 +164,7 @@
 
   /** Refusal of a request that {@link expire} returned. */
   public refusalOf(entry: T): PolicyRefusal {
-    const now = this.options.clock.monotonic();
-    const code = now + entry.firstTokenMs > entry.item.deadline ? 'deadline_unreachable' : 'queue_full';
-    return { code, retryAfterMs: this.retryAfterMs(this.expectedWaitMs(entry)) };
+    return { code: 'deadline_unreachable', retryAfterMs: this.retryAfterMs(this.expectedWaitMs(entry)) };
   }
 
   /** Expected wait in ms of a request that would be queued now. */
@@ -206,7 +213,7 @@
 
   private allowedWaitMs(entry: T): number {
     const untilDeadline = entry.item.deadline - entry.item.arrival - entry.firstTokenMs;
-    if (entry.item.priority === Priority.Bulk) return untilDeadline;
+    if (entry.item.priority === Priority.Bulk || entry.late === true) return untilDeadline;
     return Math.min(untilDeadline, Math.max(MIN_RETRY_AFTER_MS, this.options.firstTokenMs - entry.firstTokenMs));
   }
 
@@ -215,6 +222,10 @@
     return this.options.clock.monotonic() - entry.queuedAt > this.allowedWaitMs(entry);
   }
 
+  private missesDeadline(entry: T): boolean {
+    return this.options.clock.monotonic() + entry.firstTokenMs >= entry.item.deadline;
+  }
+
   private retryAfterMs(excessMs: number): number {
     // Callers that were refused together must not return together.
     return Math.round(Math.max(MIN_RETRY_AFTER_MS, excessMs) * (1 + this.options.random.float()));
@@ -225,7 +236,8 @@
     const { agingMs = DEFAULT_AGING_MS } = this.options;
     for (const queue of this.classes) {
       if (queue.rank <= RANKS[Priority.Urgent]) continue;
-      const flow = queue.ring.find(({ items }) => now - items[0]!.queuedAt > agingMs);
+      // Late requests keep their priority; they only wait behind others of the same one.
+      const flow = queue.ring.find(({ items }) => items[0]!.late !== true && now - items[0]!.queuedAt > agingMs);
       if (flow === undefined || this.placements % AGED_INTERVAL !== 0) continue;
       // A request that has aged and still finds no room holds the others back until enough has drained for it.
       if (!this.tryHead(queue, flow, place)) full.add(queue.group);
--- a/src/core/estimates.ts
+++ b/src/core/estimates.ts
@@ -10,7 +10,7 @@
 const MAX_WEIGHT = 1e12;
 
 /** Observations below which a sketch is not trusted alone. */
-const COLD_OBSERVATIONS = 20;
+const COLD_OBSERVATIONS = 1;
 const MAX_SKETCHES = 4_096;
 const COLD_OUTPUT_TOKENS = 128;
 
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -59,16 +59,16 @@
 
 /** Part of the first-token target that may pass at the engine; the rest is for the queue. */
 const ENGINE_SHARE_OF_FIRST_TOKEN = 0.75;
-const PREFILL_INITIAL_TOKENS = 1_000;
+const PREFILL_INITIAL_TOKENS = 4_000;
 const PREFILL_MIN_TOKENS = 100;
 const PREFILL_MAX_TOKENS = 200_000;
 const PREFILL_STEP_TOKENS = 40;
-const DECODE_INITIAL = 4;
+const DECODE_INITIAL = 10;
 const DECODE_MIN = 0.25;
 const DECODE_MAX = 256;
 const DECODE_STEP = 0.1;
 /** Share of late samples at which the limits hold. Samples scatter more than whole answers, of which 5% may be late. */
-export const TOLERANCE = 0.1;
+export const TOLERANCE = 0.2;
 const FACTOR_DECAY = 0.9;
 const FACTOR_RECOVERY = 0.02;
 const FACTOR_MIN = 0.1;
@@ -83,6 +83,28 @@
 /** Part of that share for workspaces above their own share; the rest is kept for the others. */
 const ABOVE_SHARE_HEADROOM = 0.75;
 
+/** Prompts below this length say more about the decode step than about the prefill rate. */
+const FLOOR_MIN_TOKENS = 500;
+/** The fastest prefill that was seen is forgotten slowly, in case engines have become slower. */
+const FLOOR_DRIFT = 1.002;
+/** A first token within this factor of the fastest prefill does not show that the engine has too much work. */
+const FLOOR_SLACK = 2;
+
+/** Time that a prompt needs on an engine without other work, as far as observations show. */
+class PrefillFloor {
+  private msPerToken = Infinity;
+
+  public observe(promptTokens: number, latencyMs: number): void {
+    if (promptTokens < FLOOR_MIN_TOKENS) return;
+    this.msPerToken = Math.min(this.msPerToken * FLOOR_DRIFT, latencyMs / promptTokens);
+  }
+
+  /** Latency that is not a sign of too much work; 0 before anything was seen. */
+  public allowedMs(promptTokens: number): number {
+    return Number.isFinite(this.msPerToken) ? FLOOR_SLACK * this.msPerToken * promptTokens : 0;
+  }
+}
+
 /** Limits on the work in flight at each engine, learned from this entry's own observations. */
 export class EngineLimits {
   private readonly groups = new Map<string, Group>();
@@ -91,6 +113,8 @@
 
   private readonly target: ServiceTarget;
 
+  private readonly floor = new PrefillFloor();
+
   private stale = true;
 
   public constructor(private readonly options: EngineLimitsOptions) {
@@ -138,8 +162,12 @@
 
   /** Reports the first token; `latencyMs` counts from the placement. */
   public firstToken(held: Held, latencyMs: number): void {
+    const { promptTokens, prefilled } = held;
     this.endPrefill(held);
-    this.sample(held.prefill, Phase.Prefill, latencyMs > this.target.firstTokenMs * ENGINE_SHARE_OF_FIRST_TOKEN);
+    const budget = this.target.firstTokenMs * ENGINE_SHARE_OF_FIRST_TOKEN;
+    const allowed = prefilled ? budget : Math.max(budget, this.floor.allowedMs(promptTokens));
+    this.floor.observe(promptTokens, latencyMs);
+    this.sample(held.prefill, Phase.Prefill, latencyMs > allowed);
   }
 
   /** Reports a mean time between tokens in ms. */
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -91,7 +91,11 @@
     this.queue = new AdmissionQueue<Request>({
       clock, random, maxQueued: options.maxQueued, firstTokenMs: target.firstTokenMs,
     });
-    this.router = options.createRouter((engine, item) => this.limits.hasRoom(engine, item, this.placing?.aboveShare));
+    this.router = options.createRouter((engine, item) => this.limits.hasRoom(
+      engine,
+      item,
+      this.placing?.aboveShare === true || this.placing?.late === true,
+    ));
     this.shares = new WorkspaceShares(clock);
     this.rebalancedAt = clock.monotonic();
   }
--- a/src/daemon/policy.ts
+++ b/src/daemon/policy.ts
@@ -43,6 +43,7 @@
       random: options.random,
       directory: options.directory,
       maxQueued: options.maxQueued,
+      separateLanes: false,
       createRouter: (hasRoom) => {
         this.router = this.createRouter(hasRoom);
         return this.router;
