--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { LEASE_MS, PAUSE_ALLOWANCE_MS, PlannerGroup } from '../src/bench/planners.js';
 import type { Protection } from '../src/bench/planners.js';
+import { Role } from '../src/core/edges.js';
 import { INTENT_PREFIX } from '../src/core/intents.js';
 import type { Intent } from '../src/core/intents.js';
 
@@ -101,6 +102,21 @@
     expect(elapsed).toBeLessThan(ALLOWED_MS + 2_000);
   });
 
+  // Guards against a holder that keeps ordering under a term that an engine knows to be old.
+  it('end the tenure when an engine refuses its term', async () => {
+    const group = await ready();
+    const newer = {
+      orderId: 'newer', engine: 'e0', term: 2, sequence: 0, action: { type: 'role', role: Role.Mixed },
+    } as const;
+    void group.engines[0]!.order(newer, { timeoutMs: 100, mayStillSend: () => true });
+    await group.clock.advance(2_000);
+    group.wantOtherRole(0);
+    await group.clock.advance(15_000);
+    expect(group.authorities[group.holder()]!.term).toBe(2);
+    expect(await group.settled()).toBe(true);
+    expect(group.conflicts()).toBe(0);
+  });
+
   // The allowance is a bound, not a proof: beyond it, only an engine that enforces fencing refuses the late order.
   it.each([
     { engine: 0, without: undefined, conflicts: 0 },
