Let an entry without a file follow heartbeats, and tell late operators the winner

An operator whose entry was paused past the deadline was told unavailable with an empty message although another file had won. Change: the tasks of run start together, so heartbeats count from the start; the start asks at most 3 live members besides the seeds. apply retries its first read until the deadline, and reads once more when nothing was sent.

--- a/src/core/applying.ts
+++ b/src/core/applying.ts
@@ -54,8 +54,19 @@
   if (fileBytes > KEY_VALUE_MAX_BYTES) return tooLarge(fileBytes);
   const deadline = clock.monotonic() + opts.timeoutMs;
   const callOptions = () => ({ timeoutMs: Math.min(CALL_TIMEOUT_MS, Math.max(1, deadline - clock.monotonic())) });
-  opts.onCall('get');
-  const start = await keyValue.get(CONFIGURATION_KEY, callOptions());
+  const pause = () => sleep(clock, Math.max(0, Math.min(
+    RETRY_MS * (0.5 + random.float()),
+    deadline - clock.monotonic(),
+  )));
+  const read = () => {
+    opts.onCall('get');
+    return keyValue.get(CONFIGURATION_KEY, callOptions());
+  };
+  let start = await read();
+  while (!start.success && clock.monotonic() < deadline) {
+    await pause();
+    start = await read();
+  }
   if (!start.success) return { type: 'unavailable', message: start.error.message };
   const before = decodeRecord(start.data);
   if (before !== null) revisions.adopt(before, 'service');
@@ -87,7 +98,7 @@
   if (bytes > KEY_VALUE_MAX_BYTES) return tooLarge(bytes);
 
   let uncertain = false;
-  let message = '';
+  let message: string | null = null;
   while (clock.monotonic() < deadline) {
     opts.onCall('transact');
     const written = await keyValue.transact([operation], callOptions());
@@ -104,16 +115,18 @@
     ({ message } = written.error);
     if (written.error.code === KeyValueErrorCode.OutcomeUnknown) {
       uncertain = true;
-      opts.onCall('get');
-      const current = await keyValue.get(CONFIGURATION_KEY, callOptions());
+      const current = await read();
       // While the version is unchanged the write may still arrive. Sending the same operation again is safe: it
       // applies at most once, and the attempt id then shows that it did.
       if (current.success && (current.data?.version ?? 0) > operation.expected) return settle(current.data);
     }
-    const delayMs = RETRY_MS * (0.5 + random.float());
-    await sleep(clock, Math.min(delayMs, Math.max(0, deadline - clock.monotonic())));
+    await pause();
   }
-  return uncertain
-    ? { type: 'unknown', message: 'the service did not tell whether the file was accepted' }
-    : { type: 'unavailable', message };
+  if (uncertain) return { type: 'unknown', message: 'the service did not tell whether the file was accepted' };
+  if (message !== null) return { type: 'unavailable', message };
+  // This process was paused until after the deadline, so nothing was sent. The operator may have lost a race meanwhile.
+  opts.onCall('get');
+  const latest = await keyValue.get(CONFIGURATION_KEY, { timeoutMs: CALL_TIMEOUT_MS });
+  const lost = latest.success && (decodeRecord(latest.data)?.revision ?? 0) > base;
+  return lost ? settle(latest.data) : { type: 'unavailable', message: 'the time ran out before the file was sent' };
 }
--- a/src/core/configuration.ts
+++ b/src/core/configuration.ts
@@ -20,6 +20,8 @@
 /** Members up to which each reads the service every 10 s; a larger fleet shares the same total rate of reads. */
 const READERS_AT_FULL_RATE = 6;
 
+const START_MEMBERS = 3;
+
 const CATCH_UP_EVERY_MS = 500;
 
 const RETRY_MS = 1_000;
@@ -98,7 +100,10 @@
   public async start(): Promise<boolean> {
     const { seeds, members } = this.options;
     const own = members.self().address;
-    const addresses = [...new Set([...seeds, ...members.live().map(({ address }) => address)])];
+    // Every answer may be a whole file, so only a few members are asked besides the seeds.
+    const others = members.live().map(({ address }) => address);
+    const few = lowestByRendezvous(others, own, START_MEMBERS);
+    const addresses = [...new Set([...seeds, ...few])];
     await Promise.all([
       this.read(),
       ...addresses.filter((address) => address !== own).map((address) => this.propagation.pull(address)),
@@ -106,13 +111,14 @@
     return this.revisions.revision > 0;
   }
 
-  /** Starts, then keeps the file up to date until `signal` aborts. */
+  /** Asks until a file is in force, and keeps it up to date until `signal` aborts. */
   public async run(signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.options;
-    while (!signal.aborted && !await this.start()) {
-      await sleep(clock, RETRY_MS * (0.5 + random.float()), signal);
-    }
-    await Promise.all([this.readRegularly(signal), this.watchWhenChosen(signal), this.catchUpRegularly(signal)]);
+    await Promise.all([
+      this.startUntilInForce(signal),
+      this.readRegularly(signal),
+      this.watchWhenChosen(signal),
+      this.catchUpRegularly(signal),
+    ]);
   }
 
   /** State under stable keys, with ages in ms. */
@@ -130,6 +136,13 @@
     this.disposables.dispose();
   }
 
+  private async startUntilInForce(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.options;
+    while (!signal.aborted && this.revisions.revision === 0 && !await this.start()) {
+      await sleep(clock, RETRY_MS * (0.5 + random.float()), signal);
+    }
+  }
+
   private async read(): Promise<void> {
     this.count('get');
     const entry = await this.options.keyValue.get(CONFIGURATION_KEY, { timeoutMs: CALL_TIMEOUT_MS });
--- /dev/null
+++ b/test/sections.test.ts
@@ -0,0 +1,18 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { diffSections, joinSections } from '../src/core/sections.js';
+
+const section = fc.tuple(fc.constantFrom('a', 'b', 'c'), fc.string()).map(([name, text]) => `[${name}]\n${text}\n`);
+
+describe('sections', () => {
+  it('rebuild any file from any base', () => {
+    const file = fc.array(section).map((sections) => sections.join(''));
+    const rebuilds = (base: string, next: string) => joinSections(base, diffSections(base, next)) === next;
+    fc.assert(fc.property(file, file, rebuilds), { seed: 5 });
+  });
+
+  // Guards against a base that differs between two peers.
+  it('refuse an index outside the base', () => {
+    expect(joinSections('[a]\n', [0, 7])).toBeNull();
+  });
+});
