--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,19 +1,39 @@
-import { bookings } from './bookings.js';
 import type { Experiment } from './experiment.js';
+import { bookings } from './bookings.js';
+import { combined } from './combined.js';
+import { control } from './control.js';
 import { fairness } from './fairness.js';
 import { headOfLine } from './headofline.js';
+import { leaving } from './leaving.js';
 import { mixShift } from './mixshift.js';
+import { overhead } from './overhead.js';
 import { peak } from './peak.js';
+import { prefix } from './prefix.js';
 import { propagation } from './propagation.js';
+import { retryStorm } from './retrystorm.js';
+import { scale } from './scale.js';
+import { slowServers } from './slowservers.js';
+import { start } from './start.js';
+import { streams } from './streams.js';
 import { takeover } from './takeover.js';
 
 /** All experiments of `npm run bench`, one import and one line each. */
 export const EXPERIMENTS: readonly Experiment[] = [
+  overhead,
+  streams,
+  start,
   takeover,
   propagation,
-  mixShift,
   bookings,
+  leaving,
+  control,
+  mixShift,
   peak,
   headOfLine,
+  slowServers,
+  retryStorm,
+  prefix,
   fairness,
+  scale,
+  combined,
 ];
