Check the names that pages mention against the repository

Cause: pages named files that did not exist, and nothing compared pages with the code.

Change: test/pages.test.ts checks the backticked file names, npm run and bench commands, experiments, settings keys, scenario files and metrics of README.md and all pages under docs; a finding names page, line and what is missing.

Conclusion: a renamed or missing name fails the test. Names outside backticks and in code blocks are not checked.

--- /dev/null
+++ b/test/pages.test.ts
@@ -0,0 +1,51 @@
+import { describe, expect, it } from 'vitest';
+import { checkPage, readPages, readRepository } from './support/pages.js';
+
+const repository = readRepository();
+
+const WRONG_PAGE = [
+  '# Page', '',
+  'See `docs/nowhere.md`, `core/nothing.ts` and `lost.scenario`, or all of `test/nothing/*.scenario`.', '',
+  'Run `npm run benhc -- peak`, `npm run bench -- peek --seed 1` or `npx tsx src/bench/main.ts',
+  'takeovr --seed N`; keep `[adress] keep` and `[address] keeps`.', '',
+  '```', 'Code: `docs/skipped.md`', '```', '',
+  '| section, key | meaning |', '|---|---|', '| `[listen] callers`, `operator` | `callers | peers` |', '',
+  '| metric | meaning |', '|---|---|', '| `caller_answer_total{form}`, `second_token_ms` | `lost_total` |', '',
+  '| name | measures |', '|---|---|', '| `peaks` | `peaks` |', '',
+].join('\n');
+
+describe('pages', () => {
+  // Guards against a check that passes because it finds no names or knows no repository.
+  it('reports each name of a wrong page with its line', () => {
+    expect(checkPage('page.md', WRONG_PAGE, repository)).toEqual([
+      'page.md:3: `docs/nowhere.md`: no file docs/nowhere.md',
+      'page.md:3: `core/nothing.ts`: no file core/nothing.ts',
+      'page.md:3: `lost.scenario`: no file lost.scenario',
+      'page.md:3: `test/nothing/*.scenario`: no file test/nothing/*.scenario',
+      'page.md:5: `npm run benhc -- peak`: no script benhc in package.json',
+      'page.md:5: `npm run bench -- peek --seed 1`: no experiment peek',
+      'page.md:5: `npx tsx src/bench/main.ts takeovr --seed N`: no experiment takeovr',
+      'page.md:6: `[adress] keep`: no key keep in section [adress] of the settings',
+      'page.md:6: `[address] keeps`: no key keeps in section [address] of the settings',
+      'page.md:14: `operator`: no key operator in section [listen] of the settings',
+      'page.md:18: `caller_answer_total{form}`: no metric caller_answer_total',
+      'page.md:18: `second_token_ms`: no metric second_token_ms',
+      'page.md:18: `lost_total`: no metric lost_total',
+      'page.md:22: `peaks`: no experiment peaks',
+    ]);
+  });
+
+  it('accepts names that the repository has', () => {
+    const page = [
+      '`docs/design.md` `core/result.ts` `result.ts` `adapters/*` `test/scenarios/` `service-down.scenario`',
+      '`npm run bench -- peak --seed 1` `npm run bench -- NAME` `[address] keep` `peer_calls_total{method}`',
+      '`intents/<engine>` `authority/term` `keep_ms`',
+    ].join('\n');
+    expect(checkPage('page.md', page, repository)).toEqual([]);
+  });
+
+  // Guards against pages that name files, commands, settings or metrics that were renamed or never written.
+  it.each([...readPages()])('names only what exists in %s', (page, text) => {
+    expect(checkPage(page, text, repository)).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/support/pages.ts
@@ -0,0 +1,183 @@
+import { existsSync, readdirSync, readFileSync } from 'node:fs';
+import path from 'node:path';
+import { EXPERIMENTS } from '../../src/bench/registry.js';
+import { safeParseSettings } from '../../src/core/settings.js';
+
+const ROOT = path.resolve(import.meta.dirname, '../..');
+const DIRECTORIES = ['docs', 'src', 'test', 'examples', 'scripts', '.ci'];
+const FILE_NAME = /^[\w.*/-]+\.(?:ts|md|mjs|json|ini|txt|scenario|golden)$/;
+const METRIC_PREFIX = 'catkinscale_';
+/** Words that the bench command takes in place of an experiment. */
+const BENCH_WORDS = ['all', 'report'];
+/** Files that exist only at times: KNOWN-RED.txt while a fault is open. */
+const OCCASIONAL_FILES: ReadonlySet<string> = new Set(['KNOWN-RED.txt']);
+
+/** What the repository has, as far as pages name it. */
+export interface Repository {
+  /** Paths from the root, of directories too. */
+  readonly files: readonly string[];
+  readonly scripts: ReadonlySet<string>;
+  readonly experiments: ReadonlySet<string>;
+  /** Names as `GET /metrics` shows them, without the common prefix. */
+  readonly metrics: ReadonlySet<string>;
+  readonly hasSetting: (section: string, key: string) => boolean;
+}
+
+interface Span {
+  readonly text: string;
+  readonly line: number;
+  /** Header of the first column where the name stands in the first column of a table. */
+  readonly column: string | null;
+  /** Names that stand before this one in the same cell. */
+  readonly before: readonly string[];
+}
+
+function read(file: string): string {
+  return readFileSync(path.join(ROOT, file), 'utf8');
+}
+
+function listFiles(): string[] {
+  const below = DIRECTORIES.filter((directory) => existsSync(path.join(ROOT, directory))).flatMap((directory) => [
+    directory,
+    ...readdirSync(path.join(ROOT, directory), { recursive: true, encoding: 'utf8' })
+      .map((file) => path.posix.join(directory, file.split(path.sep).join('/'))),
+  ]);
+  const top = readdirSync(ROOT, { withFileTypes: true }).filter((file) => file.isFile()).map(({ name }) => name);
+  return [...top, ...below];
+}
+
+function listMetrics(files: readonly string[]): Set<string> {
+  const sources = files.filter((file) => /^src\/(?:core|daemon|adapters)\/.*\.ts$/.test(file));
+  return new Set(sources.flatMap((file) => (
+    [...read(file).matchAll(/\bmeter\.(count|record|gauge)\(\s*'(\w+)'/g)].map(([, kind, name]) => (
+      kind === 'count' && !name!.endsWith('_total') ? `${name}_total` : name!
+    ))
+  )));
+}
+
+function hasSetting(section: string, key: string): boolean {
+  const parsed = safeParseSettings(`[${section}]\n${key} = x\n`, 'page.ini');
+  return parsed.success || !parsed.error.some(({ code }) => code === 'unknown_key');
+}
+
+/** Reads the repository that this file belongs to. */
+export function readRepository(): Repository {
+  const files = listFiles();
+  const { scripts } = JSON.parse(read('package.json')) as { scripts: Record<string, string> };
+  return {
+    files,
+    scripts: new Set(Object.keys(scripts)),
+    experiments: new Set([...EXPERIMENTS.map(({ name }) => name), ...BENCH_WORDS]),
+    metrics: listMetrics(files),
+    hasSetting,
+  };
+}
+
+/** README.md and all pages under docs, with their text. */
+export function readPages(): Map<string, string> {
+  const pages = listFiles().filter((file) => file === 'README.md' || /^docs\/.*\.md$/.test(file));
+  return new Map(pages.map((file) => [file, read(file)]));
+}
+
+function spansOf(text: string): Span[] {
+  return [...text.matchAll(/`([^`]+)`/g)].map(([, span]) => span!.replace(/\s+/g, ' '))
+    .map((span, index, all) => ({
+      text: span, line: 0, column: null, before: all.slice(0, index),
+    }));
+}
+
+function tableSpans(rows: readonly string[], firstLine: number): Span[] {
+  const column = rows[0]!.split('|')[1]!.trim();
+  return rows.flatMap((row, index) => {
+    // A cell may hold `a | b`, so that only a bar between spaces and outside of backticks ends it.
+    const first = /^\|((?:`[^`]*`|[^`|])*)\|/.exec(row)?.[0] ?? '';
+    const line = firstLine + index;
+    return [
+      ...spansOf(first).map((span) => ({ ...span, line, column })),
+      ...spansOf(row.slice(first.length)).map((span) => ({ ...span, line })),
+    ];
+  });
+}
+
+function textSpans(part: string, firstLine: number): Span[] {
+  return [...part.matchAll(/`[^`]+`/g)].flatMap((match) => {
+    const line = firstLine + part.slice(0, match.index).split('\n').length - 1;
+    return spansOf(match[0]).map((span) => ({ ...span, line }));
+  });
+}
+
+/** Backticked names of a page outside of code blocks; a name may run over the end of a line. */
+function readSpans(page: string): Span[] {
+  const withoutBlocks = page.replace(/^```[\s\S]*?^```/gm, (block) => block.replace(/[^\n]/g, ''));
+  const spans: Span[] = [];
+  let line = 1;
+  for (const part of withoutBlocks.split(/(\n(?:[ \t]*\n)+)/)) {
+    spans.push(...(part.startsWith('|') ? tableSpans(part.split('\n'), line) : textSpans(part, line)));
+    line += part.split('\n').length - 1;
+  }
+  return spans;
+}
+
+function looksLikeFile(name: string, files: readonly string[]): boolean {
+  if (FILE_NAME.test(name)) return true;
+  if (!/^[\w.*-]+\/[\w.*/-]*$/.test(name)) return false;
+  const directory = name.split('/')[0]!;
+  return DIRECTORIES.includes(directory) || files.includes(`src/${directory}`);
+}
+
+function hasFile(name: string, files: readonly string[]): boolean {
+  const wanted = name.replace(/\/$/, '').replace(/[.+^${}()|[\]\\]/g, '\\$&').replace(/\*/g, '[^/]+');
+  // Pages name modules from `src` on, and files whose directory the text has named by their last part.
+  const pattern = new RegExp(name.includes('/') ? `^(?:src/)?${wanted}$` : `(?:^|/)${wanted}$`);
+  return OCCASIONAL_FILES.has(name) || files.some((file) => pattern.test(file));
+}
+
+function missingFile(name: string, { files }: Repository): string[] {
+  return looksLikeFile(name, files) && !hasFile(name, files) ? [`no file ${name}`] : [];
+}
+
+function missingInCommand(command: string, repository: Repository): string[] {
+  const { experiments, scripts } = repository;
+  const [tool, verb, ...rest] = command.split(' ');
+  const words = tool === 'npm' && verb === 'run' ? rest : [];
+  const script = words[0] ?? '';
+  const main = tool === 'npx' && verb === 'tsx' ? rest[0] ?? '' : '';
+  const isBench = (script === 'bench' && words[1] === '--') || main === 'src/bench/main.ts';
+  const bench = (script === 'bench' ? words[2] : rest[1]) ?? '';
+  return [
+    ...(script !== '' && !scripts.has(script) ? [`no script ${script} in package.json`] : []),
+    ...(main === '' ? [] : missingFile(main, repository)),
+    ...(isBench && /^[a-z]/.test(bench) && !experiments.has(bench) ? [`no experiment ${bench}`] : []),
+  ];
+}
+
+function missingSetting({ text, column, before }: Span, { hasSetting: has }: Repository): string[] {
+  const full = /^\[([a-z-]+)\] ([a-z-]+)$/.exec(text);
+  if (full !== null) return has(full[1]!, full[2]!) ? [] : [`no key ${full[2]} in section [${full[1]}] of the settings`];
+  // A row of the settings table names the section once: `[listen] callers`, `operators`.
+  const section = /^\[([a-z-]+)\] /.exec(before[0] ?? '')?.[1];
+  if (column !== 'section, key' || section === undefined || has(section, text)) return [];
+  return [`no key ${text} in section [${section}] of the settings`];
+}
+
+function missingMetric({ text, column }: Span, { metrics }: Repository): string[] {
+  const name = /^(\w+)(?:\{[\w,]*\})?$/.exec(text)?.[1]?.replace(new RegExp(`^${METRIC_PREFIX}`), '');
+  if (name === undefined || name === '') return [];
+  const isMetric = column === 'metric' || name.endsWith('_total') || text.startsWith(METRIC_PREFIX);
+  return isMetric && !metrics.has(name) ? [`no metric ${name}`] : [];
+}
+
+function missingExperiment({ text, column }: Span, { experiments }: Repository): string[] {
+  return column === 'name' && !experiments.has(text) ? [`no experiment ${text}`] : [];
+}
+
+/** Names on a page that the repository does not have, each with page and line. */
+export function checkPage(page: string, text: string, repository: Repository): string[] {
+  return readSpans(text).flatMap((span) => [
+    ...missingFile(span.text, repository),
+    ...missingInCommand(span.text, repository),
+    ...missingSetting(span, repository),
+    ...missingMetric(span, repository),
+    ...missingExperiment(span, repository),
+  ].map((missing) => `${page}:${span.line}: \`${span.text}\`: ${missing}`));
+}
