--- /dev/null
+++ b/test/embedding.test.ts
@@ -0,0 +1,169 @@
+import { readFileSync } from 'node:fs';
+import { describe, expect, it } from 'vitest';
+import { JobPool, RetryingCaller } from '../examples/embedding.js';
+import {
+  Priority, Sent, fail, ok,
+} from '../src/index.js';
+import type { Result, WorkItem } from '../src/index.js';
+import { SimulatedClock } from '../src/emulator/clock.js';
+import { SeededRandom } from '../src/emulator/random.js';
+
+const EDGE_NAMES = [
+  'Clock', 'Random', 'KeyValue', 'HostList', 'WeightStore', 'Engine', 'PlainService', 'PeerClient', 'PeerServer', 'Log',
+  'Meter',
+];
+
+function read(file: string): string {
+  return readFileSync(new URL(`../${file}`, import.meta.url), 'utf8');
+}
+
+/** Modules in the page's table of parts, with the interfaces in its last column. */
+function readTable(page: string): Map<string, string[]> {
+  const rows = page.split('\n').filter((line) => line.startsWith('| `core/')).map((line) => line.split('|'));
+  return new Map(rows.flatMap((cells) => {
+    const needs = [...cells.at(-2)!.matchAll(/`(\w+)`/g)].map(([, name]) => name!);
+    return [...cells[1]!.matchAll(/`(core\/\w+)\.ts`/g)].map(([, module]) => [module!, needs] as const);
+  }));
+}
+
+/** Interfaces that a module imports from `core/edges.ts`; those of options that it extends count too. */
+function needsOf(module: string): string[] {
+  const source = read(`src/${module}.ts`);
+  const imported = [...source.matchAll(/import (?:type )?\{([^}]*)\} from '\.\/edges\.js'/g)]
+    .flatMap(([, names]) => names!.split(',').map((name) => name.trim()));
+  const inherited = [...source.matchAll(/interface \w+Options extends (\w+Options)/g)]
+    .flatMap(([, base]) => {
+      const from = new RegExp(`\\b${base}\\b[^}]*\\} from '\\./(\\w+)\\.js'`).exec(source)?.[1];
+      return from === undefined ? [] : needsOf(`core/${from}`);
+    });
+  return EDGE_NAMES.filter((name) => imported.includes(name) || inherited.includes(name));
+}
+
+function itemOf(overrides: Partial<WorkItem>): WorkItem {
+  return {
+    requestId: 'r',
+    workspace: 'w',
+    model: 'm',
+    kind: 'k',
+    priority: Priority.Normal,
+    promptTokens: 100,
+    maxTokens: 10,
+    blocks: [],
+    deadline: 10_000,
+    arrival: 0,
+    ...overrides,
+  };
+}
+
+describe('docs/embedding.md', () => {
+  const page = read('docs/embedding.md');
+
+  // Guards against a page whose code was never compiled or run.
+  it('shows the code of examples/embedding.ts', () => {
+    const blocks = [...page.matchAll(/^```ts\n([\s\S]*?)^```$/gm)].map(([, code]) => code);
+    expect(blocks.join('\n')).toBe(read('examples/embedding.ts'));
+  });
+
+  // Guards against parts that are exported but not on the page, and against edges that a part has gained or lost.
+  it('lists the modules of src/index.ts with the edges that they need', () => {
+    const modules = [...read('src/index.ts').matchAll(/'\.\/(core\/\w+)\.js'/g)].map(([, module]) => module!);
+    const expected = modules.sort().map((module) => [module, needsOf(module)]);
+    const listed = [...readTable(page)].sort(([left], [right]) => (left < right ? -1 : 1));
+    expect(modules.length).toBeGreaterThan(0);
+    expect(listed).toEqual(expected);
+  });
+});
+
+describe('JobPool', () => {
+  function createPool(slots: number) {
+    const clock = new SimulatedClock();
+    const pool = new JobPool(clock, new SeededRandom(1), slots);
+    const events: string[] = [];
+    const ends = new Map<string, () => void>();
+    const submit = (name: string, priority: Priority) => pool.submit(itemOf({ requestId: name, priority }), {
+      run: () => {
+        events.push(`${name} runs`);
+        return new Promise((resolve) => {
+          ends.set(name, resolve);
+        });
+      },
+      refused: ({ code }) => events.push(`${name} ${code}`),
+    });
+    return {
+      clock, events, ends, submit,
+    };
+  }
+
+  // Guards against an example that exceeds its slots or leaves waiting jobs when one ends.
+  it('runs urgent jobs first when a slot becomes free', async () => {
+    const {
+      clock, events, ends, submit,
+    } = createPool(1);
+    submit('first', Priority.Normal);
+    submit('second', Priority.Normal);
+    submit('urgent', Priority.Urgent);
+    expect(events).toEqual(['first runs']);
+    ends.get('first')!();
+    await clock.advance(10);
+    expect(events).toEqual(['first runs', 'urgent runs']);
+    ends.get('urgent')!();
+    await clock.advance(10);
+    expect(events).toEqual(['first runs', 'urgent runs', 'second runs']);
+  });
+
+  // Guards against jobs that wait for ever, or that are refused and run.
+  it('refuses a job that has waited too long, once', async () => {
+    const {
+      clock, events, ends, submit,
+    } = createPool(1);
+    submit('first', Priority.Normal);
+    submit('late', Priority.Normal);
+    await clock.advance(1_100);
+    expect(events).toEqual(['first runs', 'late queue_full']);
+    ends.get('first')!();
+    await clock.advance(1_100);
+    expect(events).toEqual(['first runs', 'late queue_full']);
+  });
+});
+
+describe('RetryingCaller', () => {
+  async function countAttempts(results: () => Result<string, Sent>, safe: boolean, calls: number) {
+    const clock = new SimulatedClock();
+    const caller = new RetryingCaller(clock, new SeededRandom(1));
+    let attempts = 0;
+    const outcomes: unknown[] = [];
+    const attempt = async (): Promise<Result<string, Sent>> => {
+      attempts += 1;
+      return results();
+    };
+    for (let call = 0; call < calls; call += 1) {
+      const done = caller.call(attempt, { safe, deadline: clock.monotonic() + 60_000, expectedMs: 10 });
+      await clock.advance(20_000);
+      const outcome = await done;
+      outcomes.push(outcome.success ? outcome.data : outcome.error);
+    }
+    return { attempts, outcomes };
+  }
+
+  // Guards against an example that gives each call a budget of its own.
+  it('stops retrying once the shared budget of 20 is spent', async () => {
+    const { attempts, outcomes } = await countAttempts(() => fail(Sent.No), true, 30);
+    expect(attempts).toBe(50);
+    expect(outcomes[0]).toBe('attempts');
+    expect(outcomes.at(-1)).toBe('budget');
+  });
+
+  // Guards against a second run of an unsafe call.
+  it('does not repeat an unsafe call that may have been sent', async () => {
+    expect(await countAttempts(() => fail(Sent.Unknown), false, 1)).toEqual({ attempts: 1, outcomes: ['unsafe'] });
+  });
+
+  it('returns a success after a retry', async () => {
+    let failures = 2;
+    const results = (): Result<string, Sent> => {
+      failures -= 1;
+      return failures >= 0 ? fail(Sent.No) : ok('done');
+    };
+    expect(await countAttempts(results, false, 1)).toEqual({ attempts: 3, outcomes: ['done'] });
+  });
+});
