Describe the protocols, and check them against the code

Cause: src/adapters/engine.ts and the stand-ins refer to docs/protocols.md, which did not exist, and the table of messages in docs/design.md named six methods between entries, four of which no entry registers.

Conclusion: methods and paths cannot drift from the code. Fields, sizes and error codes were compared by reading only.

--- a/test/pages.test.ts
+++ b/test/pages.test.ts
@@ -1,5 +1,7 @@
 import { describe, expect, it } from 'vitest';
-import { checkPage, readPages, readRepository } from './support/pages.js';
+import {
+  checkPage, listMethods, listRoutes, readPages, readRepository,
+} from './support/pages.js';
 
 const repository = readRepository();
 
@@ -49,3 +51,21 @@
     expect(checkPage(page, text, repository)).toEqual([]);
   });
 });
+
+describe('docs/protocols.md', () => {
+  const page = readPages().get('docs/protocols.md')!;
+  const methods = [...page.matchAll(/^\| `([\w.]+)` \| (?:`\{)/gm)].map(([, name]) => name!);
+  const routes = [...page.matchAll(/`((?:GET|POST) \/[^`?]*)/g)].map(([, route]) => route!.replace(/<.*/, '*'));
+
+  // Guards against a method between entries that was added, renamed or removed without the page.
+  it('lists the JSON-RPC methods that entries register', () => {
+    expect(listMethods().length).toBeGreaterThan(0);
+    expect(methods.sort()).toEqual(listMethods());
+  });
+
+  // Guards against a request to an outside system that the page does not describe.
+  it('lists the requests that the stand-ins serve, and the one between entries', () => {
+    expect(listRoutes().length).toBeGreaterThan(0);
+    expect([...new Set(routes)].sort()).toEqual([...listRoutes(), 'POST /'].sort());
+  });
+});
--- a/test/support/pages.ts
+++ b/test/support/pages.ts
@@ -73,6 +73,22 @@
   };
 }
 
+/** JSON-RPC methods that the core and the daemon register, sorted; given as text or as a constant of the module. */
+export function listMethods(): string[] {
+  return listFiles().filter((file) => /^src\/(?:core|daemon)\/.*\.ts$/.test(file)).flatMap((file) => {
+    const source = read(file);
+    return [...source.matchAll(/\bserver\.register\((?:'([\w.]+)'|(\w+)),/g)].map(([, name, constant]) => (
+      name ?? new RegExp(`const ${constant} = '([\\w.]+)'`).exec(source)?.[1] ?? `${file}: ${constant}`
+    ));
+  }).sort();
+}
+
+/** `<method> <path>` of all requests that the stand-ins serve. */
+export function listRoutes(): string[] {
+  return listFiles().filter((file) => /^src\/emulator\/\w+server\.ts$/.test(file))
+    .flatMap((file) => [...read(file).matchAll(/'((?:GET|POST) \/[^']*)':/g)].map(([, route]) => route!));
+}
+
 /** README.md and all pages under docs, with their text. */
 export function readPages(): Map<string, string> {
   const pages = listFiles().filter((file) => file === 'README.md' || /^docs\/.*\.md$/.test(file));
