Let stalled work leave its lane

Cause: the router may reject the only engine of an entry's lane, for example while it is ejected, and every long prompt of that entry would wait and be refused. Change: a request whose lane has been idle for 150 ms while it found no place may use any engine that is not kept for quick work.

--- a/src/core/lanes.ts
+++ b/src/core/lanes.ts
@@ -92,6 +92,10 @@
     }
   }
 
+  public isQuick(name: string): boolean {
+    return this.quick > 0 && (this.ranks.get(name) ?? 0) >= this.mixed - this.quick;
+  }
+
   public arrived(lane: Lane, tokens: number): void {
     this.demand[lane] += tokens * (lane === Lane.Quick ? QUICK_WEIGHT : 1);
   }
@@ -157,6 +161,11 @@
     return lanes === undefined || lanes.serves(engine.name, lane, this.options.share?.());
   }
 
+  /** Whether an engine is kept for quick work of a model. */
+  public isQuick(engine: EngineFacts, model: string): boolean {
+    return this.models.get(model)?.isQuick(engine.name) === true;
+  }
+
   /** Adds the expected engine work of one arrival in tokens. */
   public arrived(model: string, lane: Lane, tokens: number): void {
     if (this.stale) this.rank();
--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -83,6 +83,14 @@
 /** Part of that share for workspaces above their own share; the rest is kept for the others. */
 const ABOVE_SHARE_HEADROOM = 0.75;
 
+/** Options of {@link EngineLimits.hasRoom}. */
+export interface RoomOptions {
+  /** The workspace is above its share. */
+  readonly aboveShare?: boolean;
+  /** Engines of other lanes may be used, but those of quick work. */
+  readonly anyLane?: boolean;
+}
+
 /** Limits on the work in flight at each engine, learned from this entry's own observations. */
 export class EngineLimits {
   private readonly groups = new Map<string, Group>();
@@ -101,7 +109,7 @@
   }
 
   /** Whether the engine may take this request now. */
-  public hasRoom(name: string, item: WorkItem, aboveShare = false): boolean {
+  public hasRoom(name: string, item: WorkItem, opts: RoomOptions = {}): boolean {
     const engine = this.options.directory.get(name);
     if (engine === undefined) return false;
     const { lanes } = this.options;
@@ -112,16 +120,23 @@
       // Quick work beyond its own engines runs beside other short work, and work whose lane may not be used, anywhere.
       const beyond = lane === Lane.Quick && lanes.serves(engine, item.model, Lane.Short)
         && this.isFull(this.group(item.model, engine.role, lane));
-      const displaced = item.excluded !== undefined && item.excluded.size > 0;
+      const displaced = (opts.anyLane === true && !lanes.isQuick(engine, item.model))
+        || (item.excluded !== undefined && item.excluded.size > 0);
       if (!beyond && !displaced) return false;
       if (beyond) lane = Lane.Short;
     }
     const group = this.group(item.model, engine.role, lane);
-    const headroom = HEADROOM[item.priority] * (aboveShare ? ABOVE_SHARE_HEADROOM : 1);
+    const headroom = HEADROOM[item.priority] * (opts.aboveShare === true ? ABOVE_SHARE_HEADROOM : 1);
     return (engine.role === Role.Decode || this.phaseHasRoom(engine.name, group, lane, Phase.Prefill, headroom))
       && (engine.role === Role.Prefill || this.phaseHasRoom(engine.name, group, lane, Phase.Decode, headroom));
   }
 
+  /** Whether nothing of the request's lane is in flight on mixed engines. */
+  public isIdle(item: WorkItem): boolean {
+    const group = this.group(item.model, Role.Mixed, this.options.lanes.laneOf(item));
+    return group.inFlight[Phase.Decode] === 0;
+  }
+
   /** Counts a placed request; the returned record goes back to the methods below. */
   public started(item: WorkItem, placement: Placement): Held {
     const lane = this.laneAt(item, placement.engine);
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -8,7 +8,7 @@
 import { LanePlan } from './lanes.js';
 import type { EntryShare } from './lanes.js';
 import { EngineLimits, SERVICE_TARGET, TOLERANCE } from './limits.js';
-import type { Held, ServiceTarget } from './limits.js';
+import type { Held, RoomOptions, ServiceTarget } from './limits.js';
 import { AttemptOutcome } from './placement.js';
 import type { Placement, PolicyRefusal, WorkItem } from './placement.js';
 import type { Router, RouterOptions } from './routing.js';
@@ -40,12 +40,14 @@
   windowStart: number;
   windowProduced: number;
   finished: boolean;
+  idleSince: number | null;
 }
 
 /** One output token costs an engine about as much time as this many prompt tokens. */
 const OUTPUT_TOKEN_COST = 16;
 const QUICK_OUTPUT_TOKENS = 16;
 const QUICK_PROMPT_TOKENS = 500;
+const STALL_MS = 150;
 const EXPIRY_PERIOD_MS = 25;
 const REBALANCE_PERIOD_MS = 500;
 const LANE_TIME_CONSTANT_MS = 30_000;
@@ -71,8 +73,8 @@
 
   private pumping = false;
 
-  /** Request whose placement is being chosen. */
-  private placing: Request | null = null;
+  /** How the limits apply to the request whose placement is being chosen. */
+  private room: RoomOptions = {};
 
   private readonly shares: WorkspaceShares;
 
@@ -91,7 +93,7 @@
     this.queue = new AdmissionQueue<Request>({
       clock, random, maxQueued: options.maxQueued, firstTokenMs: target.firstTokenMs,
     });
-    this.router = options.createRouter((engine, item) => this.limits.hasRoom(engine, item, this.placing?.aboveShare));
+    this.router = options.createRouter((engine, item) => this.limits.hasRoom(engine, item, this.room));
     this.shares = new WorkspaceShares(clock);
     this.rebalancedAt = clock.monotonic();
   }
@@ -155,6 +157,7 @@
       windowStart: 0,
       windowProduced: 0,
       finished: false,
+      idleSince: null,
     };
   }
 
@@ -165,9 +168,15 @@
   }
 
   private place(request: Request): boolean {
-    this.placing = request;
-    const placement = this.router.choose(request.item);
-    this.placing = null;
+    const aboveShare = request.aboveShare === true;
+    this.room = { aboveShare };
+    let placement = this.router.choose(request.item);
+    // The router may reject the only engines of a lane, for example while they are ejected.
+    if (placement === null && this.isStalled(request)) {
+      this.room = { aboveShare, anyLane: true };
+      placement = this.router.choose(request.item);
+    }
+    this.room = {};
     if (placement === null) return false;
     request.placement = placement;
     request.placedAt = this.options.clock.monotonic();
@@ -178,6 +187,17 @@
     return true;
   }
 
+  /** Whether a request has found no place for some time although its lane has been idle. */
+  private isStalled(request: Request): boolean {
+    const now = this.options.clock.monotonic();
+    if (!this.limits.isIdle(request.item)) {
+      request.idleSince = null;
+      return false;
+    }
+    request.idleSince ??= now;
+    return now - request.idleSince >= STALL_MS;
+  }
+
   private expire(): void {
     this.expiry = null;
     this.pump();
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -97,7 +97,7 @@
   });
 });
 
-function createDispatcher() {
+function createDispatcher(ejected: string | null = null) {
   const clock = new SimulatedClock();
   const random = new SeededRandom(3);
   const directory = new EngineDirectory();
@@ -105,7 +105,10 @@
     clock,
     random,
     directory,
-    createRouter: (hasRoom) => new LeastRequestsRouter({ directory, random, hasRoom }),
+    createRouter: (hasRoom) => new LeastRequestsRouter({
+      directory, random, hasRoom: (engine, item) => engine !== ejected && hasRoom(engine, item),
+    }),
+    share: () => ({ index: 0, count: 3 }),
     maxQueued: 50,
   });
   for (const name of ['a', 'b', 'c']) {
@@ -169,4 +172,27 @@
     });
     expect(placed).toBe(true);
   });
+
+  // Guards against long prompts that are all refused while the router rejects the engine of their lane.
+  it.each(['a', 'b', 'c'])('places long prompts while %s is ejected', (ejected) => {
+    const { clock, dispatcher } = createDispatcher(ejected);
+    const long: number[] = [];
+    for (let count = 0; count < 40; count += 1) {
+      const promptTokens = count % 2 === 0 ? 5_000 : 300;
+      let handle: DispatchHandle | null = null;
+      const now = clock.monotonic();
+      handle = dispatcher.submit(itemOf({ promptTokens, arrival: now, deadline: now + 7_400 }), {
+        placed: () => {
+          if (promptTokens === 5_000) long.push(now);
+          clock.after(100, () => {
+            handle!.firstToken();
+            handle!.finish(AttemptOutcome.Done);
+          });
+        },
+        refused: () => {},
+      });
+      clock.advanceSync(300);
+    }
+    expect(long.length).toBeGreaterThanOrEqual(19);
+  });
 });
