--- a/src/bench/policy.ts
+++ b/src/bench/policy.ts
@@ -6,8 +6,10 @@
 import { DEFAULT_HEALTH_OPTIONS, HealthTracker } from '../core/health.js';
 import { AttemptOutcome } from '../core/placement.js';
 import type { Placement, WorkItem } from '../core/placement.js';
-import type { CostRouterOptions, Router } from '../core/routing.js';
-import { CostRouter, LeastRequestsRouter } from '../core/routing.js';
+import type { CostRouterOptions } from '../core/costrouter.js';
+import { CostRouter } from '../core/costrouter.js';
+import type { Router } from '../core/routing.js';
+import { LeastRequestsRouter } from '../core/routing.js';
 import { SimulatedClock } from '../emulator/clock.js';
 import { SeededRandom } from '../emulator/random.js';
 import type { SimulatedEntry } from './simulation.js';
@@ -143,7 +145,10 @@
     health,
     others,
     dispatcher: new FifoDispatcher({ clock, router: learner, maxQueued: 10_000 }),
-    report: (engine, load) => router.report(engine, load, clock.monotonic() - load.at),
+    report: (engine, load) => {
+      health.add(engine);
+      router.report(engine, load, clock.monotonic() - load.at);
+    },
   };
 }
 
@@ -166,6 +171,25 @@
   });
 }
 
+const MOVE_PERIOD_MS = 500;
+
+/** Most streams that leave one engine at a time. */
+const MOVES_PER_ENGINE = 3;
+
+/** Moves long answers off engines that have come to serve short ones, by export and import of their KV cache. */
+export function moveMisplaced(simulation: Simulation, untilMs: number): void {
+  simulation.every(MOVE_PERIOD_MS, untilMs, () => {
+    for (const name of simulation.engines.keys()) {
+      simulation.attemptsAt(name)
+        .filter(({ options, placement }) => (
+          placement !== null && (options.entry as PolicyEntry).router.shouldMove(options.item, placement)
+        ))
+        .slice(0, MOVES_PER_ENGINE)
+        .forEach((attempt) => attempt.moveFrom(name));
+    }
+  });
+}
+
 /** Simulation of a user's deployment. */
 export function createSimulation(
   user: User,
