--- a/src/adapters/engine.ts
+++ b/src/adapters/engine.ts
@@ -40,7 +40,11 @@
   engine: z.string(),
   incarnation: z.string(),
   role: z.enum(Role),
-  models: z.array(z.object({ model: z.string(), version: z.string() })),
+  models: z.array(z.object({
+    model: z.string(),
+    version: z.string(),
+    adapters: z.array(z.string()).optional(),
+  }).transform(({ adapters, ...held }) => ({ ...held, ...(adapters === undefined ? {} : { adapters }) }))),
   orders: z.record(z.string(), z.enum(OrderState)),
   leaving: z.boolean(),
 });
--- a/src/daemon/run.ts
+++ b/src/daemon/run.ts
@@ -298,6 +298,7 @@
       deadline: this.nextIndex > 0 ? arrival + STALL_TIMEOUT_MS : this.deadline,
       arrival,
       excluded: this.excluded,
+      continuation: this.nextIndex > 0,
     };
   }
 
