Answer ran: unknown where a booking is refused before its record is read

Control traffic of a whole entry was 14,174 B/s, most of it 25.8 reports of backend servers a second. Change: a call with an idempotency key is refused with record_not_read, ran: unknown; load reports are read every 2 s, status every fourth and cache events every second time.

--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -21,6 +21,8 @@
     | { readonly code: 'not_ready'; readonly retryAfterMs: number }
     | { readonly code: 'draining' }
     | { readonly code: 'record_store_unavailable'; readonly ran: Ran; readonly retryAfterMs: number }
+    /** Refused for `reason` before the record of the idempotency key was read. */
+    | { readonly code: 'record_not_read'; readonly reason: string; readonly retryAfterMs: number }
     | { readonly code: 'outcome_unknown' }
     | { readonly code: 'engine_failed'; readonly ran: Ran }
     | { readonly code: 'deadline_exceeded'; readonly ran: Ran }
@@ -44,6 +46,7 @@
       return Ran.No;
     // The request that a caller wants to resume with an unreadable event id may have run.
     case 'invalid_event_id':
+    case 'record_not_read':
     case 'outcome_unknown':
       return Ran.Unknown;
     case 'stream_lost':
--- a/src/daemon/backends.ts
+++ b/src/daemon/backends.ts
@@ -53,9 +53,11 @@
   readonly client: PlainService & { dispose?(): void };
 }
 
-const REPORT_PERIOD_MS = 1_000;
+/** Reports lag by about as much, and each call counts against the control traffic of 4 KB a second. */
+const REPORT_PERIOD_MS = 2_000;
 /** Engine status changes only by orders and restarts, so it is read less often than the load. */
-const STATUS_EVERY_REPORTS = 2;
+const STATUS_EVERY_REPORTS = 4;
+const CACHE_EVENTS_EVERY_REPORTS = 2;
 const CALL_TIMEOUT_MS = 1_000;
 /** An engine that fails this many reports in a row gets no new work until it answers again. */
 const FAILURES_TO_UNAVAILABLE = 3;
@@ -203,7 +205,7 @@
       const before = this.options.directory.get(engine.spec.name);
       if (round % STATUS_EVERY_REPORTS === 0 || engine.status === null) await this.readStatus(engine);
       await this.readLoad(engine);
-      await this.readCacheEvents(engine);
+      if (round % CACHE_EVENTS_EVERY_REPORTS === 0) await this.readCacheEvents(engine);
       if (signal.aborted) return;
       this.publish(engine);
       const after = this.options.directory.get(engine.spec.name);
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import type { Disposable } from '../core/edges.js';
 import { DisposableStore } from '../core/disposables.js';
-import type { Fleet } from '../core/fleet.js';
+import type { Fleet, ServiceSpec } from '../core/fleet.js';
 import type { Refusal } from '../core/refusals.js';
 import { fail } from '../core/result.js';
 import type { Result } from '../core/result.js';
@@ -20,6 +20,8 @@
 const MAX_TASKS = 100;
 const RETRY_AFTER_MS = 1_000;
 
+const NOT_READY: Refusal = { code: 'not_ready', retryAfterMs: RETRY_AFTER_MS };
+
 /** One entry: checks requests against the fleet file and hands them to the coordination parts. */
 export class Entry implements EntryApi, Disposable {
   private readonly stop = new AbortController();
@@ -77,18 +79,13 @@
 
   public async callService(req: ServiceRequest): Promise<Result<ServiceOutcome, Refusal>> {
     const fleet = this.parts.configuration.fleet();
-    if (fleet === null) return fail({ code: 'not_ready', retryAfterMs: RETRY_AFTER_MS });
-    if (!this.hasWorkspace(fleet, req.workspace)) return fail({ code: 'unknown_workspace', workspace: req.workspace });
-    const service = fleet.services.find(({ name }) => name === req.service);
-    if (service === undefined) return fail({ code: 'unknown_service', service: req.service });
-    const idempotent = service.idempotent.includes(req.operation);
-    if (!idempotent && !service.nonIdempotent.includes(req.operation)) {
-      const expected = [...service.idempotent, ...service.nonIdempotent].join(', ');
-      return fail({ code: 'invalid_request', path: 'operation', expected });
-    }
+    const service = fleet?.services.find(({ name }) => name === req.service);
+    const idempotent = service?.idempotent.includes(req.operation) === true;
     const { clock } = this.edges;
-    const tracked = this.parts.draining.begin({ handOver: null, deadline: clock.monotonic() + req.deadlineMs });
-    if (tracked === null) return fail({ code: 'draining' });
+    const refusal = fleet === null ? NOT_READY : this.refuseCall(fleet, service, req);
+    const deadline = clock.monotonic() + req.deadlineMs;
+    const tracked = refusal === null ? this.parts.draining.begin({ handOver: null, deadline }) : null;
+    if (tracked === null) return fail(this.refusalOfCall(refusal ?? { code: 'draining' }, req, idempotent));
     const outcome = await (idempotent ? this.parts.bookings.callIdempotent(req) : this.parts.bookings.book(req));
     tracked.dispose();
     return outcome;
@@ -126,12 +123,29 @@
 
   private refuse(req: GenerateRequest): Refusal | null {
     const fleet = this.parts.configuration.fleet();
-    if (fleet === null) return { code: 'not_ready', retryAfterMs: RETRY_AFTER_MS };
+    if (fleet === null) return NOT_READY;
     if (!this.hasWorkspace(fleet, req.workspace)) return { code: 'unknown_workspace', workspace: req.workspace };
     if (!fleet.models.some(({ name }) => name === req.model)) return { code: 'unknown_model', model: req.model };
     return null;
   }
 
+  private refuseCall(fleet: Fleet, service: ServiceSpec | undefined, req: ServiceRequest): Refusal | null {
+    if (!this.hasWorkspace(fleet, req.workspace)) return { code: 'unknown_workspace', workspace: req.workspace };
+    if (service === undefined) return { code: 'unknown_service', service: req.service };
+    const operations = [...service.idempotent, ...service.nonIdempotent];
+    if (operations.includes(req.operation)) return null;
+    return { code: 'invalid_request', path: 'operation', expected: operations.join(', ') };
+  }
+
+  /**
+   * Refusal of a call before its record was read. With an idempotency key an earlier attempt may have run, also under
+   * a fleet file that has changed since then, so only a call without a key is certainly not run.
+   */
+  private refusalOfCall(refusal: Refusal, req: ServiceRequest, idempotent: boolean): Refusal {
+    if (idempotent || req.idempotencyKey === undefined) return refusal;
+    return { code: 'record_not_read', reason: refusal.code, retryAfterMs: RETRY_AFTER_MS };
+  }
+
   private hasWorkspace(fleet: Fleet, workspace: string): boolean {
     return fleet.workspaces.some(({ name }) => name === workspace);
   }
--- a/src/daemon/refusals.ts
+++ b/src/daemon/refusals.ts
@@ -63,6 +63,8 @@
       return [503, 'this entry is stopping; ask /address for another one'];
     case 'record_store_unavailable':
       return [503, `the record of this call cannot be read or written now; ${RAN_TEXT[refusal.ran]}`];
+    case 'record_not_read':
+      return [503, `refused (${refusal.reason}) before the record of this Idempotency-Key was read; an earlier attempt may have run`];
     case 'outcome_unknown':
       return [504, 'the call was sent and no answer arrived; repeat it with the same Idempotency-Key to learn its outcome'];
     case 'engine_failed':
--- /dev/null
+++ b/test/explore.test.ts
@@ -0,0 +1,10 @@
+import { expect, it } from 'vitest';
+import { explore } from '../src/scenario/explore.js';
+
+const RUNS = 40;
+const TIMEOUT_MS = 120_000;
+
+// Guards the invariants against combinations of failures that no scenario names.
+it.each([1, 20_261_204])('random schedules of faults break no invariant, seed %i', async (seed) => {
+  expect(await explore({ seed, runs: RUNS })).toBeNull();
+}, TIMEOUT_MS);
