Judge peak, head-of-line and fairness by the policy that the daemon runs, and keep demand by model

Cause: the three experiments judged the admission policy with the baseline router, which no process runs; the demand of all models together was used for each. Change: their variant 'policy' is the daemon's ServingPolicy, the former one is called 'admission'; entries exchange their demand by model every 4 s.

--- a/src/bench/combined.ts
+++ b/src/bench/combined.ts
@@ -1,18 +1,15 @@
 import { EngineDirectory } from '../core/directory.js';
-import type { Demand } from '../core/affinity.js';
-import { NO_DEMAND, sumDemand } from '../core/affinity.js';
 import { Role } from '../core/edges.js';
 import { PolicyDispatcher } from '../core/policy.js';
 import { LeastRequestsRouter } from '../core/routing.js';
-import { ServingPolicy } from '../daemon/policy.js';
-import type { SimulatedClock } from '../emulator/clock.js';
 import { SeededRandom } from '../emulator/random.js';
+import { createDaemon } from './daemonentry.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
 import type { User } from './policy.js';
 import {
   createBaselineEntry, createPolicyEntry, createSimulation, ENTRIES, SEEDS, shareDemand, USERS,
 } from './policy.js';
-import type { SimulatedEntry, Simulation } from './simulation.js';
+import type { Simulation } from './simulation.js';
 import { firstTokenMs, isGood, quantile } from './simulation.js';
 import type { Arrival, ClassRate } from './workload.js';
 import { generateArrivals } from './workload.js';
@@ -52,57 +49,9 @@
   });
 }
 
-interface DaemonEntry extends SimulatedEntry {
-  readonly policy: ServingPolicy;
-}
-
-const NODES = Array.from({ length: ENTRIES }, (_, index) => `entry-${index}`);
-
-/** Entry with the policy that the daemon runs. */
-function createDaemonEntry(
-  clock: SimulatedClock,
-  random: SeededRandom,
-  user: User,
-  index: number,
-  entries: readonly DaemonEntry[],
-): DaemonEntry {
-  const directory = new EngineDirectory();
-  const others = (): Demand => entries
-    .filter((_, other) => other !== index)
-    .reduce((sum, { policy }) => sumDemand([sum, policy.demand()]), NO_DEMAND);
-  const policy = new ServingPolicy({
-    clock,
-    random,
-    directory,
-    node: NODES[index]!,
-    failureDomain: user.failureDomains[index % user.failureDomains.length]!,
-    nodes: () => NODES,
-    othersDemand: others,
-    maxQueued: 2_000,
-  });
-  return {
-    directory,
-    policy,
-    dispatcher: policy.dispatcher,
-    report: (engine, load) => {
-      policy.follow(engine);
-      policy.report({
-        engine,
-        ageMs: clock.monotonic() - load.at,
-        running: load.running,
-        queued: load.queued,
-        queuedPromptTokens: load.queuedPromptTokens,
-        kvBlocksUsed: load.kvBlocksUsed,
-        kvBlocksTotal: 1,
-        leaving: false,
-      });
-    },
-  };
-}
-
 function run(user: User, variant: string, seed: number, arrivals: readonly Arrival[]): Simulation {
   const roles = Array<Role>(user.engines).fill(Role.Mixed);
-  const daemons: DaemonEntry[] = [];
+  const daemon = createDaemon(ENTRIES);
   const routers: ReturnType<typeof createPolicyEntry>[] = [];
   const { simulation } = createSimulation(user, seed, roles, (clock, random, index) => {
     switch (variant) {
@@ -124,11 +73,8 @@
         });
         return { directory, dispatcher };
       }
-      case 'daemon': {
-        const entry = createDaemonEntry(clock, random, user, index, daemons);
-        daemons.push(entry);
-        return entry;
-      }
+      case 'daemon':
+        return daemon(clock, random, new EngineDirectory(), index, user);
       default:
         return createBaselineEntry(clock, random);
     }
--- a/src/bench/fairness.ts
+++ b/src/bench/fairness.ts
@@ -1,7 +1,8 @@
 import { SeededRandom } from '../emulator/random.js';
+import { createDaemon } from './daemonentry.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
 import {
-  USERS, createFifo, createPolicy, mixArrivals, runFleet,
+  ENTRIES, USERS, createFifo, createPolicy, mixArrivals, runFleet,
 } from './fleets.js';
 import type { CreateDispatcher, User } from './fleets.js';
 import { isGood } from './simulation.js';
@@ -20,7 +21,11 @@
 const FAIR_RATE = 20;
 const TARGET = 0.95;
 
-const VARIANTS: Readonly<Record<string, CreateDispatcher>> = { baseline: createFifo, policy: createPolicy() };
+const VARIANTS: Readonly<Record<string, CreateDispatcher>> = {
+  baseline: createFifo,
+  admission: createPolicy(),
+  policy: createDaemon(ENTRIES),
+};
 
 /** Arrivals of the mix at a steady rate, each given to one workspace of a list at random. */
 function arrivalsFor(user: User, seed: number, rate: number, workspaces: readonly string[]): Arrival[] {
--- a/src/bench/fleets.ts
+++ b/src/bench/fleets.ts
@@ -57,7 +57,8 @@
   random: SeededRandom,
   directory: EngineDirectory,
   index: number,
-) => Dispatcher;
+  user: User,
+) => Dispatcher | SimulatedEntry;
 
 /** Baseline: first in, first out, no limit on engines. */
 export const createFifo: CreateDispatcher = (clock, random, directory) => new FifoDispatcher({
@@ -106,7 +107,8 @@
     createEntry: (index): SimulatedEntry => {
       const directory = new EngineDirectory();
       const own = new SeededRandom(seed * 100 + index);
-      return { directory, dispatcher: create(clock, own, directory, index) };
+      const created = create(clock, own, directory, index, user);
+      return 'dispatcher' in created ? created : { directory, dispatcher: created };
     },
   });
   simulation.run(arrivals, durationMs, 20_000);
--- a/src/bench/headofline.ts
+++ b/src/bench/headofline.ts
@@ -1,8 +1,9 @@
 import { Priority } from '../core/edges.js';
 import { SeededRandom } from '../emulator/random.js';
+import { createDaemon } from './daemonentry.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
 import {
-  USERS, createFifo, createPolicy, mixArrivals, runFleet,
+  ENTRIES, USERS, createFifo, createPolicy, mixArrivals, runFleet,
 } from './fleets.js';
 import type { CreateDispatcher, FleetRun, User } from './fleets.js';
 import { quantile } from './simulation.js';
@@ -38,7 +39,8 @@
   baseline: createFifo,
   'no-separation': createPolicy({ separateLanes: false }),
   'no-quick-lane': createPolicy({ separateQuick: false }),
-  policy: createPolicy(),
+  admission: createPolicy(),
+  policy: createDaemon(ENTRIES),
 };
 
 function shortArrivals(seed: number): Arrival[] {
--- a/src/bench/peak.ts
+++ b/src/bench/peak.ts
@@ -1,7 +1,8 @@
 import { Priority } from '../core/edges.js';
+import { createDaemon } from './daemonentry.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
 import {
-  USERS, createFifo, createPolicy, mixArrivals, runFleet,
+  ENTRIES, USERS, createFifo, createPolicy, mixArrivals, runFleet,
 } from './fleets.js';
 import type { CreateDispatcher, FleetRun, User } from './fleets.js';
 import { firstTokenMs, isGood, quantile } from './simulation.js';
@@ -29,7 +30,11 @@
 const URGENT_TARGET = 1.2;
 const RECOVERY_TARGET_MS = 5_000;
 
-const VARIANTS: Readonly<Record<string, CreateDispatcher>> = { baseline: createFifo, policy: createPolicy() };
+const VARIANTS: Readonly<Record<string, CreateDispatcher>> = {
+  baseline: createFifo,
+  admission: createPolicy(),
+  policy: createDaemon(ENTRIES),
+};
 
 /** Load as a share of capacity: rises within seconds, stays, and falls back. */
 export function peakLoad(timeMs: number): number {
--- a/src/daemon/demand.ts
+++ b/src/daemon/demand.ts
@@ -17,6 +17,11 @@
   tokensPerMs: z.number().min(0),
 });
 
+/** Demand by model. */
+export type Demands = Readonly<Record<string, Demand>>;
+
+const demandsSchema: z.ZodType<Demands> = z.record(z.string(), demandSchema);
+
 /** Options of {@link DemandExchange}. */
 export interface DemandExchangeOptions {
   readonly clock: Clock;
@@ -25,19 +30,19 @@
   readonly client: PeerClient;
   readonly server: PeerServer;
   /** Demand that this entry sees. */
-  readonly own: () => Demand;
+  readonly own: () => Demands;
 }
 
 const METHOD = 'demand';
-const PERIOD_MS = 2_000;
+const PERIOD_MS = 4_000;
 const TIMEOUT_MS = 500;
 /** Members asked in one period; the demand of a larger fleet is estimated from the sample. */
 const SAMPLE = 5;
 /** Answers older than this no longer count. */
-const MAX_AGE_MS = 10_000;
+const MAX_AGE_MS = 15_000;
 
 interface Known {
-  readonly demand: Demand;
+  readonly demands: Demands;
   readonly at: number;
 }
 
@@ -57,20 +62,21 @@
 
   private readonly disposables = new DisposableStore();
 
-  private estimate: Demand = NO_DEMAND;
+  private factor = 0;
 
   public constructor(private readonly options: DemandExchangeOptions) {
     this.disposables.add(options.server.register(METHOD, async () => ok(options.own())));
   }
 
-  /** Estimated demand at all other entries together. */
-  public others(): Demand {
-    return this.estimate;
+  /** Estimated demand for a model at all other entries together. */
+  public others(model: string): Demand {
+    const sampled = [...this.known.values()].map(({ demands }) => demands[model] ?? NO_DEMAND);
+    return scale(sumDemand(sampled), this.factor);
   }
 
-  /** Demand of the whole fleet of entries. */
-  public total(): Demand {
-    return sumDemand([this.options.own(), this.estimate]);
+  /** Demand for a model at all entries. */
+  public total(model: string): Demand {
+    return sumDemand([this.options.own()[model] ?? NO_DEMAND, this.others(model)]);
   }
 
   public async run(signal: AbortSignal): Promise<void> {
@@ -83,7 +89,9 @@
   }
 
   public dump(): Record<string, unknown> {
-    return { own: this.options.own(), others: this.estimate, sampled: this.known.size };
+    const own = this.options.own();
+    const others = Object.fromEntries(Object.keys(own).map((model) => [model, this.others(model)]));
+    return { own, others, sampled: this.known.size };
   }
 
   public dispose(): void {
@@ -104,8 +112,8 @@
     const { client, clock } = this.options;
     const answer = await client.call(member.address, METHOD, {}, { timeoutMs: TIMEOUT_MS });
     if (!answer.success) return;
-    const demand = demandSchema.safeParse(answer.data);
-    if (demand.success) this.known.set(member.id, { demand: demand.data, at: clock.monotonic() });
+    const demands = demandsSchema.safeParse(answer.data);
+    if (demands.success) this.known.set(member.id, { demands: demands.data, at: clock.monotonic() });
   }
 
   private update(): void {
@@ -114,7 +122,6 @@
     for (const [id, { at }] of this.known) {
       if (!live.has(id) || clock.monotonic() - at > MAX_AGE_MS) this.known.delete(id);
     }
-    const sum = sumDemand([...this.known.values()].map(({ demand }) => demand));
-    this.estimate = this.known.size === 0 ? NO_DEMAND : scale(sum, live.size / this.known.size);
+    this.factor = this.known.size === 0 ? 0 : live.size / this.known.size;
   }
 }
--- a/src/daemon/parts.ts
+++ b/src/daemon/parts.ts
@@ -1,3 +1,4 @@
+import { sumDemand } from '../core/affinity.js';
 import { Addresses } from '../core/addresses.js';
 import { Authority } from '../core/authority.js';
 import { BatchingKeyValue } from '../core/batching.js';
@@ -235,7 +236,7 @@
       node: this.options.name,
       failureDomain: this.options.failureDomain,
       nodes: () => this.nodes,
-      othersDemand: () => this.demand.others(),
+      othersDemand: (model) => this.demand.others(model),
       maxQueued: MAX_QUEUED,
     });
   }
@@ -293,7 +294,7 @@
       engine: (spec) => this.backends.engine(spec.name) ?? this.edges.backends.engine(spec),
       roles: new RolePlans({
         ...this.edges,
-        demand: () => this.demand.total(),
+        demand: (models) => sumDemand(models.map((model) => this.demand.total(model))),
         lastLoad: (engine) => this.loads.get(engine) ?? null,
       }),
       drain: this.holds,
--- a/src/daemon/policy.ts
+++ b/src/daemon/policy.ts
@@ -7,6 +7,7 @@
 } from '../core/edges.js';
 import { DEFAULT_HEALTH_OPTIONS, HealthTracker } from '../core/health.js';
 import { PolicyDispatcher } from '../core/policy.js';
+import type { Demands } from './demand.js';
 import { CostRouter } from '../core/costrouter.js';
 import { PrefixIndex } from '../core/prefixes.js';
 
@@ -20,7 +21,7 @@
   /** Names of all entries that send work to the same engines; a new array after each change. */
   readonly nodes: () => readonly string[];
   /** Demand that the other entries see. */
-  readonly othersDemand: () => Demand;
+  readonly othersDemand: (model: string) => Demand;
   readonly maxQueued: number;
 }
 
@@ -78,9 +79,10 @@
     this.prefixes.remove(engine);
   }
 
-  /** Smoothed demand that this entry sees. */
-  public demand(): Demand {
-    return this.router?.demand() ?? NO_DEMAND;
+  /** Smoothed demand that this entry sees, by model. */
+  public demand(): Demands {
+    const models = new Set(this.options.directory.all().flatMap((engine) => engine.models));
+    return Object.fromEntries([...models].map((model) => [model, this.router?.demand(model) ?? NO_DEMAND]));
   }
 
   public dump(): Record<string, unknown> {
--- a/src/daemon/roleplans.ts
+++ b/src/daemon/roleplans.ts
@@ -13,8 +13,8 @@
 export interface RolePlansOptions {
   readonly clock: Clock;
   readonly log: Log;
-  /** Demand of all entries together. */
-  readonly demand: () => Demand;
+  /** Demand for some models at all entries together. */
+  readonly demand: (models: readonly string[]) => Demand;
   readonly lastLoad: (engine: string) => LoadReport | null;
 }
 
@@ -57,7 +57,8 @@
     this.planners.set(models, planner);
     const engines = specs.flatMap((spec) => this.describe(spec, statuses.get(spec.name)));
     if (engines.length < specs.length) return;
-    for (const { engine, role } of planner.plan({ now, engines, demand: this.options.demand() })) {
+    const demand = this.options.demand(models.split(' '));
+    for (const { engine, role } of planner.plan({ now, engines, demand })) {
       this.wanted.set(engine, role);
       this.options.log.info('role_planned', { engine, role });
     }
