Keep lanes for short and urgent work beside the cost router

Change: the daemon divides engines into lanes again, with each entry's share of the long lane, and the cost router chooses within a lane.

--- a/src/daemon/policy.ts
+++ b/src/daemon/policy.ts
@@ -44,7 +44,7 @@
       random: options.random,
       directory: options.directory,
       maxQueued: options.maxQueued,
-      separateLanes: false,
+      share: () => ({ index: options.nodes().indexOf(options.node), count: options.nodes().length }),
       createRouter: (hasRoom) => {
         this.router = this.createRouter(hasRoom);
         return this.router;
