Start union types on the line after their name

Cause: the formatter's default put the first member of a union behind the equals sign, which read badly. Change: the rule leaves the break after = to the author; 15 files follow.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -32,6 +32,8 @@
       'no-underscore-dangle': 'off',
       'class-methods-use-this': 'off',
       'no-plusplus': 'off',
+      // A union type starts on the line after its name.
+      '@stylistic/operator-linebreak': ['error', 'before', { overrides: { '=': 'ignore' } }],
       'no-void': ['error', { allowAsStatement: true }],
       'max-classes-per-file': 'off',
       '@stylistic/max-len': ['error', {
--- a/src/bench/bookingschedule.ts
+++ b/src/bench/bookingschedule.ts
@@ -27,20 +27,21 @@
 }
 
 /** Fault at a time in ms from the start of the schedule. */
-export type BookingFault = | { readonly type: 'kill'; readonly at: number; readonly entry: number; readonly moment: KillMoment }
-    | { readonly type: 'pause'; readonly at: number; readonly entry: number; readonly forMs: number }
-    | { readonly type: 'store_down'; readonly at: number; readonly forMs: number }
-    | { readonly type: 'store_slow'; readonly at: number; readonly forMs: number; readonly latencyMs: number }
-    | { readonly type: 'store_lost'; readonly at: number; readonly answers: number }
-    | { readonly type: 'store_cut'; readonly at: number; readonly entry: number; readonly forMs: number }
-    | {
-      readonly type: 'server';
-      readonly at: number;
-      /** Index of a server, or {@link FAULT_SERVERS} for all. */
-      readonly server: number;
-      readonly mode: ServerMode;
-      readonly forMs: number;
-    };
+export type BookingFault =
+  | { readonly type: 'kill'; readonly at: number; readonly entry: number; readonly moment: KillMoment }
+  | { readonly type: 'pause'; readonly at: number; readonly entry: number; readonly forMs: number }
+  | { readonly type: 'store_down'; readonly at: number; readonly forMs: number }
+  | { readonly type: 'store_slow'; readonly at: number; readonly forMs: number; readonly latencyMs: number }
+  | { readonly type: 'store_lost'; readonly at: number; readonly answers: number }
+  | { readonly type: 'store_cut'; readonly at: number; readonly entry: number; readonly forMs: number }
+  | {
+    readonly type: 'server';
+    readonly at: number;
+    /** Index of a server, or {@link FAULT_SERVERS} for all. */
+    readonly server: number;
+    readonly mode: ServerMode;
+    readonly forMs: number;
+  };
 
 /** One call of a caller; repeats use the same key at any entry. */
 export interface BookingAttempt {
--- a/src/bench/children.ts
+++ b/src/bench/children.ts
@@ -5,9 +5,10 @@
 import type { UpstreamOptions } from './upstream.js';
 
 /** Work of a child process of the bench. */
-export type ChildTask = | { readonly role: 'upstream'; readonly engines: number; readonly upstream: UpstreamOptions }
-    | { readonly role: 'pipe' }
-    | { readonly role: 'entry' };
+export type ChildTask =
+  | { readonly role: 'upstream'; readonly engines: number; readonly upstream: UpstreamOptions }
+  | { readonly role: 'pipe' }
+  | { readonly role: 'entry' };
 
 /** Resources that a child has used. */
 export interface Usage {
--- a/src/core/calls.ts
+++ b/src/core/calls.ts
@@ -21,11 +21,12 @@
 export type CallRetries = Pick<RetryPolicy, 'decide' | 'succeeded'>;
 
 /** What became of a call after all tries. */
-export type CallOutcome = | { readonly type: 'answered'; readonly answer: ServiceAnswer }
-    /** No try was sent, with certainty. */
-    | { readonly type: 'not_sent'; readonly reason: 'no_server' | 'deadline' }
-    /** A try was sent and its answer is missing; `late` resolves if an answer still arrives. */
-    | { readonly type: 'unknown'; readonly late: Promise<ServiceAnswer | null> };
+export type CallOutcome =
+  | { readonly type: 'answered'; readonly answer: ServiceAnswer }
+  /** No try was sent, with certainty. */
+  | { readonly type: 'not_sent'; readonly reason: 'no_server' | 'deadline' }
+  /** A try was sent and its answer is missing; `late` resolves if an answer still arrives. */
+  | { readonly type: 'unknown'; readonly late: Promise<ServiceAnswer | null> };
 
 /** Options of {@link ServiceCaller.call}. */
 export interface CallPlan {
--- a/src/core/edges.ts
+++ b/src/core/edges.ts
@@ -49,8 +49,9 @@
 }
 
 /** Outcome of one compare-and-swap. */
-export type CasResult = | { readonly applied: true; readonly version: number }
-    | { readonly applied: false; readonly current: KeyValueEntry | null };
+export type CasResult =
+  | { readonly applied: true; readonly version: number }
+  | { readonly applied: false; readonly current: KeyValueEntry | null };
 
 /** Reasons why a key-value call gives no answer. */
 export enum KeyValueErrorCode {
@@ -70,8 +71,9 @@
 }
 
 /** Change delivered by a watch. */
-export type WatchEvent = | { readonly type: 'put'; readonly entry: KeyValueEntry }
-    | { readonly type: 'delete'; readonly key: string; readonly version: number };
+export type WatchEvent =
+  | { readonly type: 'put'; readonly entry: KeyValueEntry }
+  | { readonly type: 'delete'; readonly key: string; readonly version: number };
 
 /** Largest value that the key-value service stores, in bytes. */
 export const KEY_VALUE_MAX_BYTES = 1_000_000;
@@ -181,13 +183,14 @@
 }
 
 /** Event of a generation stream; `index` counts tokens of the whole answer from 0. */
-export type EngineEvent = | {
-  readonly type: 'token';
-  readonly requestId: string;
-  readonly attemptId: string;
-  readonly index: number;
-  readonly text: string;
-}
+export type EngineEvent =
+  | {
+    readonly type: 'token';
+    readonly requestId: string;
+    readonly attemptId: string;
+    readonly index: number;
+    readonly text: string;
+  }
   | {
     readonly type: 'end';
     readonly requestId: string;
@@ -224,10 +227,11 @@
 }
 
 /** Change ordered from an engine. */
-export type OrderAction = | { readonly type: 'load'; readonly model: string; readonly version: string }
-    | { readonly type: 'unload'; readonly model: string; readonly version: string }
-    | { readonly type: 'load_adapter'; readonly model: string; readonly adapter: string }
-    | { readonly type: 'role'; readonly role: Role };
+export type OrderAction =
+  | { readonly type: 'load'; readonly model: string; readonly version: string }
+  | { readonly type: 'unload'; readonly model: string; readonly version: string }
+  | { readonly type: 'load_adapter'; readonly model: string; readonly adapter: string }
+  | { readonly type: 'role'; readonly role: Role };
 
 /** Order to an engine; `term` is the fencing token and `sequence` grows by one for each engine. */
 export interface Order {
@@ -358,8 +362,9 @@
 }
 
 /** Error of a call to another entry. */
-export type PeerError = | { readonly code: 'unreachable' | 'timeout'; readonly message: string }
-    | { readonly code: 'rejected'; readonly message: string };
+export type PeerError =
+  | { readonly code: 'unreachable' | 'timeout'; readonly message: string }
+  | { readonly code: 'rejected'; readonly message: string };
 
 /** Sends JSON-RPC requests to other entries; results are checked by the caller. */
 export interface PeerClient {
--- a/src/core/orders.ts
+++ b/src/core/orders.ts
@@ -19,7 +19,8 @@
 const MAX_SENDS = 3;
 
 /** What an engine can be ordered now; a different order may be issued if it is `ready`. */
-export type OrderProgress = | { readonly type: 'ready'; readonly status: EngineStatus }
+export type OrderProgress =
+  | { readonly type: 'ready'; readonly status: EngineStatus }
   /** An order is open. */
   | { readonly type: 'open'; readonly status: EngineStatus | null; readonly action: OrderAction }
   /** No order is open, but an earlier sender may still deliver one. */
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -39,9 +39,10 @@
 }
 
 /** Why a request was not run. Every refusal of the policy happens before anything is sent: `ran: no`. */
-export type PolicyRefusal = | { readonly code: 'queue_full'; readonly retryAfterMs: number }
-    | { readonly code: 'deadline_unreachable'; readonly retryAfterMs: number }
-    | { readonly code: 'no_engine'; readonly retryAfterMs: number };
+export type PolicyRefusal =
+  | { readonly code: 'queue_full'; readonly retryAfterMs: number }
+  | { readonly code: 'deadline_unreachable'; readonly retryAfterMs: number }
+  | { readonly code: 'no_engine'; readonly retryAfterMs: number };
 
 /** What the router knows of an engine from the fleet file, orders and reports. */
 export interface EngineFacts {
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -38,11 +38,12 @@
 }
 
 /** What became of a compare-and-swap on a record. */
-export type PutOutcome = | { readonly type: 'applied'; readonly version: number }
-    | { readonly type: 'conflict'; readonly current: StoredRecord | null }
-    | { readonly type: 'lease_lost' }
-    /** `maybe` tells that the write may still take effect. */
-    | { readonly type: 'unavailable'; readonly maybe: boolean };
+export type PutOutcome =
+  | { readonly type: 'applied'; readonly version: number }
+  | { readonly type: 'conflict'; readonly current: StoredRecord | null }
+  | { readonly type: 'lease_lost' }
+  /** `maybe` tells that the write may still take effect. */
+  | { readonly type: 'unavailable'; readonly maybe: boolean };
 
 /** Compare-and-swap on one record. */
 export interface PutRequest {
--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -8,26 +8,27 @@
 }
 
 /** Reasons for a refusal, with the certainty that each one carries. */
-export type Refusal = | { readonly code: 'invalid_request'; readonly path: string; readonly expected: string }
-    | { readonly code: 'unknown_model'; readonly model: string }
-    | { readonly code: 'unknown_service'; readonly service: string }
-    | { readonly code: 'unknown_workspace'; readonly workspace: string }
-    | { readonly code: 'idempotency_key_required'; readonly operation: string }
-    | { readonly code: 'idempotency_key_reused'; readonly ran: Ran }
-    | { readonly code: 'queue_full'; readonly retryAfterMs: number }
-    | { readonly code: 'deadline_unreachable'; readonly retryAfterMs: number }
-    | { readonly code: 'no_engine'; readonly retryAfterMs: number }
-    | { readonly code: 'no_server'; readonly retryAfterMs: number }
-    | { readonly code: 'not_ready'; readonly retryAfterMs: number }
-    | { readonly code: 'draining' }
-    | { readonly code: 'record_store_unavailable'; readonly ran: Ran; readonly retryAfterMs: number }
-    /** Refused for `reason` before the record of the idempotency key was read. */
-    | { readonly code: 'record_not_read'; readonly reason: string; readonly retryAfterMs: number }
-    | { readonly code: 'outcome_unknown' }
-    | { readonly code: 'engine_failed'; readonly ran: Ran }
-    | { readonly code: 'deadline_exceeded'; readonly ran: Ran }
-    | { readonly code: 'stream_lost' }
-    | { readonly code: 'invalid_event_id' };
+export type Refusal =
+  | { readonly code: 'invalid_request'; readonly path: string; readonly expected: string }
+  | { readonly code: 'unknown_model'; readonly model: string }
+  | { readonly code: 'unknown_service'; readonly service: string }
+  | { readonly code: 'unknown_workspace'; readonly workspace: string }
+  | { readonly code: 'idempotency_key_required'; readonly operation: string }
+  | { readonly code: 'idempotency_key_reused'; readonly ran: Ran }
+  | { readonly code: 'queue_full'; readonly retryAfterMs: number }
+  | { readonly code: 'deadline_unreachable'; readonly retryAfterMs: number }
+  | { readonly code: 'no_engine'; readonly retryAfterMs: number }
+  | { readonly code: 'no_server'; readonly retryAfterMs: number }
+  | { readonly code: 'not_ready'; readonly retryAfterMs: number }
+  | { readonly code: 'draining' }
+  | { readonly code: 'record_store_unavailable'; readonly ran: Ran; readonly retryAfterMs: number }
+  /** Refused for `reason` before the record of the idempotency key was read. */
+  | { readonly code: 'record_not_read'; readonly reason: string; readonly retryAfterMs: number }
+  | { readonly code: 'outcome_unknown' }
+  | { readonly code: 'engine_failed'; readonly ran: Ran }
+  | { readonly code: 'deadline_exceeded'; readonly ran: Ran }
+  | { readonly code: 'stream_lost' }
+  | { readonly code: 'invalid_event_id' };
 
 /** Certainty that goes with a refusal. */
 export function ranOf(refusal: Refusal): Ran {
--- a/src/core/retries.ts
+++ b/src/core/retries.ts
@@ -65,8 +65,9 @@
 }
 
 /** Decision on a failed attempt. */
-export type RetryDecision = | { readonly retry: true; readonly delayMs: number }
-    | { readonly retry: false; readonly reason: 'unsafe' | 'deadline' | 'attempts' | 'budget' };
+export type RetryDecision =
+  | { readonly retry: true; readonly delayMs: number }
+  | { readonly retry: false; readonly reason: 'unsafe' | 'deadline' | 'attempts' | 'budget' };
 
 /** Options of {@link RetryPolicy}. */
 export interface RetryPolicyOptions {
--- a/src/core/revisions.ts
+++ b/src/core/revisions.ts
@@ -15,12 +15,13 @@
 }
 
 /** Outcome of applying a fleet file. */
-export type ApplyOutcome = | { readonly type: 'accepted'; readonly revision: number; readonly hash: string }
-    | { readonly type: 'invalid'; readonly issues: readonly Issue[] }
-    /** Another file was accepted first. */
-    | { readonly type: 'conflict'; readonly revision: number; readonly hash: string }
-    | { readonly type: 'unavailable'; readonly message: string }
-    | { readonly type: 'unknown'; readonly message: string };
+export type ApplyOutcome =
+  | { readonly type: 'accepted'; readonly revision: number; readonly hash: string }
+  | { readonly type: 'invalid'; readonly issues: readonly Issue[] }
+  /** Another file was accepted first. */
+  | { readonly type: 'conflict'; readonly revision: number; readonly hash: string }
+  | { readonly type: 'unavailable'; readonly message: string }
+  | { readonly type: 'unknown'; readonly message: string };
 
 /** Reads a fleet file and reports all of its issues. */
 export type FleetParser = (file: string) => Result<Fleet, readonly Issue[]>;
--- a/src/daemon/api.ts
+++ b/src/daemon/api.ts
@@ -19,16 +19,17 @@
 }
 
 /** Event of an answer as the caller sees it, exactly once and in order. */
-export type AnswerEvent = | { readonly type: 'token'; readonly eventId: string; readonly index: number; readonly text: string }
-    | {
-      readonly type: 'end';
-      readonly eventId: string;
-      readonly reason: FinishReason;
-      readonly promptTokens: number;
-      readonly outputTokens: number;
-    }
-    /** The stream stops here; the caller continues with the last event id, at any entry if `resumable`. */
-    | { readonly type: 'interrupted'; readonly resumable: boolean; readonly refusal: Refusal };
+export type AnswerEvent =
+  | { readonly type: 'token'; readonly eventId: string; readonly index: number; readonly text: string }
+  | {
+    readonly type: 'end';
+    readonly eventId: string;
+    readonly reason: FinishReason;
+    readonly promptTokens: number;
+    readonly outputTokens: number;
+  }
+  /** The stream stops here; the caller continues with the last event id, at any entry if `resumable`. */
+  | { readonly type: 'interrupted'; readonly resumable: boolean; readonly refusal: Refusal };
 
 /** Running answer. Reading it slowly slows the engine stream down; `close` starts the resume window. */
 export interface Answer {
--- a/src/daemon/refusals.ts
+++ b/src/daemon/refusals.ts
@@ -3,14 +3,15 @@
 import { assertNever } from '../core/result.js';
 
 /** Reasons why a listener answers a request itself; nothing was run. */
-export type HttpRefusal = | { readonly code: 'not_found'; readonly target: string }
-    | { readonly code: 'method_not_allowed'; readonly allowed: string }
-    | { readonly code: 'body_too_large'; readonly limitBytes: number }
-    | { readonly code: 'request_timeout' }
-    | { readonly code: 'headers_too_large' }
-    | { readonly code: 'malformed_request' }
-    | { readonly code: 'unauthorized' }
-    | { readonly code: 'overloaded'; readonly retryAfterMs: number };
+export type HttpRefusal =
+  | { readonly code: 'not_found'; readonly target: string }
+  | { readonly code: 'method_not_allowed'; readonly allowed: string }
+  | { readonly code: 'body_too_large'; readonly limitBytes: number }
+  | { readonly code: 'request_timeout' }
+  | { readonly code: 'headers_too_large' }
+  | { readonly code: 'malformed_request' }
+  | { readonly code: 'unauthorized' }
+  | { readonly code: 'overloaded'; readonly retryAfterMs: number };
 
 /** Body of every refusal. */
 export interface RefusalBody {
--- a/src/daemon/run.ts
+++ b/src/daemon/run.ts
@@ -51,8 +51,9 @@
 }
 
 /** What a run starts from: a request of its own, or the ticket of a stream that any entry has started. */
-type Origin = | { readonly request: GenerateRequest; readonly workspace: string; readonly ticket: null }
-    | { readonly request: null; readonly workspace: string; readonly ticket: StreamTicket };
+type Origin =
+  | { readonly request: GenerateRequest; readonly workspace: string; readonly ticket: null }
+  | { readonly request: null; readonly workspace: string; readonly ticket: StreamTicket };
 
 /** One request from admission to its last token; moves between engines when they fail or leave. */
 export class Run {
--- a/src/demo/caller.ts
+++ b/src/demo/caller.ts
@@ -4,10 +4,11 @@
 import type { Position, RefusalFields } from './events.js';
 
 /** How one request ended, as its caller sees it. */
-export type Ending = | { readonly type: 'answered'; readonly text: string }
-    | { readonly type: 'refused'; readonly code: string; readonly ran: string }
-    /** An accepted request that never ended. */
-    | { readonly type: 'cut'; readonly message: string };
+export type Ending =
+  | { readonly type: 'answered'; readonly text: string }
+  | { readonly type: 'refused'; readonly code: string; readonly ran: string }
+  /** An accepted request that never ended. */
+  | { readonly type: 'cut'; readonly message: string };
 
 /** Ending with its times in ms from the first try. */
 export interface Completed {
--- a/src/scenario/caller.ts
+++ b/src/scenario/caller.ts
@@ -7,13 +7,14 @@
 import { answerText } from '../emulator/text.js';
 
 /** What a caller has seen of its answer. */
-export type CallerState = | { readonly type: 'waiting' }
-    | { readonly type: 'reading' }
-    | { readonly type: 'whole' }
-    | { readonly type: 'refused'; readonly refusal: Refusal }
-    /** The connection ended before the answer did. */
-    | { readonly type: 'broken' }
-    | { readonly type: 'interrupted'; readonly resumable: boolean; readonly refusal: Refusal };
+export type CallerState =
+  | { readonly type: 'waiting' }
+  | { readonly type: 'reading' }
+  | { readonly type: 'whole' }
+  | { readonly type: 'refused'; readonly refusal: Refusal }
+  /** The connection ended before the answer did. */
+  | { readonly type: 'broken' }
+  | { readonly type: 'interrupted'; readonly resumable: boolean; readonly refusal: Refusal };
 
 const MAX_TOKENS = 8_192;
 
