Split the start of an attempt from the run of a request

Change: daemon/attempt.ts starts an attempt; the floor of prefill times has a file of its own. Conclusion: a request can be followed in run.ts without the details of a separate prefill.

--- a/src/core/limits.ts
+++ b/src/core/limits.ts
@@ -3,6 +3,7 @@
 import type { Clock } from './edges.js';
 import { Priority, Role } from './edges.js';
 import { LANES, Lane } from './lanes.js';
+import { PrefillFloor } from './floor.js';
 import type { LanePlan } from './lanes.js';
 import type { Placement, WorkItem } from './placement.js';
 
@@ -83,28 +84,6 @@
 /** Part of that share for workspaces above their own share; the rest is kept for the others. */
 const ABOVE_SHARE_HEADROOM = 0.75;
 
-/** Prompts below this length say more about the decode step than about the prefill rate. */
-const FLOOR_MIN_TOKENS = 500;
-/** The fastest prefill that was seen is forgotten slowly, in case engines have become slower. */
-const FLOOR_DRIFT = 1.002;
-/** A first token within this factor of the fastest prefill does not show that the engine has too much work. */
-const FLOOR_SLACK = 2;
-
-/** Time that a prompt needs on an engine without other work, as far as observations show. */
-class PrefillFloor {
-  private msPerToken = Infinity;
-
-  public observe(promptTokens: number, latencyMs: number): void {
-    if (promptTokens < FLOOR_MIN_TOKENS) return;
-    this.msPerToken = Math.min(this.msPerToken * FLOOR_DRIFT, latencyMs / promptTokens);
-  }
-
-  /** Latency that is not a sign of too much work; 0 before anything was seen. */
-  public allowedMs(promptTokens: number): number {
-    return Number.isFinite(this.msPerToken) ? FLOOR_SLACK * this.msPerToken * promptTokens : 0;
-  }
-}
-
 /** Options of {@link EngineLimits.hasRoom}. */
 export interface RoomOptions {
   /** The workspace is above its share. */
--- a/src/daemon/run.ts
+++ b/src/daemon/run.ts
@@ -1,6 +1,6 @@
 import { EngineErrorCode } from '../core/edges.js';
 import type {
-  CacheHandle, Clock, Engine, EngineError, EngineEvent, GenerateCall, Log, Meter, Random,
+  CacheHandle, Engine, EngineError, EngineEvent, GenerateCall, Log, Meter,
 } from '../core/edges.js';
 import type { DispatchHandle, Dispatcher } from '../core/dispatch.js';
 import { AttemptOutcome } from '../core/placement.js';
@@ -15,25 +15,22 @@
 import { sleep } from '../core/time.js';
 import { estimateTokens } from '../core/tokens.js';
 import type { AnswerEvent, GenerateRequest } from './api.js';
+import { ACCEPT_TIMEOUT_MS, startAttempt } from './attempt.js';
+import type { AttemptContext } from './attempt.js';
 import { EngineReader } from './reader.js';
 
 /** What a run needs from its entry. */
-export interface RunContext {
-  readonly clock: Clock;
-  readonly random: Random;
+export interface RunContext extends AttemptContext {
   readonly log: Log;
   readonly meter: Meter;
   readonly dispatcher: Dispatcher;
   readonly signer: TicketSigner;
-  readonly engine: (name: string) => Engine | undefined;
   /** Takes one retry from the budget of this process; `attempt` counts from 1. Resolves to false when none is left. */
   readonly retry: (attempt: number, deadline: number) => Promise<boolean>;
   /** Tells the budget that a request succeeded. */
   readonly succeeded: () => void;
 }
 
-/** Time for an engine to accept a call, in ms. */
-const ACCEPT_TIMEOUT_MS = 2_000;
 /** A decode stream without a token for this long is read again or moved. */
 const STALL_TIMEOUT_MS = 10_000;
 /** How often a stream is asked for again where the engine may not have started it yet. */
@@ -256,12 +253,23 @@
       const placed = await this.admit();
       if (!placed.success) return placed.error;
       this.placement = placed.data;
-      const error = await this.begin(placed.data, cache);
-      if (error === null) return null;
+      const call = (attemptId: string, extras: Partial<GenerateCall>): GenerateCall => this.call(attemptId, extras);
+      const started = await startAttempt(this.context, placed.data, call, {
+        requestId: this.requestId, cache, limitMs: this.waitLimit(),
+      });
+      if (started.success) {
+        const {
+          engine, attemptId, events, stop,
+        } = started.data;
+        this.attach(engine, attemptId, events, stop);
+        return null;
+      }
+      const { error, exclude } = started.error;
+      if (exclude) this.excluded.add(started.error.engine);
       this.settle(AttemptOutcome.Failed);
       this.attempts += 1;
       this.context.log.warn('attempt_failed', {
-        request: this.requestId, engine: placed.data.engine, code: error.code, message: error.message,
+        request: this.requestId, engine: started.error.engine, code: error.code, message: error.message,
       });
       const deadline = this.nextIndex > 0 ? this.context.clock.monotonic() + STALL_TIMEOUT_MS : this.deadline;
       const again = this.attempts < MAX_ATTEMPTS && await this.context.retry(this.attempts, deadline);
@@ -303,53 +311,6 @@
     };
   }
 
-  private async begin(placement: Placement, cache: CacheHandle | null): Promise<EngineError | null> {
-    if (placement.prefill === null || cache !== null) return this.generateAt(placement.engine, cache);
-    return this.prefillThenDecode(placement.prefill, placement.engine);
-  }
-
-  private async generateAt(name: string, cache: CacheHandle | null): Promise<EngineError | null> {
-    const engine = this.context.engine(name);
-    if (engine === undefined) return { code: EngineErrorCode.NotSent, message: `unknown engine ${name}` };
-    const attemptId = this.context.random.id();
-    const call = this.call(attemptId, cache === null ? {} : { importFrom: cache });
-    const stop = new AbortController();
-    const started = await engine.generate(call, { timeoutMs: ACCEPT_TIMEOUT_MS, signal: stop.signal });
-    if (!started.success) {
-      this.exclude(name, started.error);
-      return started.error;
-    }
-    this.attach(engine, attemptId, started.data, stop);
-    return null;
-  }
-
-  private async prefillThenDecode(prefillName: string, decodeName: string): Promise<EngineError | null> {
-    const engine = this.context.engine(prefillName);
-    if (engine === undefined) return { code: EngineErrorCode.NotSent, message: `unknown engine ${prefillName}` };
-    const attemptId = this.context.random.id();
-    const stop = new AbortController();
-    const call = this.call(attemptId, { prefillOnly: true });
-    const opts = { timeoutMs: ACCEPT_TIMEOUT_MS, signal: stop.signal };
-    const started = await engine.generate(call, opts);
-    if (!started.success) {
-      this.exclude(prefillName, started.error);
-      return started.error;
-    }
-    const reader = new EngineReader(this.context.clock, started.data, stop);
-    const ended = await reader.drain(this.waitLimit());
-    const exported = ended ? await engine.exportCache(this.requestId, attemptId, opts) : null;
-    if (exported === null || !exported.success) {
-      this.excluded.add(prefillName);
-      return exported?.error ?? { code: EngineErrorCode.Broken, message: 'the prefill did not end in time' };
-    }
-    return this.generateAt(decodeName, exported.data);
-  }
-
-  private exclude(name: string, error: EngineError): void {
-    const { code } = error;
-    if (code !== EngineErrorCode.Refused) this.excluded.add(name);
-  }
-
   private call(attemptId: string, extras: Partial<GenerateCall>): GenerateCall {
     const request = this.request!;
     return {
