--- a/scripts/smoke.mjs
+++ b/scripts/smoke.mjs
@@ -2,6 +2,7 @@
 import { spawn, spawnSync } from 'node:child_process';
 import { join } from 'node:path';
 import process from 'node:process';
+import { clearTimeout, setTimeout } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
 import { request } from 'undici';
@@ -100,21 +101,15 @@
   check(await stopped === 0, 'a planned stop ends with exit code 0');
 }
 
-function startWatchdog() {
-  const stop = new AbortController();
-  sleep(LIMIT_MS, undefined, { signal: stop.signal }).then(() => {
-    process.stderr.write('the smoke run took too long\n');
-    for (const child of children) child.kill('SIGKILL');
-    process.exit(1);
-  }, () => {});
-  return stop;
-}
-
-const watchdog = startWatchdog();
+const watchdog = setTimeout(() => {
+  process.stderr.write('the smoke run took too long\n');
+  for (const child of children) child.kill('SIGKILL');
+  process.exit(1);
+}, LIMIT_MS);
 
 try {
   await run();
 } finally {
-  watchdog.abort();
+  clearTimeout(watchdog);
   for (const child of children) child.kill('SIGKILL');
 }
