Give workspaces the share that their weight says

Cause: the read-through found that the weight of a workspace in the fleet file was parsed and never used. Change: deficit round-robin adds its quantum times the weight; a run carries the weight of its workspace. Conclusion: the setting has its effect.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -250,7 +250,7 @@
       const flow = queue.ring[0]!;
       const head = flow.items[0]!;
       if (flow.deficit < head.cost) {
-        flow.deficit += QUANTUM_TOKENS;
+        flow.deficit += QUANTUM_TOKENS * (head.item.weight ?? 1);
         if (flow.deficit < head.cost || queue.ring.length > 1) {
           queue.ring.push(queue.ring.shift()!);
         }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -4,6 +4,8 @@
 export interface WorkItem {
   readonly requestId: string;
   readonly workspace: string;
+  /** Share of the workspace relative to others; 1 unless the fleet file says otherwise. */
+  readonly weight?: number;
   readonly model: string;
   /** Groups requests whose output lengths resemble each other, for example an operation name. */
   readonly kind: string;
--- a/src/daemon/parts.ts
+++ b/src/daemon/parts.ts
@@ -250,6 +250,7 @@
       engine: (name) => this.backends.engine(name),
       retry: (attempts, deadline) => this.retry(attempts, deadline),
       succeeded: () => this.retries.succeeded(),
+      weightOf: (workspace) => this.weightOf(workspace),
       resumeWindowMs: this.options.resumeWindowMs,
     });
   }
@@ -308,6 +309,10 @@
     return new Bookings(this.options.name, caller, { ...edges, keyValue });
   }
 
+  private weightOf(workspace: string): number {
+    return this.configuration.fleet()?.workspaces.find(({ name }) => name === workspace)?.weight ?? 1;
+  }
+
   private async retry(attempts: number, deadline: number): Promise<boolean> {
     const decision = this.retries.decide({
       attempts, sent: Sent.Unknown, safe: true, deadline, expectedMs: 0,
--- a/src/daemon/run.ts
+++ b/src/daemon/run.ts
@@ -27,6 +27,8 @@
   readonly signer: TicketSigner;
   /** Takes one retry from the budget of this process; `attempt` counts from 1. Resolves to false when none is left. */
   readonly retry: (attempt: number, deadline: number) => Promise<boolean>;
+  /** Share of a workspace as the fleet file says. */
+  readonly weightOf: (workspace: string) => number;
   /** Tells the budget that a request succeeded. */
   readonly succeeded: () => void;
 }
@@ -298,6 +300,7 @@
     return {
       requestId: this.requestId,
       workspace: request.workspace,
+      weight: this.context.weightOf(request.workspace),
       model: request.model,
       kind: request.kind,
       priority: request.priority,
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -64,6 +64,20 @@
     expect(first.filter((workspace) => workspace === 'modest').length).toBeGreaterThanOrEqual(16);
   });
 
+  // Guards against a weight in the fleet file that has no effect.
+  it('shares by the weights of workspaces', () => {
+    const { queue } = createQueue();
+    for (let count = 0; count < 100; count += 1) {
+      queue.offer(queuedOf({ workspace: 'heavy', weight: 3 }));
+      queue.offer(queuedOf({ workspace: 'light', weight: 1 }));
+    }
+    const taken: string[] = [];
+    queue.pump(({ item }) => taken.length < 64 && taken.push(item.workspace) > 0);
+    const heavy = taken.filter((workspace) => workspace === 'heavy').length;
+    expect(heavy / (taken.length - heavy)).toBeGreaterThan(2.5);
+    expect(heavy / (taken.length - heavy)).toBeLessThan(3.5);
+  });
+
   it('serves urgent work first, and bulk work that has aged in its turn', () => {
     const { queue, clock } = createQueue();
     const bulk = queuedOf({ priority: Priority.Bulk });
