Assign state directly where it is mutable

Cause: a former lint rule had led to Object.assign for single fields. Change: plain assignments in four files. Figures: 65 tests of these parts pass. Conclusion: behaviour is unchanged.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -265,7 +265,7 @@
   private tryHead(queue: Class<T>, flow: Flow<T>, place: (entry: T) => boolean): boolean {
     const head = flow.items[0]!;
     if (!place(head)) return false;
-    Object.assign(flow, { deficit: Math.max(0, flow.deficit - head.cost) });
+    flow.deficit = Math.max(0, flow.deficit - head.cost);
     this.placements += 1;
     this.take(queue, flow, 0);
     this.drained(head);
@@ -274,8 +274,8 @@
 
   private take(queue: Class<T>, flow: Flow<T>, index: number): void {
     const [entry] = flow.items.splice(index, 1);
-    Object.assign(flow, { tokens: flow.tokens - entry!.cost });
-    Object.assign(queue, { tokens: queue.tokens - entry!.cost });
+    flow.tokens -= entry!.cost;
+    queue.tokens -= entry!.cost;
     this.count -= 1;
     if (flow.items.length > 0) return;
     queue.flows.delete(flow.key);
--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -105,7 +105,7 @@
       },
       finish: (outcome) => {
         if (waiting.placement === null || waiting.settled) return;
-        Object.assign(waiting, { settled: true });
+        waiting.settled = true;
         router.finished(waiting.item, waiting.placement, outcome);
         this.pump();
       },
--- a/src/daemon/backends.ts
+++ b/src/daemon/backends.ts
@@ -242,12 +242,12 @@
     const opts = { timeoutMs: CALL_TIMEOUT_MS, signal: engine.stop.signal };
     const events = await engine.client.cacheEvents(engine.cacheSequence, opts);
     if (!events.success || events.data.length === 0) return;
-    Object.assign(engine, { cacheSequence: events.data.at(-1)!.sequence });
+    engine.cacheSequence = events.data.at(-1)!.sequence;
     this.options.observer.cacheEvents(engine.spec.name, events.data);
   }
 
   private countFailure(engine: MonitoredEngine, code: EngineErrorCode): void {
-    Object.assign(engine, { failures: engine.failures + 1 });
+    engine.failures += 1;
     this.options.meter.count('engine_report_failures_total', 1, { engine: engine.spec.name });
     if (engine.failures === FAILURES_TO_UNAVAILABLE) {
       this.options.log.warn('engine_unavailable', { engine: engine.spec.name, code });
--- a/src/emulator/engine.ts
+++ b/src/emulator/engine.ts
@@ -307,7 +307,7 @@
   }
 
   private close(stream: Stream): void {
-    Object.assign(stream, { closed: true });
+    stream.closed = true;
     for (const wake of stream.readers) wake();
   }
 
