Decide in one place what quick work is

Cause: the quick lane and the quick router each had the same predicate under the same names, with different bounds. Change: core/quick.ts holds the predicate; each caller names its own bounds, and the router's say why they are wider. Conclusion: behaviour is unchanged.

--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -3,7 +3,6 @@
 import type { EngineDirectory } from './directory.js';
 import type { DispatchHandle, DispatchListener, Dispatcher } from './dispatch.js';
 import type { Clock, Disposable, Random } from './edges.js';
-import { Priority } from './edges.js';
 import { Estimates } from './estimates.js';
 import { LanePlan } from './lanes.js';
 import type { EntryShare } from './lanes.js';
@@ -11,6 +10,8 @@
 import type { Held, RoomOptions, ServiceTarget } from './limits.js';
 import { AttemptOutcome } from './placement.js';
 import type { Placement, PolicyRefusal, WorkItem } from './placement.js';
+import { isQuickWork } from './quick.js';
+import type { QuickBounds } from './quick.js';
 import type { Router, RouterOptions } from './routing.js';
 import { WorkspaceShares } from './shares.js';
 
@@ -45,8 +46,7 @@
 
 /** One output token costs an engine about as much time as this many prompt tokens. */
 const OUTPUT_TOKEN_COST = 16;
-const QUICK_OUTPUT_TOKENS = 16;
-const QUICK_PROMPT_TOKENS = 500;
+const QUICK_LANE_BOUNDS: QuickBounds = { promptTokens: 500, outputTokens: 16 };
 const STALL_MS = 150;
 const EXPIRY_PERIOD_MS = 25;
 const REBALANCE_PERIOD_MS = 500;
@@ -126,8 +126,7 @@
   }
 
   private isQuick(item: WorkItem): boolean {
-    if (item.priority === Priority.Urgent) return true;
-    return item.promptTokens <= QUICK_PROMPT_TOKENS && this.estimates.outputTokens(item, 0.9) <= QUICK_OUTPUT_TOKENS;
+    return isQuickWork(item, QUICK_LANE_BOUNDS, () => this.estimates.outputTokens(item, 0.9));
   }
 
   private createRequest(item: WorkItem, listener: DispatchListener): Request {
--- a/src/core/quickrouter.ts
+++ b/src/core/quickrouter.ts
@@ -1,5 +1,6 @@
-import { Priority } from './edges.js';
 import type { AttemptOutcome, Placement, WorkItem } from './placement.js';
+import { isQuickWork } from './quick.js';
+import type { QuickBounds } from './quick.js';
 import type { Router, RouterOptions } from './routing.js';
 import { LeastRequestsRouter } from './routing.js';
 
@@ -13,8 +14,8 @@
   readonly healthWeight: (engine: string) => number;
 }
 
-const QUICK_PROMPT_TOKENS = 1_000;
-const QUICK_OUTPUT_TOKENS = 64;
+/** Wider than those of the quick lane: work that shares engines with other short work is spread as well. */
+const QUICK_BOUNDS: QuickBounds = { promptTokens: 1_000, outputTokens: 64 };
 /** Quick work leaves out engines that get less than this share of normal work. */
 const MIN_HEALTH_WEIGHT = 0.5;
 
@@ -56,7 +57,6 @@
   }
 
   private isQuick(item: WorkItem): boolean {
-    if (item.priority === Priority.Urgent) return true;
-    return item.promptTokens <= QUICK_PROMPT_TOKENS && this.options.longestOutput(item) <= QUICK_OUTPUT_TOKENS;
+    return isQuickWork(item, QUICK_BOUNDS, this.options.longestOutput);
   }
 }
