--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -7,6 +7,7 @@
 import { fileURLToPath, URL } from 'node:url';
 import { build } from 'esbuild';
 import { inject } from 'postject';
+import { bundleOptions } from './bundleoptions.mjs';
 
 const SENTINEL_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
@@ -19,18 +20,7 @@
 
 mkdirSync(dist, { recursive: true });
 
-// yargs reads import.meta.url, which a CommonJS bundle does not have.
-await build({
-  entryPoints: [join(root, 'src/cli/main.ts')],
-  outfile: bundle,
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  legalComments: 'none',
-  define: { 'import.meta.url': 'importMetaUrl' },
-  banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;" },
-});
+await build(bundleOptions(root, bundle));
 
 writeFileSync(config, JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true }));
 execFileSync(process.execPath, ['--experimental-sea-config', config], { stdio: 'inherit' });
--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -14,7 +14,7 @@
 
 /** Options of {@link HttpConnection.send}. */
 export interface SendOptions {
-  readonly method: 'GET' | 'POST';
+  readonly method: 'GET' | 'POST' | 'DELETE';
   readonly path: string;
   readonly body?: unknown;
   readonly headers?: Record<string, string>;
@@ -108,7 +108,8 @@
     const answer = await this.send(opts);
     if (!answer.success) return answer;
     try {
-      return ok({ status: answer.data.statusCode, body: await answer.data.body.json() });
+      const text = await answer.data.body.text();
+      return ok({ status: answer.data.statusCode, body: text === '' ? undefined : JSON.parse(text) });
     } catch (err) {
       return fail({ sent: true, message: err instanceof Error ? err.message : String(err) });
     }
--- /dev/null
+++ b/src/cli/gateway.ts
@@ -0,0 +1,50 @@
+import { platformDialect, PlatformStore } from '../../platform/index.js';
+import { SystemClock, SystemRandom } from '../adapters/system.js';
+import { openLog } from '../daemon/logs.js';
+import { Metrics } from '../daemon/metrics.js';
+import { PeerCaller, PeerListener } from '../daemon/peers.js';
+import { Secret } from '../core/settings.js';
+import { Gateway } from '../gateway/gateway.js';
+import { BoundedLog } from '../gateway/logs.js';
+import { safeParseGatewaySettings } from '../gateway/settings.js';
+import { safeReadText } from './files.js';
+import { ExitCode, failed, invalid } from './outcome.js';
+import type { Outcome } from './outcome.js';
+
+/** Runs one gateway on the platform until SIGTERM has stopped it. */
+export async function runGateway(file: string): Promise<Outcome> {
+  const text = safeReadText(file);
+  if (!text.success) return invalid(ExitCode.Usage, text.error);
+  const settings = safeParseGatewaySettings(text.data, file);
+  if (!settings.success) return invalid(ExitCode.Usage, settings.error);
+  const { gateway: { name }, log: { linesPerSecond }, store: { address }, listen } = settings.data;
+  const clock = new SystemClock();
+  const meter = new Metrics();
+  const log = new BoundedLog(await openLog({ gateway: name }), clock, meter, linesPerSecond);
+  const store = new PlatformStore(address);
+  // Nobody outside reaches the peer address; the token only keeps two deployments apart that share a network.
+  const peerOptions = { token: new Secret(`gateways of ${address}`), log, meter };
+  const peerServer = new PeerListener(peerOptions);
+  const peerClient = new PeerCaller(peerOptions);
+  const peers = await peerServer.listen(listen.peers);
+  if (!peers.success) return failed(ExitCode.Refused, peers.error.message);
+  const gateway = new Gateway({
+    clock, random: new SystemRandom(), log, meter, store, dialect: platformDialect, peerClient, peerServer,
+  }, settings.data);
+  const started = await gateway.start();
+  if (!started.success) return failed(ExitCode.Refused, started.error.message);
+  process.on('SIGHUP', () => {
+    const reread = safeReadText(file);
+    const changed = reread.success && reread.data !== text.data;
+    log.info('reload', { changed, applied: false, reason: 'settings apply at the next start' });
+  });
+  await new Promise((resolve) => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+  await gateway.drain();
+  peers.data.destroy();
+  store.dispose();
+  await peerClient.close();
+  return { exitCode: ExitCode.Done, json: { stopped: name }, text: `${name} has stopped` };
+}
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -117,6 +117,15 @@
         finish(outcome, outcome.exitCode === ExitCode.Done);
       },
     )
+    .command(
+      'gateway <settings>',
+      'run one gateway on the platform until SIGTERM has stopped it',
+      (args) => args.epilogue(EXIT_CODES).positional('settings', { type: 'string', demandOption: true, describe: 'settings file' }),
+      async (args) => {
+        const { runGateway } = await import('./gateway.js');
+        finish(await runGateway(args.settings), true);
+      },
+    )
     .command(
       'apply <file>',
       'put a fleet file in force, in full or not at all',
--- a/src/daemon/http.ts
+++ b/src/daemon/http.ts
@@ -23,6 +23,8 @@
   close(): Promise<void>;
   /** Breaks every connection. */
   destroy(): void;
+  /** Puts other limits in force; `keepAlive` is the time in ms that an idle connection stays open. */
+  adjust(limits: Omit<HttpLimits, 'connections'>, keepAlive: number): void;
 }
 
 /** Failure to listen. */
@@ -58,7 +60,7 @@
 const rejected = new WeakSet<Socket>();
 
 /** Bytes of bodies that are being read, by server. */
-const reading = new WeakMap<Server, { bytes: number; readonly limit: number; readonly bodyLimit: number }>();
+const reading = new WeakMap<Server, { bytes: number; limit: number; bodyLimit: number }>();
 
 const servers = new WeakMap<Socket, Server>();
 
@@ -113,8 +115,8 @@
   });
 }
 
-/** Reads a body of at most the listener's limit as UTF-8 text. */
-export function readBody(req: IncomingMessage): Promise<Result<string, BodyError>> {
+/** Reads a body of at most the listener's limit. */
+export function readBytes(req: IncomingMessage): Promise<Result<Buffer, Exclude<BodyError, { code: 'not_utf8' }>>> {
   const { socket } = req;
   const server = servers.get(socket);
   const budget = server === undefined ? undefined : reading.get(server);
@@ -124,7 +126,7 @@
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
-    const finish = (result: Result<string, BodyError>): void => {
+    const finish = (result: Result<Buffer, Exclude<BodyError, { code: 'not_utf8' }>>): void => {
       budget.bytes -= size;
       req.removeAllListeners('data').removeAllListeners('end').removeAllListeners('close');
       // The rest of a refused body is read and dropped, because closing now could discard the answer on its way.
@@ -140,22 +142,31 @@
     });
     req.on('end', () => {
       if (rejected.has(socket)) return finish(fail({ code: 'aborted' }));
-      const body = chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
-      if (!isUtf8(body)) return finish(fail({ code: 'not_utf8' }));
       running.get(socket)?.add(req);
-      return finish(ok(body.toString()));
+      return finish(ok(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks)));
     });
     req.on('close', () => finish(fail({ code: 'aborted' })));
     req.on('error', () => {});
   });
 }
 
+/** Reads a body of at most the listener's limit as UTF-8 text. */
+export async function readBody(req: IncomingMessage): Promise<Result<string, BodyError>> {
+  const body = await readBytes(req);
+  if (!body.success) return body;
+  return isUtf8(body.data) ? ok(body.data.toString()) : fail({ code: 'not_utf8' });
+}
+
 /** Options of a listener. */
 export interface HttpOptions {
   /** Unread answer bytes held for one connection. */
   readonly buffer?: number;
   /** Time in ms that an idle connection stays open. */
   readonly keepAlive?: number;
+  /** Largest head of a request in bytes that is read at all. */
+  readonly maxHead?: number;
+  /** Bytes of bodies that may be in memory unread, all callers together. */
+  readonly unreadBodies?: number;
 }
 
 /** Opens a listener whose memory stays bounded whatever its callers send. */
@@ -173,10 +184,12 @@
     keepAliveTimeout: opts.keepAlive ?? KEEP_ALIVE_MS,
     noDelay: true,
     ...(opts.buffer === undefined ? {} : { highWaterMark: opts.buffer }),
+    ...(opts.maxHead === undefined ? {} : { maxHeaderSize: opts.maxHead }),
   });
   let open = 0;
   let closing = false;
-  reading.set(server, { bytes: 0, limit: limits.body * FULL_BODIES, bodyLimit: limits.body });
+  const budget = { bytes: 0, limit: opts.unreadBodies ?? limits.body * FULL_BODIES, bodyLimit: limits.body };
+  reading.set(server, budget);
   server.maxConnections = limits.connections + REFUSED_CONNECTIONS;
   server.on('connection', (socket: Socket) => {
     open += 1;
@@ -221,5 +234,11 @@
       NetServer.prototype.close.call(server);
       server.closeAllConnections();
     },
+    adjust: (changed, keepAlive) => {
+      server.headersTimeout = changed.headerTimeout;
+      server.keepAliveTimeout = keepAlive;
+      budget.bodyLimit = changed.body;
+      if (opts.unreadBodies === undefined) budget.limit = changed.body * FULL_BODIES;
+    },
   });
 }
--- /dev/null
+++ b/src/gateway/configuration.ts
@@ -0,0 +1,106 @@
+/** What may be done with a call that was sent and whose answer did not arrive. */
+export enum CallKind {
+  /** May run more than once. */
+  Idempotent = 'idempotent',
+  /** Runs at most once. */
+  NonIdempotent = 'non_idempotent',
+  /** Answered by a stream of events; runs at most once unless the route is resumable. */
+  Stream = 'stream',
+}
+
+/** One of the services that share the traffic of a route. */
+export interface Destination {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** Rule for the calls to one host whose path begins with a prefix. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  readonly kind: CallKind;
+  /** Longest time in ms that a caller is kept waiting for the end of the answer. */
+  readonly timeoutMs: number;
+  /** Time in ms to the answer, or to the first event of a stream, that callers expect. */
+  readonly targetMs: number;
+  /** Most backend servers that one call may be sent to. */
+  readonly maxAttempts: number;
+  /** Rank of the route; 0 is the most urgent. */
+  readonly priority: number;
+  /** Whether a broken stream may continue at another backend server after its last event. */
+  readonly resumable: boolean;
+  readonly destinations: readonly Destination[];
+}
+
+/** Properties that the model engines of a service have in common; sizes in tokens. */
+export interface EngineProfile {
+  /** Requests that one engine runs at once. */
+  readonly slots: number;
+  readonly cacheTokens: number;
+  /** Time in ms for which an engine keeps the KV cache of a prefilled prompt. */
+  readonly handleMs: number;
+  /** Time in ms for which an engine is out of service while its role changes. */
+  readonly switchMs: number;
+}
+
+/** Group of backend servers that do the same work. */
+export interface ForwardingService {
+  readonly name: string;
+  /** Connections that one backend server accepts from all callers together. */
+  readonly maxConnections: number;
+  /** `null` for a plain service. */
+  readonly engine: EngineProfile | null;
+}
+
+/** What callers may send, and how long they may take; times in ms, sizes in bytes. */
+export interface CallerLimits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** Everything that operators declare about forwarding, under one version. */
+export interface ForwardingConfiguration {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: ReadonlyMap<string, ForwardingService>;
+  readonly limits: CallerLimits;
+}
+
+/** Finds the route of a call: the longest prefix among the routes of its host. */
+export class RouteTable {
+  private readonly byHost = new Map<string, Route[]>();
+
+  public constructor(public readonly configuration: ForwardingConfiguration) {
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase();
+      const routes = this.byHost.get(host);
+      if (routes === undefined) this.byHost.set(host, [route]);
+      else routes.push(route);
+    }
+    for (const routes of this.byHost.values()) {
+      routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+    }
+  }
+
+  /** The route of a `Host` header and a request target, or `null`. */
+  public find(host: string, target: string): Route | null {
+    const name = host.replace(/:\d+$/, '').toLowerCase();
+    const path = target.split('?', 1)[0] ?? '';
+    return this.byHost.get(name)?.find(({ pathPrefix }) => path.startsWith(pathPrefix)) ?? null;
+  }
+}
+
+/** Service for one call of a route; `draw` is uniform in [0, 1). */
+export function chooseDestination(route: Route, draw: number): string | null {
+  const total = route.destinations.reduce((sum, { weight }) => sum + Math.max(0, weight), 0);
+  let rest = draw * total;
+  for (const { service, weight } of route.destinations) {
+    rest -= Math.max(0, weight);
+    if (rest < 0) return service;
+  }
+  return route.destinations[0]?.service ?? null;
+}
--- /dev/null
+++ b/src/gateway/connections.ts
@@ -0,0 +1,210 @@
+import { connect as connectSocket } from 'node:net';
+import type { Socket } from 'node:net';
+import { Client } from 'undici';
+import type { Dispatcher } from 'undici';
+import type { Disposable } from '../core/edges.js';
+
+/** Time in ms to open a connection inside the deployment, where a round trip takes a few ms. */
+const CONNECT_TIMEOUT_MS = 700;
+
+/** Time in ms that an idle connection is kept where the server names none. */
+const IDLE_MS = 900;
+
+/** Longest time in ms that an idle connection is kept. */
+const MAX_IDLE_MS = 30_000;
+
+/** Time in ms before the server's own idle timeout at which a connection is no longer used. */
+const IDLE_MARGIN_MS = 300;
+
+/** One request to a backend server. */
+export interface Outgoing {
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer | null;
+}
+
+/** Receives the answer to one request. */
+export interface AnswerSink {
+  /** The request is being written; from here on it may have an effect. */
+  sent(): void;
+  head(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void;
+  data(chunk: Buffer): void;
+  /** The whole answer has arrived. */
+  end(): void;
+  failed(message: string): void;
+}
+
+/** A request on its way. */
+export interface Transfer {
+  pause(): void;
+  resume(): void;
+  /** Gives the request up and closes its connection, at which the server stops work. */
+  abort(): void;
+}
+
+class Connection {
+  public busy = false;
+
+  /** Set once the connection was reset, which ends an answer without length before its time. */
+  public wasReset = false;
+
+  public readonly client: Client;
+
+  public constructor(address: string, private readonly closed: (connection: Connection) => void) {
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      keepAliveTimeout: IDLE_MS,
+      keepAliveMaxTimeout: MAX_IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: (opts, callback) => this.open(opts.hostname, Number(opts.port), callback),
+    });
+    this.client.on('disconnect', () => this.closed(this));
+  }
+
+  private open(host: string, port: number, callback: (...args: [Error, null] | [null, Socket]) => void): void {
+    const socket = connectSocket({ host, port, noDelay: true });
+    let settled = false;
+    const settle = (err: Error | null): void => {
+      if (settled) return;
+      settled = true;
+      clearTimeout(timer);
+      if (err === null) callback(null, socket);
+      else {
+        socket.destroy();
+        callback(err, null);
+      }
+    };
+    const timer = setTimeout(() => settle(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => settle(null));
+    socket.on('error', (err) => {
+      this.wasReset = true;
+      settle(err);
+    });
+  }
+}
+
+/** Connections to one address of a backend server, one request at a time on each. */
+export class ConnectionPool implements Disposable {
+  private readonly idle: Connection[] = [];
+
+  private readonly all = new Set<Connection>();
+
+  private disposed = false;
+
+  public constructor(private readonly address: string) {}
+
+  /** Connections that are open or being opened. */
+  public get size(): number {
+    return this.all.size;
+  }
+
+  /** Sends one request on the connection that was used last, or on a new one. */
+  public send(outgoing: Outgoing, sink: AnswerSink): Transfer {
+    const connection = this.idle.pop() ?? this.create();
+    connection.busy = true;
+    const exchange = new Exchange(connection, sink, () => this.release(connection));
+    connection.client.dispatch({
+      method: outgoing.method as Dispatcher.HttpMethod,
+      path: outgoing.path,
+      headers: outgoing.headers as string[],
+      body: outgoing.body,
+      // Requests are never written before the answer to the previous one is complete.
+      blocking: false,
+    }, exchange);
+    return exchange;
+  }
+
+  /** Closes idle connections now and the others when their request has ended. */
+  public dispose(): void {
+    this.disposed = true;
+    for (const connection of this.idle.splice(0)) this.discard(connection);
+  }
+
+  private create(): Connection {
+    const connection = new Connection(this.address, (closed) => this.discard(closed));
+    this.all.add(connection);
+    return connection;
+  }
+
+  private release(connection: Connection): void {
+    connection.busy = false;
+    if (this.disposed || connection.wasReset) this.discard(connection);
+    else if (this.all.has(connection)) this.idle.push(connection);
+  }
+
+  private discard(connection: Connection): void {
+    const index = this.idle.indexOf(connection);
+    if (index >= 0) this.idle.splice(index, 1);
+    if (!this.all.delete(connection)) return;
+    void connection.client.destroy();
+  }
+}
+
+class Exchange implements Transfer, Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | null = null;
+
+  private ended = false;
+
+  private aborted = false;
+
+  public constructor(
+    private readonly connection: Connection,
+    private readonly sink: AnswerSink,
+    private readonly release: () => void,
+  ) {}
+
+  public pause(): void {
+    this.controller?.pause();
+  }
+
+  public resume(): void {
+    this.controller?.resume();
+  }
+
+  public abort(): void {
+    if (this.ended || this.aborted) return;
+    this.aborted = true;
+    this.connection.wasReset = true;
+    if (this.controller === null) void this.connection.client.destroy();
+    else this.controller.abort(new Error('given up'));
+  }
+
+  public onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.aborted) controller.abort(new Error('given up'));
+    else this.sink.sent();
+  }
+
+  public onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    if (status >= 200 && !this.aborted) this.sink.head(status, headers);
+  }
+
+  public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.aborted) this.sink.data(chunk);
+  }
+
+  public onResponseEnd(): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.release();
+    // The client library takes a reset for the end of an answer that has no length.
+    if (this.connection.wasReset) this.sink.failed('connection reset');
+    else this.sink.end();
+  }
+
+  public onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.connection.wasReset = true;
+    this.release();
+    this.sink.failed(err.message);
+  }
+}
--- /dev/null
+++ b/src/gateway/follower.ts
@@ -0,0 +1,143 @@
+import type {
+  CallOptions, Clock, KeyValueEntry, KeyValueError, Log, Random, WatchEvent,
+} from '../core/edges.js';
+import type { Result } from '../core/result.js';
+import { sleep } from '../core/time.js';
+
+/** All keys below a prefix, and the store's revision at which following changes begin. */
+export interface KeySnapshot {
+  readonly entries: readonly KeyValueEntry[];
+  readonly revision: number;
+}
+
+/** Changes after a revision, in order, and the revision after which the next ones come. */
+export interface KeyChanges {
+  readonly events: readonly WatchEvent[];
+  readonly revision: number;
+}
+
+/** Why changes can't be had: the history is gone, or the call failed. */
+export type KeyChangesError = { readonly code: 'history_lost' } | KeyValueError;
+
+/** Store whose keys can be followed. */
+export interface KeySource {
+  snapshot(prefix: string, opts: CallOptions): Promise<Result<KeySnapshot, KeyValueError>>;
+  /** Waits up to `waitMs` for changes after `revision`; no events after that time. */
+  changes(
+    prefix: string,
+    revision: number,
+    waitMs: number,
+    opts: CallOptions,
+  ): Promise<Result<KeyChanges, KeyChangesError>>;
+}
+
+/** Options of {@link KeyFollower}; times in ms. */
+export interface KeyFollowerOptions {
+  readonly prefix: string;
+  /** Longest wait of one call; a silent connection is noticed soon after it. */
+  readonly waitMs: number;
+  /** Shortest time between two calls, which bounds their rate where keys change all the time. */
+  readonly periodMs: number;
+}
+
+/** Receives what a {@link KeyFollower} reads. */
+export interface KeyListener {
+  replaced(entries: readonly KeyValueEntry[], revision: number): void;
+  changed(events: readonly WatchEvent[], revision: number): void;
+}
+
+/** Time in ms that a call may take beyond its wait. */
+const CALL_TIMEOUT_MS = 900;
+
+/** First wait after a failed call; it doubles up to {@link MAX_RETRY_MS}. */
+const RETRY_MS = 60;
+
+const MAX_RETRY_MS = 400;
+
+/** Time in ms without an answer after which registrations may have lapsed in the meantime. */
+const OUTAGE_MS = 1_500;
+
+/** Follows the keys below a prefix: a snapshot first, then changes, and a snapshot again where history is missing. */
+export class KeyFollower {
+  private answeredAt: number;
+
+  private lost = false;
+
+  private revision: number | null = null;
+
+  public constructor(
+    private readonly source: KeySource,
+    private readonly edges: { readonly clock: Clock; readonly random: Random; readonly log: Log },
+    private readonly listener: KeyListener,
+    private readonly opts: KeyFollowerOptions & { readonly returned?: () => void },
+  ) {
+    this.answeredAt = edges.clock.monotonic();
+  }
+
+  /** Time in ms since the store answered last. */
+  public ageMs(): number {
+    return this.edges.clock.monotonic() - this.answeredAt;
+  }
+
+  public get synchronized(): boolean {
+    return this.revision !== null;
+  }
+
+  public async run(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.edges;
+    let failures = 0;
+    while (!signal.aborted) {
+      const startedAt = clock.monotonic();
+      const answered = await this.step(signal);
+      if (signal.aborted) return;
+      failures = answered ? 0 : failures + 1;
+      const backoffMs = answered ? 0 : Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** failures) * (0.5 + 0.5 * random.float());
+      const restMs = this.opts.periodMs - (clock.monotonic() - startedAt);
+      if (Math.max(backoffMs, restMs) > 0) await sleep(clock, Math.max(backoffMs, restMs), signal);
+    }
+  }
+
+  private async step(signal: AbortSignal): Promise<boolean> {
+    const { prefix, waitMs } = this.opts;
+    if (this.revision === null) {
+      const snapshot = await this.source.snapshot(prefix, { timeoutMs: CALL_TIMEOUT_MS, signal });
+      if (!snapshot.success) return this.failed(snapshot.error.code);
+      this.answered();
+      this.revision = snapshot.data.revision;
+      this.listener.replaced(snapshot.data.entries, snapshot.data.revision);
+      return true;
+    }
+    const timeoutMs = waitMs + CALL_TIMEOUT_MS;
+    const changes = await this.source.changes(prefix, this.revision, waitMs, { timeoutMs, signal });
+    if (!changes.success) {
+      if (changes.error.code === 'history_lost') {
+        this.edges.log.info('history_lost', { prefix, revision: this.revision });
+        this.revision = null;
+        return true;
+      }
+      return this.failed(changes.error.code);
+    }
+    this.answered();
+    // A store that lost its memory of revisions would otherwise stop the flow of changes for good.
+    if (changes.data.revision < this.revision) this.revision = null;
+    else {
+      this.revision = changes.data.revision;
+      if (changes.data.events.length > 0) this.listener.changed(changes.data.events, changes.data.revision);
+    }
+    return true;
+  }
+
+  private failed(code: string): boolean {
+    if (!this.lost) this.edges.log.warn('store_lost', { prefix: this.opts.prefix, code, revision: this.revision });
+    this.lost = true;
+    return false;
+  }
+
+  private answered(): void {
+    const ageMs = this.ageMs();
+    this.answeredAt = this.edges.clock.monotonic();
+    if (this.lost) this.edges.log.info('store_regained', { prefix: this.opts.prefix, away_ms: Math.round(ageMs) });
+    if (this.lost && ageMs > OUTAGE_MS) this.opts.returned?.();
+    this.lost = false;
+  }
+}
--- /dev/null
+++ b/src/gateway/forward.ts
@@ -0,0 +1,442 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type {
+  Clock, Log, Meter, Random,
+} from '../core/edges.js';
+import { Role } from '../core/edges.js';
+import type { RetryBudget } from '../core/retries.js';
+import { readBytes } from '../daemon/http.js';
+import { CallKind, chooseDestination } from './configuration.js';
+import type { ForwardingService, Route, RouteTable } from './configuration.js';
+import type {
+  Call, Dialect, PrefillHandle, SendPlan,
+} from './dialect.js';
+import type { FleetUse } from './fleet.js';
+import { refusalAnswer } from './outcome.js';
+import type { Refusal } from './outcome.js';
+import {
+  isLongPrompt, pickHome, pickLeastOccupied, sharedPart, withRole,
+} from './placement.js';
+import type { Candidate } from './placement.js';
+import type { ServerRecord } from './servers.js';
+import { Upstream } from './upstream.js';
+import type { SendOutcome } from './upstream.js';
+
+/** What forwarding needs beside the calls. */
+export interface ForwarderEdges {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly meter: Meter;
+  readonly dialect: Dialect;
+  readonly fleet: FleetUse;
+  /** Routes in force, or `null` before the first configuration. */
+  readonly routes: () => RouteTable | null;
+  /** Budget for second sends to a service, shared with the other processes by its share. */
+  readonly budget: (service: string) => RetryBudget;
+  /** Processes that share the backend servers, this one included. */
+  readonly sharers: () => number;
+  /** Age in ms of what is known of the backend servers. */
+  readonly knowledgeAgeMs: () => number;
+}
+
+/** Options of {@link Forwarder}; times in ms. */
+export interface ForwarderOptions {
+  readonly failureDomain: string;
+  /** Time for an answer to travel back to this process and on to the caller. */
+  readonly transitMs: number;
+}
+
+/** Homes that are tried for a shared part before a call is refused. */
+const PREFILL_HOMES = 2;
+
+/** Share of an engine's slots that all processes together may fill with prefills. */
+const PREFILL_OVERCOMMIT = 2;
+
+/** Calls of all processes together per slot of a server, the waiting ones included. */
+const OVERCOMMIT = 3;
+
+const MAX_HANDLE_BYTES = 65_536;
+
+/** Least time in ms that makes a send worthwhile. */
+const LEAST_SEND_MS = 5;
+
+const RETRY_AFTER_MS = 250;
+
+/** Counts and findings of one call, for its log line. */
+interface Trace {
+  sends: number;
+  /** Sends that count against the retry budget once there is more than one. */
+  arrivals: number;
+  readonly steps: string[];
+}
+
+interface Work {
+  readonly call: Call;
+  readonly body: Buffer | null;
+  readonly route: Route;
+  readonly service: ForwardingService;
+  /** Monotonic time in ms by which the final answer is due. */
+  readonly deadline: number;
+  readonly trace: Trace;
+  readonly res: ServerResponse;
+  /** Aborts when the caller has left or the time is over. */
+  readonly ended: AbortSignal;
+}
+
+type Prefilled =
+  | { readonly type: 'handle'; readonly handle: PrefillHandle; readonly server: ServerRecord }
+  | { readonly type: 'refused'; readonly refusal: Refusal };
+
+type Delivery =
+  | { readonly type: 'delivered'; readonly status: number }
+  | { readonly type: 'cut'; readonly reason: string }
+  | { readonly type: 'refused'; readonly refusal: Refusal };
+
+/** Takes calls from callers, sends each to a backend server and passes the answer back. */
+export class Forwarder {
+  private active = 0;
+
+  public constructor(private readonly edges: ForwarderEdges, private readonly opts: ForwarderOptions) {}
+
+  /** Calls that are not answered yet. */
+  public get running(): number {
+    return this.active;
+  }
+
+  public async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const arrivedAt = this.edges.clock.monotonic();
+    const trace: Trace = { sends: 0, arrivals: 0, steps: [] };
+    this.active += 1;
+    try {
+      const parsed = this.edges.dialect.readCall(req);
+      const body = await readBytes(req);
+      if (!body.success && body.error.code === 'aborted') return;
+      let delivery: Delivery;
+      let route: Route | null = null;
+      if (!parsed.success) {
+        delivery = { type: 'refused', refusal: parsed.error };
+      } else if (!body.success) {
+        delivery = {
+          type: 'refused',
+          refusal: body.error.code === 'body_too_large'
+            ? { code: 'body_too_large' }
+            : { code: 'occupied', retryAfterMs: RETRY_AFTER_MS },
+        };
+      } else {
+        const routed = this.route(parsed.data);
+        if ('code' in routed) delivery = { type: 'refused', refusal: routed };
+        else {
+          route = routed.route;
+          delivery = await this.serve(parsed.data, body.data, routed, res, trace, arrivedAt);
+        }
+      }
+      if (delivery.type === 'refused') this.refuse(res, delivery.refusal);
+      this.report(parsed.success ? parsed.data.id : null, route, delivery, trace, arrivedAt);
+    } finally {
+      this.active -= 1;
+    }
+  }
+
+  private route(call: Call): { readonly route: Route; readonly service: ForwardingService } | Refusal {
+    const table = this.edges.routes();
+    if (table === null) return { code: 'not_configured' };
+    const route = table.find(call.host, call.target);
+    if (route === null) return { code: 'no_route' };
+    if (call.id === null) return { code: 'invalid_call', message: 'the request id is missing' };
+    const name = chooseDestination(route, this.edges.random.float());
+    const service = name === null ? undefined : table.configuration.services.get(name);
+    return service === undefined ? { code: 'no_server', retryAfterMs: RETRY_AFTER_MS } : { route, service };
+  }
+
+  private async serve(
+    call: Call,
+    bytes: Buffer,
+    { route, service }: { readonly route: Route; readonly service: ForwardingService },
+    res: ServerResponse,
+    trace: Trace,
+    arrivedAt: number,
+  ): Promise<Delivery> {
+    const { clock } = this.edges;
+    const waitMs = Math.min(call.deadlineMs ?? Infinity, route.timeoutMs);
+    const ended = new AbortController();
+    const leave = (): void => {
+      if (!res.writableFinished) ended.abort('caller left');
+    };
+    res.once('close', leave);
+    const timer = clock.after(Math.max(0, waitMs), () => ended.abort('timeout'));
+    const hasBody = bytes.length > 0 || (call.method !== 'GET' && call.method !== 'HEAD');
+    const work: Work = {
+      call,
+      body: hasBody ? bytes : null,
+      route,
+      service,
+      deadline: arrivedAt + waitMs,
+      trace,
+      res,
+      ended: ended.signal,
+    };
+    try {
+      return await this.place(work);
+    } finally {
+      timer.dispose();
+      res.off('close', leave);
+    }
+  }
+
+  /** Sends a call until it is answered or may not be sent again. */
+  private async place(work: Work): Promise<Delivery> {
+    const { call, route, service, trace } = work;
+    const prefillFirst = service.engine !== null && call.generation !== null && isLongPrompt(call.generation);
+    let handle: PrefillHandle | null = null;
+    this.edges.budget(service.name).succeeded();
+    if (prefillFirst) {
+      const prefilled = await this.prefill(work);
+      if (prefilled.type === 'refused') return prefilled;
+      handle = prefilled.handle;
+    }
+    let last: Refusal = { code: 'not_executed', retryAfterMs: RETRY_AFTER_MS };
+    const tried = new Set<string>();
+    for (let attempt = 0; attempt < route.maxAttempts; attempt += 1) {
+      if (work.ended.aborted) return this.givenUp(work, handle);
+      const candidate = this.pickServer(work, tried);
+      if (candidate === null) {
+        this.free(handle);
+        return { type: 'refused', refusal: tried.size > 0 ? last : this.unplaced(work) };
+      }
+      if (!this.mayArrive(work)) break;
+      tried.add(candidate.record.id);
+      const plan: SendPlan['work'] = handle === null ? { type: 'whole' } : { type: 'decode', handle };
+      const { upstream, outcome } = await this.send(work, candidate, plan);
+      trace.steps.push(`${plan.type}:${candidate.record.id}:${outcome.type}`);
+      if (outcome.type === 'answered') {
+        const { head } = outcome;
+        const failed = head.status >= 500;
+        if (failed && this.mayRunTwice(work) && attempt + 1 < route.maxAttempts) {
+          upstream.abort('another server is tried');
+          last = { code: 'outcome_unknown', message: `status ${head.status}` };
+          continue;
+        }
+        return this.deliver(work, upstream, outcome);
+      }
+      if (outcome.type === 'broken' && !this.mayRunTwice(work)) {
+        return work.ended.aborted ? this.givenUp(work, null) : {
+          type: 'refused', refusal: { code: 'outcome_unknown', message: outcome.message },
+        };
+      }
+      if (outcome.type === 'not_executed' && handle !== null) {
+        // The handle may be spent or gone; another prefill would read the prompt again.
+        handle = null;
+        if (attempt + 1 < route.maxAttempts) {
+          const again = await this.prefill(work);
+          if (again.type === 'refused') return again;
+          handle = again.handle;
+        }
+      }
+      if (outcome.type === 'broken') last = { code: 'outcome_unknown', message: outcome.message };
+      // A send that was not written reached nobody and is not an attempt.
+      if (outcome.type === 'not_sent') attempt -= 1;
+    }
+    this.free(handle);
+    return { type: 'refused', refusal: last };
+  }
+
+  /** Prefills a prompt on an engine of that role. */
+  private async prefill(work: Work): Promise<Prefilled> {
+    const { call, service, trace } = work;
+    const tried = new Set<string>();
+    const part = call.generation === null ? null : sharedPart(call.generation);
+    for (;;) {
+      if (work.ended.aborted) return { type: 'refused', refusal: { code: 'expired', retryAfterMs: RETRY_AFTER_MS } };
+      const candidates = withRole(this.candidates(service, PREFILL_OVERCOMMIT), Role.Prefill)
+        .filter(({ record }) => !tried.has(record.id));
+      const candidate = part === null
+        ? pickLeastOccupied(candidates, this.opts.failureDomain, () => this.edges.random.float())
+        : pickHome(candidates, part, PREFILL_HOMES);
+      if (candidate === null || (tried.size > 0 && !this.edges.budget(service.name).take())) {
+        trace.steps.push(candidate === null ? 'prefill:none' : 'prefill:budget');
+        return { type: 'refused', refusal: { code: 'occupied', retryAfterMs: RETRY_AFTER_MS } };
+      }
+      tried.add(candidate.record.id);
+      const { upstream, outcome } = await this.send(work, candidate, { type: 'prefill' });
+      trace.steps.push(`prefill:${candidate.record.id}:${outcome.type}`);
+      if (outcome.type === 'answered' && outcome.head.status === 200) {
+        const body = await upstream.collect(MAX_HANDLE_BYTES);
+        const handle = body === null ? null : this.edges.dialect.readHandle(candidate.record, body);
+        if (handle !== null) return { type: 'handle', handle, server: candidate.record };
+        trace.steps.push('handle:unreadable');
+      } else if (outcome.type === 'answered') upstream.abort('no handle');
+      if (outcome.type !== 'not_sent') trace.arrivals += 1;
+    }
+  }
+
+  private pickServer(work: Work, tried: ReadonlySet<string>): Candidate | null {
+    const candidates = this.candidates(work.service, OVERCOMMIT).filter(({ record }) => !tried.has(record.id));
+    const able = work.service.engine === null ? candidates : withRole(candidates, Role.Decode);
+    return pickLeastOccupied(able, this.opts.failureDomain, () => this.edges.random.float());
+  }
+
+  private candidates(service: ForwardingService, overcommit: number): readonly Candidate[] {
+    const sharers = this.edges.sharers();
+    return this.edges.fleet.candidates(service.name, ({ slots }) => (
+      Math.max(1, Math.min(Math.ceil((slots * overcommit) / sharers), Math.floor(service.maxConnections / sharers)))
+    ));
+  }
+
+  /** Whether one more send may reach a backend server; takes it from the budget where it is not the first. */
+  private mayArrive(work: Work): boolean {
+    if (work.trace.arrivals === 0 || this.edges.budget(work.service.name).take()) {
+      work.trace.arrivals += 1;
+      return true;
+    }
+    work.trace.steps.push('budget:empty');
+    return false;
+  }
+
+  private mayRunTwice({ route }: Work): boolean {
+    return route.kind === CallKind.Idempotent;
+  }
+
+  private async send(
+    work: Work,
+    candidate: Candidate,
+    what: SendPlan['work'],
+  ): Promise<{ readonly upstream: Upstream; readonly outcome: SendOutcome }> {
+    const { clock, dialect, fleet } = this.edges;
+    const use = fleet.of(candidate.record);
+    const { service, route, trace } = work;
+    trace.sends += 1;
+    use.open += 1;
+    const upstream = new Upstream(work.call, dialect, use.pool, {
+      server: candidate.record,
+      deadlineMs: Math.max(LEAST_SEND_MS, work.deadline - clock.monotonic() - this.opts.transitMs),
+      priority: service.engine === null ? null : Math.min(9, Math.max(0, route.priority)),
+      work: what,
+    }, work.body);
+    const stop = (): void => upstream.abort(String(work.ended.reason));
+    work.ended.addEventListener('abort', stop, { once: true });
+    void upstream.closed.then(() => {
+      use.open -= 1;
+      work.ended.removeEventListener('abort', stop);
+    });
+    const outcome = await upstream.outcome;
+    if (outcome.type === 'answered') use.succeeded();
+    else if (!work.ended.aborted && outcome.type !== 'not_executed') use.failed(outcome.type === 'not_sent');
+    return { upstream, outcome };
+  }
+
+  /** Passes an answer on; a broken one must not look complete. */
+  private deliver(
+    work: Work,
+    upstream: Upstream,
+    { head }: Extract<SendOutcome, { type: 'answered' }>,
+  ): Promise<Delivery> {
+    const { res, ended } = work;
+    if (head.status < 300 && !head.signed) {
+      upstream.abort('unsigned success');
+      return Promise.resolve({ type: 'refused', refusal: { code: 'outcome_unknown', message: 'unsigned success' } });
+    }
+    // 408, 421, 429 and 503 promise that the call did not run, which this server does not say.
+    if ([408, 421, 429, 503].includes(head.status)) {
+      upstream.abort('status without its promise');
+      return Promise.resolve({
+        type: 'refused', refusal: { code: 'outcome_unknown', message: `status ${head.status} without its promise` },
+      });
+    }
+    return new Promise((resolve) => {
+      const onDrain = (): void => upstream.resume();
+      const begin = (): void => {
+        if (!res.headersSent && !res.destroyed) res.writeHead(head.status, [...head.headers]);
+      };
+      const finish = (delivery: Delivery): void => {
+        res.off('drain', onDrain);
+        resolve(delivery);
+      };
+      res.on('drain', onDrain);
+      upstream.read({
+        push: (chunk) => {
+          begin();
+          return res.destroyed || res.write(chunk);
+        },
+        end: () => {
+          begin();
+          res.end();
+          finish({ type: 'delivered', status: head.status });
+        },
+        failed: (message) => {
+          if (res.headersSent) {
+            res.destroy();
+            finish({ type: 'cut', reason: message });
+          } else if (ended.aborted) finish(this.givenUp(work, null));
+          else finish({ type: 'refused', refusal: { code: 'outcome_unknown', message } });
+        },
+      });
+    });
+  }
+
+  private givenUp(work: Work, handle: PrefillHandle | null): Delivery {
+    this.free(handle);
+    if (work.ended.reason === 'caller left') return { type: 'cut', reason: 'caller left' };
+    // A prefill alone is not a run.
+    const sent = work.trace.arrivals > 0;
+    return {
+      type: 'refused', refusal: sent ? { code: 'timeout' } : { code: 'expired', retryAfterMs: RETRY_AFTER_MS },
+    };
+  }
+
+  private unplaced({ service }: Work): Refusal {
+    const servers = this.edges.fleet.candidates(service.name, () => 1);
+    return servers.length === 0
+      ? { code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS }
+      : { code: 'occupied', retryAfterMs: RETRY_AFTER_MS };
+  }
+
+  /** Frees the KV cache of a prefill that no engine will continue from. */
+  private free(handle: PrefillHandle | null): void {
+    if (handle === null) return;
+    const holder = this.edges.fleet.byAddress(handle.address);
+    if (holder === null) return;
+    const { method, path, headers, body } = this.edges.dialect.freeRequest(handle);
+    const failed = (message: string): void => {
+      this.edges.log.warn('handle_not_freed', { address: handle.address, message });
+    };
+    holder.pool.send({
+      method, path, headers, body,
+    }, {
+      sent: () => {}, head: () => {}, data: () => {}, end: () => {}, failed,
+    });
+  }
+
+  private refuse(res: ServerResponse, refusal: Refusal): void {
+    if (res.destroyed || res.headersSent) return;
+    const { status, retryAfterMs } = refusalAnswer(refusal);
+    const text = JSON.stringify({ error: refusal });
+    res.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+      ...(retryAfterMs === null ? {} : { 'retry-after': (retryAfterMs / 1_000).toFixed(2) }),
+    });
+    res.end(text);
+  }
+
+  private report(id: string | null, route: Route | null, delivery: Delivery, trace: Trace, arrivedAt: number): void {
+    const { clock, log, meter } = this.edges;
+    const tookMs = clock.monotonic() - arrivedAt;
+    const outcome = delivery.type === 'refused' ? delivery.refusal.code : delivery.type;
+    meter.count('forwarded', 1, { outcome, route: route?.kind ?? 'none' });
+    meter.record('forward_ms', tookMs, { route: route?.kind ?? 'none' });
+    const detail = delivery.type === 'cut' ? delivery.reason : undefined;
+    const fields = {
+      request: id,
+      route: route?.name,
+      version: this.edges.routes()?.configuration.version,
+      servers_age_ms: Math.round(this.edges.knowledgeAgeMs()),
+      steps: trace.steps.join(' '),
+      took_ms: Math.round(tookMs),
+      outcome,
+      status: delivery.type === 'delivered' ? delivery.status : undefined,
+      detail: delivery.type === 'refused' && 'message' in delivery.refusal ? delivery.refusal.message : detail,
+    };
+    if (delivery.type === 'delivered') log.info('call', fields);
+    else log.warn('call', fields);
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,348 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Authority } from '../core/authority.js';
+import { DisposableStore } from '../core/disposables.js';
+import type {
+  Clock, KeyValue, Log, PeerClient, PeerServer, Random,
+} from '../core/edges.js';
+import { createIncarnation, Membership } from '../core/membership.js';
+import { lowestByRendezvous } from '../core/rendezvous.js';
+import { fail, ok } from '../core/result.js';
+import type { Result } from '../core/result.js';
+import { RetryBudget } from '../core/retries.js';
+import { sleep, within } from '../core/time.js';
+import { listenHttp, sendJson } from '../daemon/http.js';
+import type { HttpListener, ListenError } from '../daemon/http.js';
+import type { Metrics } from '../daemon/metrics.js';
+import { RouteTable } from './configuration.js';
+import type { Dialect } from './dialect.js';
+import { FleetUse } from './fleet.js';
+import type { KeySource } from './follower.js';
+import { Forwarder } from './forward.js';
+import { Records } from './records.js';
+import { RoleKeeper } from './rolekeeper.js';
+import { ServerRegistry } from './servers.js';
+import type { GatewaySettings } from './settings.js';
+
+/** Everything outside of a gateway. */
+export interface GatewayEdges {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly meter: Metrics;
+  readonly store: KeyValue & KeySource;
+  readonly dialect: Dialect;
+  readonly peerClient: PeerClient;
+  readonly peerServer: PeerServer;
+}
+
+/** Wait in ms of a call for changes; a silent connection is noticed within it and a short time-out. */
+const WATCH_WAIT_MS = 1_400;
+
+/** Servers write all the time, so their changes are read at this period in ms. */
+const SERVERS_PERIOD_MS = 350;
+
+/** Callers may reuse connections for most of the idle time-out; the listener waits a little longer. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** Limits before the first configuration; connections leave descriptors for backend servers and peers. */
+const FIRST_LIMITS = { body: 4_194_304, connections: 2_500, headerTimeout: 3_000 };
+
+const FIRST_IDLE_MS = 15_000;
+
+/** Heads are read up to this size in bytes. */
+const MAX_HEAD_BYTES = 65_536;
+
+/** Bytes of bodies in memory, all callers together. */
+const MAX_UNREAD_BODIES = 48_000_000;
+
+/** Time in ms that an answer needs from a backend server through this process to its caller. */
+const TRANSIT_MS = 10;
+
+/** Callers keep an answer of the directory for up to three times its time to live. */
+const KEEP_FACTOR = 3;
+
+/** Time in ms before the end of the grace at which the listener closes, and at which the process ends. */
+const CLOSE_BEFORE_MS = 1_500;
+
+const EXIT_BEFORE_MS = 400;
+
+const SMALL_LIMITS = { body: 1_024, connections: 1_024, headerTimeout: 3_000 };
+
+/** One process between callers and backend servers. */
+export class Gateway {
+  private readonly stop = new AbortController();
+
+  private readonly disposables = new DisposableStore();
+
+  private readonly membership: Membership;
+
+  private readonly authority: Authority;
+
+  private readonly registry: ServerRegistry;
+
+  private readonly fleet: FleetUse;
+
+  private readonly configuration: Records;
+
+  private readonly servers: Records;
+
+  private readonly forwarder: Forwarder;
+
+  private readonly roles: RoleKeeper;
+
+  private readonly budgets = new Map<string, RetryBudget>();
+
+  private routes: RouteTable | null = null;
+
+  private listener: HttpListener | null = null;
+
+  private stopping = false;
+
+  public constructor(private readonly edges: GatewayEdges, private readonly settings: GatewaySettings) {
+    const { clock, random, peerClient: client, peerServer: server } = edges;
+    this.membership = new Membership({
+      id: settings.gateway.name,
+      incarnation: createIncarnation(clock, random),
+      address: settings.listen.peers,
+      callerAddress: settings.listen.callers,
+      failureDomain: settings.gateway.failureDomain,
+      leaving: false,
+      revision: 0,
+      load: 0,
+    }, { ...edges, client, server }, { seeds: settings.peers.seeds });
+    this.authority = new Authority({
+      ...edges,
+      keyValue: edges.store,
+      holder: {
+        member: settings.gateway.name,
+        address: settings.listen.peers,
+        incarnation: this.membership.self().incarnation,
+      },
+      leaseMs: settings.authority.lease,
+      isCandidate: () => this.isFirstCandidate(),
+    });
+    this.registry = this.disposables.add(new ServerRegistry(clock));
+    this.fleet = this.disposables.add(new FleetUse(this.registry, clock));
+    const recordEdges = {
+      ...edges, source: edges.store, client, server, members: this.membership,
+    };
+    const { seeds } = settings.peers;
+    this.configuration = new Records(recordEdges, {
+      replaced: (entries) => entries.forEach(({ key, value }) => this.configure(key, value)),
+      put: ({ key, value }) => this.configure(key, value),
+      removed: () => {},
+    }, {
+      prefix: edges.dialect.configurationPrefix, waitMs: WATCH_WAIT_MS, periodMs: 0, seeds,
+    });
+    this.servers = new Records(recordEdges, {
+      replaced: (entries) => this.registry.replace(entries.flatMap(({ key, value }) => this.readServer(key, value))),
+      put: ({ key, value }) => this.putServer(key, value),
+      removed: (key) => this.removeServer(key),
+    }, {
+      prefix: edges.dialect.serverPrefix,
+      waitMs: WATCH_WAIT_MS,
+      periodMs: SERVERS_PERIOD_MS,
+      seeds,
+      returned: () => this.registry.discoveryReturned(),
+    });
+    this.forwarder = new Forwarder({
+      ...edges,
+      fleet: this.fleet,
+      routes: () => this.routes,
+      budget: (service) => this.budget(service),
+      sharers: () => this.sharers(),
+      knowledgeAgeMs: () => this.servers.ageMs(),
+    }, { failureDomain: settings.gateway.failureDomain, transitMs: TRANSIT_MS });
+    this.roles = new RoleKeeper({
+      ...edges,
+      authority: this.authority,
+      registry: this.registry,
+      fleet: this.fleet,
+      engineServices: () => this.engineServices(),
+    }, settings.gateway.name);
+  }
+
+  /** Whether callers may be sent here. */
+  public ready(): boolean {
+    return !this.stopping && this.routes !== null && this.servers.complete;
+  }
+
+  /** Opens the listeners and begins to follow the store and the other gateways. */
+  public async start(): Promise<Result<void, ListenError>> {
+    const { listen } = this.settings;
+    const callers = await listenHttp(listen.callers, (req, res) => this.forward(req, res), FIRST_LIMITS, {
+      keepAlive: FIRST_IDLE_MS + IDLE_MARGIN_MS, maxHead: MAX_HEAD_BYTES, unreadBodies: MAX_UNREAD_BODIES,
+    });
+    const opened = [
+      callers,
+      await listenHttp(listen.readiness, async (req, res) => this.answerReady(req, res), SMALL_LIMITS),
+      await listenHttp(listen.directory, async (req, res) => this.answerDirectory(req, res), SMALL_LIMITS),
+      await listenHttp(listen.metrics, async (req, res) => this.answerMetrics(req, res), SMALL_LIMITS),
+    ];
+    for (const listener of opened) {
+      if (!listener.success) return fail(listener.error);
+      this.disposables.defer(() => listener.data.destroy());
+    }
+    if (callers.success) this.listener = callers.data;
+    const { signal } = this.stop;
+    void Promise.all([
+      this.membership.run(signal),
+      this.configuration.run(signal),
+      this.servers.run(signal),
+      this.authority.run(signal),
+      this.roles.run(signal),
+    ]);
+    this.edges.log.info('started', { gateway: this.settings.gateway.name });
+    return ok(undefined);
+  }
+
+  /** Leaves the directory, serves what still arrives, lets running calls end and stops within the grace. */
+  public async drain(): Promise<void> {
+    const { clock, log } = this.edges;
+    const { grace } = this.settings.drain;
+    const startedAt = clock.monotonic();
+    const left = (): number => grace - (clock.monotonic() - startedAt);
+    this.stopping = true;
+    log.info('stopping', { running: this.forwarder.running });
+    this.membership.update({ leaving: true });
+    void this.authority.release();
+    await sleep(clock, Math.min(KEEP_FACTOR * this.settings.directory.keep, grace - CLOSE_BEFORE_MS));
+    if (this.listener !== null) await within(clock, Math.max(1, left() - EXIT_BEFORE_MS), this.listener.close());
+    void this.membership.depart();
+    log.info('stopped', { running: this.forwarder.running, took_ms: Math.round(clock.monotonic() - startedAt) });
+    this.stop.abort();
+    this.disposables.dispose();
+  }
+
+  /** State under stable keys. */
+  public dump(): Record<string, unknown> {
+    return {
+      gateway: { name: this.settings.gateway.name, ready: this.ready(), running: this.forwarder.running },
+      configuration: { version: this.routes?.configuration.version ?? null, ...this.configuration.dump() },
+      servers: { ...this.servers.dump(), list: this.fleet.dump() },
+      membership: this.membership.dump(),
+      authority: this.authority.dump(),
+    };
+  }
+
+  private async forward(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this.stopping) res.setHeader('connection', 'close');
+    await this.forwarder.handle(req, res);
+  }
+
+  private answerReady(req: IncomingMessage, res: ServerResponse): void {
+    req.resume();
+    const ready = this.ready();
+    sendJson(res, ready ? 200 : 503, { ready });
+  }
+
+  private answerDirectory(req: IncomingMessage, res: ServerResponse): void {
+    req.resume();
+    const addresses = this.callerAddresses();
+    if (addresses.length === 0) {
+      sendJson(res, 503, { error: 'no gateway is ready' });
+      return;
+    }
+    const text = this.edges.dialect.addressBody(addresses, this.settings.directory.keep);
+    res.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) });
+    res.end(text);
+  }
+
+  private answerMetrics(req: IncomingMessage, res: ServerResponse): void {
+    req.resume();
+    if (req.url === '/dump') {
+      sendJson(res, 200, this.dump());
+      return;
+    }
+    const text = this.edges.meter.render();
+    res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4', 'content-length': Buffer.byteLength(text) });
+    res.end(text);
+  }
+
+  private callerAddresses(): readonly string[] {
+    const others = this.membership.live()
+      .filter((member) => !member.leaving && member.revision > 0 && !this.membership.suspected(member.incarnation))
+      .map(({ callerAddress }) => callerAddress);
+    return this.ready() || (others.length === 0 && this.routes !== null)
+      ? [this.settings.listen.callers, ...others] : others;
+  }
+
+  private configure(key: string, value: string): void {
+    const { dialect, log, meter } = this.edges;
+    const parsed = dialect.readConfiguration(key, value);
+    if (parsed === null) return;
+    if (!parsed.success) {
+      log.error('configuration_unreadable', { key, problem: parsed.error });
+      return;
+    }
+    const previous = this.routes?.configuration.version ?? null;
+    if (previous === parsed.data.version) return;
+    this.routes = new RouteTable(parsed.data);
+    const { limits } = parsed.data;
+    this.listener?.adjust(
+      { body: limits.bodyBytes, headerTimeout: limits.headerTimeoutMs },
+      limits.idleTimeoutMs + IDLE_MARGIN_MS,
+    );
+    this.membership.update({ revision: parsed.data.version });
+    meter.gauge('configuration_version', parsed.data.version);
+    log.info('configuration_applied', {
+      version: parsed.data.version, previous, routes: parsed.data.routes.length, age_ms: Math.round(this.configuration.ageMs()),
+    });
+  }
+
+  private readServer(key: string, value: string) {
+    const record = this.edges.dialect.readServer(key, value);
+    if (record.success) return [record.data];
+    this.edges.log.warn('server_unreadable', { key: key.slice(0, 100), problem: record.error.slice(0, 200) });
+    this.edges.meter.count('servers_unreadable');
+    return [];
+  }
+
+  private putServer(key: string, value: string): void {
+    const id = this.edges.dialect.serverId(key);
+    const [record] = this.readServer(key, value);
+    if (record === undefined) {
+      this.registry.remove(id);
+      return;
+    }
+    const known = this.registry.get(id);
+    this.registry.put(record);
+    if (known?.draining !== record.draining || known.role !== record.role || known.bornAt !== record.bornAt) {
+      this.edges.log.info('server', {
+        server: id, service: record.service, draining: record.draining, role: record.role, born: record.bornAt,
+      });
+    }
+  }
+
+  private removeServer(key: string): void {
+    const id = this.edges.dialect.serverId(key);
+    this.registry.remove(id);
+    this.edges.log.info('server_removed', { server: id, at_once: this.registry.get(id) === null });
+  }
+
+  private engineServices(): readonly string[] {
+    const services = this.routes?.configuration.services.values() ?? [];
+    return [...services].filter(({ engine }) => engine !== null).map(({ name }) => name);
+  }
+
+  private sharers(): number {
+    return 1 + this.membership.live().filter(({ leaving }) => !leaving).length;
+  }
+
+  private budget(service: string): RetryBudget {
+    let budget = this.budgets.get(service);
+    if (budget === undefined) {
+      const { perThousand, burst } = this.settings.retries;
+      budget = new RetryBudget({ ratio: perThousand / 1_000, burst: Math.max(1, burst / this.sharers()) });
+      this.budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  /** The others look for a free lease only if the first in order does not take it, which keeps calls few. */
+  private isFirstCandidate(): boolean {
+    if (this.stopping || !this.ready()) return false;
+    const ids = [this.membership.self(), ...this.membership.live()].filter(({ leaving }) => !leaving).map(({ id }) => id);
+    return lowestByRendezvous(ids, 'authority', 1).includes(this.settings.gateway.name);
+  }
+}
--- /dev/null
+++ b/src/gateway/records.ts
@@ -0,0 +1,174 @@
+import { z } from 'zod';
+import type {
+  Clock, KeyValueEntry, Log, Meter, PeerClient, PeerServer, Random, WatchEvent,
+} from '../core/edges.js';
+import type { Members } from '../core/members.js';
+import { fail, ok } from '../core/result.js';
+import { sleep } from '../core/time.js';
+import { KeyFollower } from './follower.js';
+import type { KeySource } from './follower.js';
+
+/** Age in ms of this process's view from which on it asks peers, because the store does not answer it. */
+const STALE_MS = 700;
+
+/** A peer whose own view is older than this, in ms, has nothing to offer. */
+const OFFER_MAX_AGE_MS = 2_500;
+
+const ASK_PERIOD_MS = 400;
+
+const ASK_TIMEOUT_MS = 350;
+
+const METHOD = 'records';
+
+const askSchema = z.object({ prefix: z.string().max(200), revision: z.number() });
+
+const offerSchema = z.object({
+  revision: z.number(),
+  entries: z.array(z.object({ key: z.string(), value: z.string(), version: z.number() })),
+}).nullable();
+
+/** Receives the records below one prefix. */
+export interface RecordsListener {
+  /** All records, in place of those before. */
+  replaced(entries: readonly KeyValueEntry[]): void;
+  put(entry: KeyValueEntry): void;
+  removed(key: string): void;
+}
+
+/** Options of {@link Records}; times in ms. */
+export interface RecordsOptions {
+  readonly prefix: string;
+  readonly waitMs: number;
+  readonly periodMs: number;
+  readonly seeds: readonly string[];
+  /** Called when the store answers again after an outage. */
+  readonly returned?: () => void;
+}
+
+/** Edges of {@link Records}. */
+export interface RecordsEdges {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly meter: Meter;
+  readonly source: KeySource;
+  readonly client: PeerClient;
+  readonly server: PeerServer;
+  readonly members: Members;
+}
+
+/** Records below one prefix of the store, from the store itself or, while it does not answer, from other gateways. */
+export class Records {
+  private readonly follower: KeyFollower;
+
+  private readonly entries = new Map<string, KeyValueEntry>();
+
+  private revision = -1;
+
+  /** Monotonic time in ms at which a peer's view was taken over, and its age then. */
+  private adopted: { readonly at: number; readonly ageMs: number } | null = null;
+
+  public constructor(
+    private readonly edges: RecordsEdges,
+    private readonly listener: RecordsListener,
+    private readonly opts: RecordsOptions,
+  ) {
+    this.follower = new KeyFollower(edges.source, edges, {
+      replaced: (entries, revision) => this.replace(entries, revision),
+      changed: (events, revision) => this.change(events, revision),
+    }, opts);
+  }
+
+  /** Whether all records have been read at least once in this life. */
+  public get complete(): boolean {
+    return this.revision >= 0;
+  }
+
+  /** Time in ms since the records were known to be current. */
+  public ageMs(): number {
+    const own = this.follower.synchronized ? this.follower.ageMs() : Infinity;
+    const { adopted } = this;
+    return adopted === null ? own : Math.min(own, this.edges.clock.monotonic() - adopted.at + adopted.ageMs);
+  }
+
+  public async run(signal: AbortSignal): Promise<void> {
+    const method = `${METHOD}:${this.opts.prefix}`;
+    const registration = this.edges.server.register(method, async (params) => this.offer(params));
+    await Promise.all([this.follower.run(signal), this.askPeers(method, signal)]);
+    registration.dispose();
+  }
+
+  public dump(): Record<string, unknown> {
+    return {
+      prefix: this.opts.prefix, revision: this.revision, records: this.entries.size, age_ms: this.ageMs(),
+    };
+  }
+
+  private offer(params: unknown) {
+    const ask = askSchema.safeParse(params);
+    if (!ask.success) return fail({ code: 'rejected' as const, message: 'malformed' });
+    const ageMs = this.follower.ageMs();
+    if (this.revision <= ask.data.revision || ageMs > OFFER_MAX_AGE_MS) return ok(null);
+    return ok({
+      revision: this.revision,
+      entries: [...this.entries.values()].map(({ key, value, version }) => ({ key, value, version })),
+    });
+  }
+
+  private async askPeers(method: string, signal: AbortSignal): Promise<void> {
+    const { clock, random, members } = this.edges;
+    while (!signal.aborted) {
+      await sleep(clock, ASK_PERIOD_MS, signal);
+      if (signal.aborted || this.follower.ageMs() < STALE_MS + this.opts.waitMs) continue;
+      const own = members.self().address;
+      const peers = [...new Set([...members.live().map(({ address }) => address), ...this.opts.seeds])]
+        .filter((address) => address !== own);
+      const peer = peers[Math.floor(random.float() * peers.length)];
+      if (peer !== undefined) await this.ask(peer, method, signal);
+    }
+  }
+
+  private async ask(peer: string, method: string, signal: AbortSignal): Promise<void> {
+    const { client, log, clock, meter } = this.edges;
+    const params = { prefix: this.opts.prefix, revision: this.revision };
+    const answer = await client.call(peer, method, params, { timeoutMs: ASK_TIMEOUT_MS, signal });
+    if (!answer.success) {
+      meter.count('records_asked', 1, { outcome: answer.error.code });
+      return;
+    }
+    const offer = offerSchema.safeParse(answer.data);
+    meter.count('records_asked', 1, { outcome: offer.success && offer.data !== null ? 'adopted' : 'nothing' });
+    if (!offer.success || offer.data === null || offer.data.revision <= this.revision) return;
+    log.info('records_from_peer', { prefix: this.opts.prefix, peer, revision: offer.data.revision });
+    this.adopted = { at: clock.monotonic(), ageMs: 0 };
+    this.replace(offer.data.entries, offer.data.revision);
+  }
+
+  private replace(entries: readonly KeyValueEntry[], revision: number): void {
+    // What a peer handed on may be newer than the store's answer that was on its way.
+    if (revision < this.revision) return;
+    this.revision = revision;
+    this.entries.clear();
+    for (const entry of entries) this.entries.set(entry.key, entry);
+    this.listener.replaced(entries);
+  }
+
+  private change(events: readonly WatchEvent[], revision: number): void {
+    for (const event of events) this.apply(event);
+    this.revision = Math.max(this.revision, revision);
+  }
+
+  private apply(event: WatchEvent): void {
+    const key = event.type === 'put' ? event.entry.key : event.key;
+    const version = event.type === 'put' ? event.entry.version : event.version;
+    const known = this.entries.get(key);
+    if (known !== undefined && known.version > version) return;
+    if (event.type === 'put') {
+      this.entries.set(key, event.entry);
+      this.listener.put(event.entry);
+    } else if (known !== undefined) {
+      this.entries.delete(key);
+      this.listener.removed(key);
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/rolekeeper.ts
@@ -0,0 +1,140 @@
+import type { Authority } from '../core/authority.js';
+import type {
+  Clock, Log, Meter,
+} from '../core/edges.js';
+import { Role } from '../core/edges.js';
+import { sleep } from '../core/time.js';
+import type { Dialect } from './dialect.js';
+import type { FleetUse } from './fleet.js';
+import type { ServerRecord, ServerRegistry } from './servers.js';
+
+/** Share of a service's engines that decode; long prompts are prefilled on the others. */
+const DECODE_SHARE = 0.3;
+
+const LEAST_DECODERS = 2;
+
+/** Time in ms between two looks at the roles. */
+const PERIOD_MS = 500;
+
+const CALL_TIMEOUT_MS = 800;
+
+/** Time in ms in which an engine is not ordered again: a change takes about 3 s, and its record follows later. */
+const SETTLE_MS = 6_000;
+
+const MAX_REPORT_BYTES = 65_536;
+
+/** Change of one engine's role. */
+export interface RoleChange {
+  readonly server: ServerRecord;
+  readonly role: Role.Prefill | Role.Decode;
+}
+
+/**
+ * Changes that give a service its division of roles. Engines change to decoding only where fewer than half of the
+ * decoders are left, because a change takes an engine out of service for seconds.
+ */
+export function planRoles(servers: readonly ServerRecord[]): readonly RoleChange[] {
+  const decoders = servers.filter(({ role }) => role === Role.Decode);
+  const prefillers = servers.filter(({ role }) => role === Role.Prefill);
+  const wanted = Math.max(LEAST_DECODERS, Math.round((decoders.length + prefillers.length) * DECODE_SHARE));
+  if (decoders.length > wanted) {
+    return decoders.slice(wanted).map((server) => ({ server, role: Role.Prefill }));
+  }
+  if (decoders.length * 2 < wanted) {
+    return prefillers.slice(0, wanted - decoders.length).map((server) => ({ server, role: Role.Decode }));
+  }
+  return [];
+}
+
+/** Edges of {@link RoleKeeper}. */
+export interface RoleKeeperEdges {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly meter: Meter;
+  readonly dialect: Dialect;
+  readonly authority: Authority;
+  readonly registry: ServerRegistry;
+  readonly fleet: FleetUse;
+  /** Services whose servers are engines, or `null` before the first configuration. */
+  readonly engineServices: () => readonly string[];
+}
+
+/** Orders roles from engines while this process holds authority. */
+export class RoleKeeper {
+  private readonly orderedAt = new Map<string, number>();
+
+  public constructor(private readonly edges: RoleKeeperEdges, private readonly holder: string) {}
+
+  public async run(signal: AbortSignal): Promise<void> {
+    const { clock, authority } = this.edges;
+    while (!signal.aborted) {
+      await sleep(clock, PERIOD_MS, signal);
+      const tenure = authority.tenure();
+      // An order of the holder before may still arrive until its lease would have ended.
+      if (tenure === null || clock.monotonic() - tenure.acquiredAt < authority.leaseMs) continue;
+      for (const service of this.edges.engineServices()) await this.settle(service, tenure.term);
+    }
+  }
+
+  private async settle(service: string, term: number): Promise<void> {
+    const changes = planRoles(this.edges.registry.available(service));
+    await Promise.all(changes.filter(({ server }) => this.due(server)).map((change) => this.change(change, term)));
+  }
+
+  private due({ id }: ServerRecord): boolean {
+    const at = this.orderedAt.get(id);
+    return at === undefined || this.edges.clock.monotonic() - at > SETTLE_MS;
+  }
+
+  private async change({ server, role }: RoleChange, term: number): Promise<void> {
+    const { dialect, authority, log, meter, clock } = this.edges;
+    this.orderedAt.set(server.id, clock.monotonic());
+    const report = await this.call(server, dialect.reportRequest());
+    const state = report === null ? null : dialect.readReport(report.body);
+    if (state === null) {
+      log.warn('role_not_ordered', { server: server.id, reason: 'no report' });
+      return;
+    }
+    if (state.changing || state.role === role) return;
+    if (!authority.mayAct() || authority.term !== term) return;
+    const answer = await this.call(server, dialect.orderRequest(server, {
+      holder: this.holder, fencingToken: term, expectedSequence: state.sequence, role,
+    }));
+    meter.count('role_orders', 1, { role, status: String(answer?.status ?? 'none') });
+    log.info('role_ordered', {
+      server: server.id, role, term, sequence: state.sequence, status: answer?.status ?? null,
+    });
+  }
+
+  private call(
+    server: ServerRecord,
+    request: ReturnType<Dialect['reportRequest']>,
+  ): Promise<{ readonly status: number; readonly body: Buffer } | null> {
+    const { fleet, clock } = this.edges;
+    const { method, path, headers, body } = request;
+    return new Promise((resolve) => {
+      const chunks: Buffer[] = [];
+      let status = 0;
+      let size = 0;
+      const transfer = fleet.of(server).pool.send({
+        method, path, headers: ['host', server.address, ...headers], body,
+      }, {
+        sent: () => {},
+        head: (value) => {
+          status = value;
+        },
+        data: (chunk) => {
+          size += chunk.length;
+          if (size <= MAX_REPORT_BYTES) chunks.push(chunk);
+        },
+        end: () => finish({ status, body: Buffer.concat(chunks) }),
+        failed: () => finish(null),
+      });
+      const timer = clock.after(CALL_TIMEOUT_MS, () => transfer.abort());
+      const finish = (answer: { readonly status: number; readonly body: Buffer } | null): void => {
+        timer.dispose();
+        resolve(answer);
+      };
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/settings.ts
@@ -0,0 +1,81 @@
+import { z } from 'zod';
+import { addressSchema } from '../core/fleet.js';
+import { parseIni, safeParseSection } from '../core/ini.js';
+import type { Issue } from '../core/issues.js';
+import { fail, ok } from '../core/result.js';
+import type { Result } from '../core/result.js';
+import { countSchema, durationSchema } from '../core/units.js';
+
+const labelSchema = z.string().min(1, 'a name').max(200);
+
+const SECTIONS = {
+  gateway: z.strictObject({
+    name: labelSchema,
+    failureDomain: labelSchema,
+  }),
+  listen: z.strictObject({
+    callers: addressSchema,
+    readiness: addressSchema,
+    peers: addressSchema,
+    directory: addressSchema,
+    /** Metrics and the dump. */
+    metrics: addressSchema,
+  }),
+  peers: z.strictObject({
+    /** Peer addresses of gateways that a starting one asks first. */
+    seeds: z.array(addressSchema).default([]),
+  }),
+  store: z.strictObject({
+    address: addressSchema,
+  }),
+  directory: z.strictObject({
+    /** How long callers may keep an answer. */
+    keep: durationSchema('100 ms', '10 min').prefault('2 s'),
+  }),
+  drain: z.strictObject({
+    /** Time after which a stopping process is killed. */
+    grace: durationSchema('1 s', '1 h').prefault('8 s'),
+  }),
+  retries: z.strictObject({
+    /** Second sends to a service per 1,000 calls, all gateways together. */
+    perThousand: countSchema(0, 1_000).prefault('100'),
+    /** Second sends beyond that share, all gateways together. */
+    burst: countSchema(0, 10_000).prefault('20'),
+  }),
+  authority: z.strictObject({
+    lease: durationSchema('500 ms', '1 min').prefault('3 s'),
+  }),
+  log: z.strictObject({
+    /** Log lines a second; further ones are counted and dropped. */
+    linesPerSecond: countSchema(1, 100_000).prefault('300'),
+  }),
+} as const;
+
+const LISTS = ['seeds'];
+
+type SectionName = keyof typeof SECTIONS;
+
+/** Settings of one gateway; durations in ms. */
+export type GatewaySettings = { readonly [Name in SectionName]: z.output<typeof SECTIONS[Name]> };
+
+/** Parses the settings of a gateway and checks all of them; the error holds every issue. */
+export function safeParseGatewaySettings(text: string, file: string): Result<GatewaySettings, readonly Issue[]> {
+  const document = parseIni(text, file);
+  const issues: Issue[] = [...document.issues];
+  const accepted = Object.keys(SECTIONS) as SectionName[];
+  for (const section of document.sections.values()) {
+    if (!Object.hasOwn(SECTIONS, section.name)) {
+      issues.push({
+        code: 'unknown_key', path: [section.name], file, line: section.line, accepted,
+      });
+    }
+  }
+  const entries = accepted.map((name) => {
+    const section = safeParseSection(name, document.sections.get(name), SECTIONS[name] as z.ZodObject, {
+      file, lists: LISTS,
+    });
+    if (!section.success) issues.push(...section.error);
+    return [name, section.success ? section.data : undefined];
+  });
+  return issues.length === 0 ? ok(Object.fromEntries(entries) as GatewaySettings) : fail(issues);
+}
