Hold long prompts in a line of the gateway until an engine has room for their prefill

Cause: at the crest the engines that prefill are the bottleneck (45 to 60 prefills/s each), and with all calls sent at once the engines' own queues made everybody late: median prefill 325 ms, decode 10 ms. One change: gateways tell each other their open calls by datagrams every 20 ms, at most 4 prefills are open at an engine, and the calls that can still be on time go first.

No priority at engines: with the route's rank the long prompts preempted 338 requests of short answers.

--- /dev/null
+++ b/src/adapters/datagrams.ts
@@ -0,0 +1,33 @@
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
+import type { Disposable, Log } from '../core/edges.js';
+import { fail, ok } from '../core/result.js';
+import type { Result } from '../core/result.js';
+import type { Datagrams } from '../gateway/occupancy.js';
+
+/** Opens a UDP socket on an IP address and port; messages go to the same port of other hosts. */
+export async function openDatagrams(
+  address: string,
+  log: Log,
+): Promise<Result<Datagrams & Disposable, { readonly message: string }>> {
+  const [host, portText] = address.split(':');
+  const port = Number(portText);
+  const socket = createSocket('udp4');
+  try {
+    socket.bind(port, host);
+    await once(socket, 'listening');
+  } catch (err) {
+    return fail({ message: `cannot open ${address}: ${String(err)}` });
+  }
+  socket.on('error', (err) => log.warn('datagram_socket_failed', { message: err.message }));
+  return ok({
+    // A lost datagram is made up for by the next one.
+    send: (ip, message) => socket.send(message, port, ip, () => {}),
+    onMessage: (listener) => {
+      const receive = (message: Buffer): void => listener(message.toString());
+      socket.on('message', receive);
+      return { dispose: () => socket.off('message', receive) };
+    },
+    dispose: () => socket.close(),
+  });
+}
--- a/src/cli/gateway.ts
+++ b/src/cli/gateway.ts
@@ -1,4 +1,5 @@
 import { platformDialect, PlatformStore } from '../../platform/index.js';
+import { openDatagrams } from '../adapters/datagrams.js';
 import { SystemClock, SystemRandom } from '../adapters/system.js';
 import { openLog } from '../daemon/logs.js';
 import { Metrics } from '../daemon/metrics.js';
@@ -17,7 +18,9 @@
   if (!text.success) return invalid(ExitCode.Usage, text.error);
   const settings = safeParseGatewaySettings(text.data, file);
   if (!settings.success) return invalid(ExitCode.Usage, settings.error);
-  const { gateway: { name }, log: { linesPerSecond }, store: { address }, listen } = settings.data;
+  const {
+    gateway: { name }, log: { linesPerSecond }, store: { address }, listen,
+  } = settings.data;
   const clock = new SystemClock();
   const meter = new Metrics();
   const log = new BoundedLog(await openLog({ gateway: name }), clock, meter, linesPerSecond);
@@ -28,8 +31,18 @@
   const peerClient = new PeerCaller(peerOptions);
   const peers = await peerServer.listen(listen.peers);
   if (!peers.success) return failed(ExitCode.Refused, peers.error.message);
+  const datagrams = await openDatagrams(listen.exchange, log);
+  if (!datagrams.success) return failed(ExitCode.Refused, datagrams.error.message);
   const gateway = new Gateway({
-    clock, random: new SystemRandom(), log, meter, store, dialect: platformDialect, peerClient, peerServer,
+    clock,
+    random: new SystemRandom(),
+    log,
+    meter,
+    store,
+    dialect: platformDialect,
+    peerClient,
+    peerServer,
+    datagrams: datagrams.data,
   }, settings.data);
   const started = await gateway.start();
   if (!started.success) return failed(ExitCode.Refused, started.error.message);
@@ -44,6 +57,7 @@
   });
   await gateway.drain();
   peers.data.destroy();
+  datagrams.data.dispose();
   store.dispose();
   await peerClient.close();
   return { exitCode: ExitCode.Done, json: { stopped: name }, text: `${name} has stopped` };
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -50,6 +50,9 @@
   /** Set once the connection was reset, which ends an answer without length before its time. */
   public wasReset = false;
 
+  /** Set once the server has closed its side, which ends a chunked answer before its time. */
+  public wasClosed = false;
+
   public readonly client: Client;
 
   public constructor(address: string, private readonly closed: (connection: Connection) => void) {
@@ -68,18 +71,23 @@
   private open(host: string, port: number, callback: (...args: [Error, null] | [null, Socket]) => void): void {
     const socket = connectSocket({ host, port, noDelay: true });
     let settled = false;
+    let timer: NodeJS.Timeout | null = null;
     const settle = (err: Error | null): void => {
       if (settled) return;
       settled = true;
-      clearTimeout(timer);
+      if (timer !== null) clearTimeout(timer);
       if (err === null) callback(null, socket);
       else {
         socket.destroy();
         callback(err, null);
       }
     };
-    const timer = setTimeout(() => settle(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
+    timer = setTimeout(() => settle(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
     socket.once('connect', () => settle(null));
+    // These listeners come before those of the client library, which then finds the facts noted.
+    socket.once('end', () => {
+      this.wasClosed = true;
+    });
     socket.on('error', (err) => {
       this.wasReset = true;
       settle(err);
@@ -87,63 +95,6 @@
   }
 }
 
-/** Connections to one address of a backend server, one request at a time on each. */
-export class ConnectionPool implements Disposable {
-  private readonly idle: Connection[] = [];
-
-  private readonly all = new Set<Connection>();
-
-  private disposed = false;
-
-  public constructor(private readonly address: string) {}
-
-  /** Connections that are open or being opened. */
-  public get size(): number {
-    return this.all.size;
-  }
-
-  /** Sends one request on the connection that was used last, or on a new one. */
-  public send(outgoing: Outgoing, sink: AnswerSink): Transfer {
-    const connection = this.idle.pop() ?? this.create();
-    connection.busy = true;
-    const exchange = new Exchange(connection, sink, () => this.release(connection));
-    connection.client.dispatch({
-      method: outgoing.method as Dispatcher.HttpMethod,
-      path: outgoing.path,
-      headers: outgoing.headers as string[],
-      body: outgoing.body,
-      // Requests are never written before the answer to the previous one is complete.
-      blocking: false,
-    }, exchange);
-    return exchange;
-  }
-
-  /** Closes idle connections now and the others when their request has ended. */
-  public dispose(): void {
-    this.disposed = true;
-    for (const connection of this.idle.splice(0)) this.discard(connection);
-  }
-
-  private create(): Connection {
-    const connection = new Connection(this.address, (closed) => this.discard(closed));
-    this.all.add(connection);
-    return connection;
-  }
-
-  private release(connection: Connection): void {
-    connection.busy = false;
-    if (this.disposed || connection.wasReset) this.discard(connection);
-    else if (this.all.has(connection)) this.idle.push(connection);
-  }
-
-  private discard(connection: Connection): void {
-    const index = this.idle.indexOf(connection);
-    if (index >= 0) this.idle.splice(index, 1);
-    if (!this.all.delete(connection)) return;
-    void connection.client.destroy();
-  }
-}
-
 class Exchange implements Transfer, Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | null = null;
 
@@ -151,6 +102,8 @@
 
   private aborted = false;
 
+  private chunked = false;
+
   public constructor(
     private readonly connection: Connection,
     private readonly sink: AnswerSink,
@@ -184,7 +137,9 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (status >= 200 && !this.aborted) this.sink.head(status, headers);
+    if (status < 200 || this.aborted) return;
+    this.chunked = headers['transfer-encoding'] !== undefined;
+    this.sink.head(status, headers);
   }
 
   public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -195,8 +150,10 @@
     if (this.ended) return;
     this.ended = true;
     this.release();
-    // The client library takes a reset for the end of an answer that has no length.
+    // Where the answer says that the connection will close, the client library takes a reset for the end of an answer
+    // without length, and a close for the end of a chunked one.
     if (this.connection.wasReset) this.sink.failed('connection reset');
+    else if (this.chunked && this.connection.wasClosed) this.sink.failed('connection closed before the last chunk');
     else this.sink.end();
   }
 
@@ -208,3 +165,60 @@
     this.sink.failed(err.message);
   }
 }
+
+/** Connections to one address of a backend server, one request at a time on each. */
+export class ConnectionPool implements Disposable {
+  private readonly idle: Connection[] = [];
+
+  private readonly all = new Set<Connection>();
+
+  private disposed = false;
+
+  public constructor(private readonly address: string) {}
+
+  /** Connections that are open or being opened. */
+  public get size(): number {
+    return this.all.size;
+  }
+
+  /** Sends one request on the connection that was used last, or on a new one. */
+  public send(outgoing: Outgoing, sink: AnswerSink): Transfer {
+    const connection = this.idle.pop() ?? this.create();
+    connection.busy = true;
+    const exchange = new Exchange(connection, sink, () => this.release(connection));
+    connection.client.dispatch({
+      method: outgoing.method,
+      path: outgoing.path,
+      headers: outgoing.headers as string[],
+      body: outgoing.body,
+      // Requests are never written before the answer to the previous one is complete.
+      blocking: false,
+    }, exchange);
+    return exchange;
+  }
+
+  /** Closes idle connections now and the others when their request has ended. */
+  public dispose(): void {
+    this.disposed = true;
+    for (const connection of this.idle.splice(0)) this.discard(connection);
+  }
+
+  private create(): Connection {
+    const connection = new Connection(this.address, (closed) => this.discard(closed));
+    this.all.add(connection);
+    return connection;
+  }
+
+  private release(connection: Connection): void {
+    connection.busy = false;
+    if (this.disposed || connection.wasReset || connection.wasClosed) this.discard(connection);
+    else if (this.all.has(connection)) this.idle.push(connection);
+  }
+
+  private discard(connection: Connection): void {
+    const index = this.idle.indexOf(connection);
+    if (index >= 0) this.idle.splice(index, 1);
+    if (!this.all.delete(connection)) return;
+    void connection.client.destroy();
+  }
+}
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -1,5 +1,6 @@
 import type { Clock, Disposable } from '../core/edges.js';
 import { ConnectionPool } from './connections.js';
+import type { Occupancy, OpenCalls } from './occupancy.js';
 import type { Candidate } from './placement.js';
 import { incarnationOf } from './servers.js';
 import type { ServerRecord, ServerRegistry } from './servers.js';
@@ -12,9 +13,6 @@
 
 /** One start of a backend server, as this process uses it. */
 export class ServerUse {
-  /** Calls that this process has open at the server. */
-  public open = 0;
-
   private failures = 0;
 
   private suspectUntil = -Infinity;
@@ -46,18 +44,26 @@
 
   private readonly subscription: Disposable;
 
-  public constructor(private readonly registry: ServerRegistry, private readonly clock: Clock) {
+  public constructor(
+    private readonly registry: ServerRegistry,
+    private readonly occupancy: Occupancy,
+    private readonly clock: Clock,
+  ) {
     this.subscription = registry.onChange((id) => this.follow(id));
   }
 
-  /** Servers of a service that take work; `limit` is the most calls that this process may have open at one. */
-  public candidates(service: string, limit: (record: ServerRecord) => number): readonly Candidate[] {
-    return this.registry.available(service).map((record) => {
-      const { open, suspect } = this.of(record);
-      return {
-        record, open, limit: limit(record), suspect,
-      };
-    });
+  /** Servers of a service that take work; `limit` is the most calls that may be open at one. */
+  public candidates(
+    service: string,
+    kind: keyof OpenCalls,
+    limit: (record: ServerRecord) => number,
+  ): readonly Candidate[] {
+    return this.registry.available(service).map((record) => ({
+      record,
+      open: this.occupancy.total(record.id)[kind],
+      limit: limit(record),
+      suspect: this.of(record).suspect,
+    }));
   }
 
   public of(record: ServerRecord): ServerUse {
@@ -80,7 +86,7 @@
     return this.registry.all().map((record) => {
       const use = this.of(record);
       return {
-        ...record, open: use.open, connections: use.pool.size, suspect: use.suspect,
+        ...record, open: this.occupancy.total(record.id), connections: use.pool.size, suspect: use.suspect,
       };
     });
   }
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -1,9 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type {
-  Clock, Log, Meter, Random,
+  Clock, Disposable, Log, Meter, Random,
 } from '../core/edges.js';
 import { Role } from '../core/edges.js';
 import type { RetryBudget } from '../core/retries.js';
+import { fail, ok } from '../core/result.js';
+import type { Result } from '../core/result.js';
 import { readBytes } from '../daemon/http.js';
 import { CallKind, chooseDestination } from './configuration.js';
 import type { ForwardingService, Route, RouteTable } from './configuration.js';
@@ -11,14 +13,16 @@
   Call, Dialect, PrefillHandle, SendPlan,
 } from './dialect.js';
 import type { FleetUse } from './fleet.js';
+import type { Occupancy } from './occupancy.js';
 import { refusalAnswer } from './outcome.js';
 import type { Refusal } from './outcome.js';
 import {
-  isLongPrompt, pickHome, pickLeastOccupied, sharedPart, withRole,
+  homesOf, isLongPrompt, pickLeastOccupied, sharedPart, withRole,
 } from './placement.js';
 import type { Candidate } from './placement.js';
 import type { ServerRecord } from './servers.js';
 import { Upstream } from './upstream.js';
+import { WaitingLine } from './waitingline.js';
 import type { SendOutcome } from './upstream.js';
 
 /** What forwarding needs beside the calls. */
@@ -33,8 +37,7 @@
   readonly routes: () => RouteTable | null;
   /** Budget for second sends to a service, shared with the other processes by its share. */
   readonly budget: (service: string) => RetryBudget;
-  /** Processes that share the backend servers, this one included. */
-  readonly sharers: () => number;
+  readonly occupancy: Occupancy;
   /** Age in ms of what is known of the backend servers. */
   readonly knowledgeAgeMs: () => number;
 }
@@ -46,15 +49,26 @@
   readonly transitMs: number;
 }
 
-/** Homes that are tried for a shared part before a call is refused. */
-const PREFILL_HOMES = 2;
+/** Engines that may hold one shared part. */
+const PREFILL_HOMES = 1;
 
-/** Share of an engine's slots that all processes together may fill with prefills. */
-const PREFILL_OVERCOMMIT = 2;
+/** Prefills open at one engine, all gateways together; a few keep it busy while answers travel. */
+const PREFILLS_PER_ENGINE = 4;
 
-/** Calls of all processes together per slot of a server, the waiting ones included. */
+/** An engine with no more prefills than this has time to read shared parts that another one holds. */
+const IDLE_PREFILLS = 1;
+
+/** Calls of all gateways together per slot of a server, the waiting ones included. */
 const OVERCOMMIT = 3;
 
+/** Weight of the newest of the measured times. */
+const SMOOTHING = 0.1;
+
+/** Time in ms of a prefill, and from there to the first event, before any was measured. */
+const FIRST_PREFILL_MS = 30;
+
+const FIRST_DECODE_MS = 15;
+
 const MAX_HANDLE_BYTES = 65_536;
 
 /** Least time in ms that makes a send worthwhile. */
@@ -64,10 +78,15 @@
 
 /** Counts and findings of one call, for its log line. */
 interface Trace {
+  readonly arrivedAt: number;
   sends: number;
   /** Sends that count against the retry budget once there is more than one. */
   arrivals: number;
   readonly steps: string[];
+  /** Time in ms from the arrival to the first bytes of the answer's body. */
+  firstMs: number | null;
+  /** Longest time in ms between two pieces of the answer's body. */
+  pauseMs: number;
 }
 
 interface Work {
@@ -87,6 +106,11 @@
   | { readonly type: 'handle'; readonly handle: PrefillHandle; readonly server: ServerRecord }
   | { readonly type: 'refused'; readonly refusal: Refusal };
 
+interface PrefillPlace {
+  readonly server: ServerRecord;
+  readonly held: Disposable;
+}
+
 type Delivery =
   | { readonly type: 'delivered'; readonly status: number }
   | { readonly type: 'cut'; readonly reason: string }
@@ -96,7 +120,19 @@
 export class Forwarder {
   private active = 0;
 
-  public constructor(private readonly edges: ForwarderEdges, private readonly opts: ForwarderOptions) {}
+  private readonly lines = new Map<string, WaitingLine>();
+
+  /** Smoothed time in ms from the send of a prefill to its handle. */
+  private prefillMs = FIRST_PREFILL_MS;
+
+  /** Smoothed time in ms from the send of the rest of a call to the head of its answer. */
+  private decodeMs = FIRST_DECODE_MS;
+
+  public constructor(private readonly edges: ForwarderEdges, private readonly opts: ForwarderOptions) {
+    edges.occupancy.onChange(() => {
+      for (const line of this.lines.values()) if (line.length > 0) line.pump();
+    });
+  }
 
   /** Calls that are not answered yet. */
   public get running(): number {
@@ -105,7 +141,9 @@
 
   public async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedAt = this.edges.clock.monotonic();
-    const trace: Trace = { sends: 0, arrivals: 0, steps: [] };
+    const trace: Trace = {
+      arrivedAt, sends: 0, arrivals: 0, steps: [], firstMs: null, pauseMs: 0,
+    };
     this.active += 1;
     try {
       const parsed = this.edges.dialect.readCall(req);
@@ -185,12 +223,14 @@
 
   /** Sends a call until it is answered or may not be sent again. */
   private async place(work: Work): Promise<Delivery> {
-    const { call, route, service, trace } = work;
+    const {
+      call, route, service, trace,
+    } = work;
     const prefillFirst = service.engine !== null && call.generation !== null && isLongPrompt(call.generation);
     let handle: PrefillHandle | null = null;
     this.edges.budget(service.name).succeeded();
     if (prefillFirst) {
-      const prefilled = await this.prefill(work);
+      const prefilled = await this.prefill(work, false);
       if (prefilled.type === 'refused') return prefilled;
       handle = prefilled.handle;
     }
@@ -206,10 +246,12 @@
       if (!this.mayArrive(work)) break;
       tried.add(candidate.record.id);
       const plan: SendPlan['work'] = handle === null ? { type: 'whole' } : { type: 'decode', handle };
-      const { upstream, outcome } = await this.send(work, candidate, plan);
-      trace.steps.push(`${plan.type}:${candidate.record.id}:${outcome.type}`);
+      const sentAt = this.edges.clock.monotonic();
+      const { upstream, outcome } = await this.send(work, candidate.record, plan);
+      this.note(trace, `${plan.type}:${candidate.record.id}:${outcome.type}`);
       if (outcome.type === 'answered') {
         const { head } = outcome;
+        if (handle !== null) this.decodeMs += SMOOTHING * (this.edges.clock.monotonic() - sentAt - this.decodeMs);
         const failed = head.status >= 500;
         if (failed && this.mayRunTwice(work) && attempt + 1 < route.maxAttempts) {
           upstream.abort('another server is tried');
@@ -227,9 +269,9 @@
         // The handle may be spent or gone; another prefill would read the prompt again.
         handle = null;
         if (attempt + 1 < route.maxAttempts) {
-          const again = await this.prefill(work);
-          if (again.type === 'refused') return again;
-          handle = again.handle;
+          const second = await this.prefill(work, true);
+          if (second.type === 'refused') return second;
+          handle = second.handle;
         }
       }
       if (outcome.type === 'broken') last = { code: 'outcome_unknown', message: outcome.message };
@@ -240,48 +282,92 @@
     return { type: 'refused', refusal: last };
   }
 
-  /** Prefills a prompt on an engine of that role. */
-  private async prefill(work: Work): Promise<Prefilled> {
-    const { call, service, trace } = work;
+  /** Prefills a prompt on an engine of that role; only the first prefill of a call is free of the budget. */
+  private async prefill(work: Work, again: boolean): Promise<Prefilled> {
+    const { service, trace } = work;
+    const { clock, budget, dialect } = this.edges;
     const tried = new Set<string>();
-    const part = call.generation === null ? null : sharedPart(call.generation);
     for (;;) {
-      if (work.ended.aborted) return { type: 'refused', refusal: { code: 'expired', retryAfterMs: RETRY_AFTER_MS } };
-      const candidates = withRole(this.candidates(service, PREFILL_OVERCOMMIT), Role.Prefill)
-        .filter(({ record }) => !tried.has(record.id));
-      const candidate = part === null
-        ? pickLeastOccupied(candidates, this.opts.failureDomain, () => this.edges.random.float())
-        : pickHome(candidates, part, PREFILL_HOMES);
-      if (candidate === null || (tried.size > 0 && !this.edges.budget(service.name).take())) {
-        trace.steps.push(candidate === null ? 'prefill:none' : 'prefill:budget');
+      const place = await this.prefillPlace(work, tried);
+      if (!place.success) return { type: 'refused', refusal: place.error };
+      const { server, held } = place.data;
+      if ((again || tried.size > 0) && !budget(service.name).take()) {
+        held.dispose();
+        this.note(trace, 'prefill:budget');
         return { type: 'refused', refusal: { code: 'occupied', retryAfterMs: RETRY_AFTER_MS } };
       }
-      tried.add(candidate.record.id);
-      const { upstream, outcome } = await this.send(work, candidate, { type: 'prefill' });
-      trace.steps.push(`prefill:${candidate.record.id}:${outcome.type}`);
+      tried.add(server.id);
+      const sentAt = clock.monotonic();
+      const { upstream, outcome } = await this.send(work, server, { type: 'prefill' }, held);
       if (outcome.type === 'answered' && outcome.head.status === 200) {
         const body = await upstream.collect(MAX_HANDLE_BYTES);
-        const handle = body === null ? null : this.edges.dialect.readHandle(candidate.record, body);
-        if (handle !== null) return { type: 'handle', handle, server: candidate.record };
-        trace.steps.push('handle:unreadable');
-      } else if (outcome.type === 'answered') upstream.abort('no handle');
+        const handle = body === null ? null : dialect.readHandle(server, body);
+        this.note(trace, `prefill:${server.id}:${handle === null ? 'unreadable' : 'done'}`);
+        if (handle !== null) {
+          this.prefillMs += SMOOTHING * (clock.monotonic() - sentAt - this.prefillMs);
+          return { type: 'handle', handle, server };
+        }
+      } else {
+        if (outcome.type === 'answered') upstream.abort('no handle');
+        this.note(trace, `prefill:${server.id}:${outcome.type}`);
+      }
       if (outcome.type !== 'not_sent') trace.arrivals += 1;
     }
   }
 
+  /** Waits for a place at an engine that prefills. */
+  private async prefillPlace(work: Work, tried: ReadonlySet<string>): Promise<Result<PrefillPlace, Refusal>> {
+    const {
+      call, service, route, trace,
+    } = work;
+    if (work.ended.aborted) return fail({ code: 'expired', retryAfterMs: RETRY_AFTER_MS });
+    const candidates = this.prefillers(service).filter(({ record }) => !tried.has(record.id));
+    if (candidates.length === 0) return fail({ code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS });
+    const part = call.generation === null ? null : sharedPart(call.generation);
+    const restMs = this.prefillMs + this.decodeMs + this.opts.transitMs;
+    const place = await this.line(service).wait({
+      homes: part === null ? [] : homesOf(candidates, part, PREFILL_HOMES),
+      targetAt: trace.arrivedAt + route.targetMs - restMs,
+      lastAt: work.deadline - restMs,
+    }, work.ended);
+    if (!place.success) {
+      this.note(trace, 'line:refused');
+      return fail({ code: 'occupied', retryAfterMs: Math.max(RETRY_AFTER_MS, place.error.afterMs) });
+    }
+    this.note(trace, 'line');
+    const chosen = this.prefillers(service).find(({ record }) => record.id === place.data.server);
+    if (chosen !== undefined) return ok({ server: chosen.record, held: place.data.held });
+    place.data.held.dispose();
+    return fail({ code: 'no_server', retryAfterMs: RETRY_AFTER_MS });
+  }
+
+  private prefillers(service: ForwardingService): readonly Candidate[] {
+    return withRole(this.edges.fleet.candidates(service.name, 'prefills', () => PREFILLS_PER_ENGINE), Role.Prefill);
+  }
+
+  private line(service: ForwardingService): WaitingLine {
+    let line = this.lines.get(service.name);
+    if (line === undefined) {
+      line = new WaitingLine({
+        clock: this.edges.clock,
+        places: () => this.prefillers(service)
+          .filter(({ open, limit, suspect }) => open < limit && !suspect)
+          .sort((left, right) => left.open - right.open)
+          .map(({ record, open }) => ({ server: record.id, idle: open <= IDLE_PREFILLS })),
+        take: (server) => this.edges.occupancy.enter(server, 'prefills'),
+      });
+      this.lines.set(service.name, line);
+    }
+    return line;
+  }
+
   private pickServer(work: Work, tried: ReadonlySet<string>): Candidate | null {
-    const candidates = this.candidates(work.service, OVERCOMMIT).filter(({ record }) => !tried.has(record.id));
+    const candidates = this.edges.fleet.candidates(work.service.name, 'others', ({ slots }) => slots * OVERCOMMIT)
+      .filter(({ record }) => !tried.has(record.id));
     const able = work.service.engine === null ? candidates : withRole(candidates, Role.Decode);
     return pickLeastOccupied(able, this.opts.failureDomain, () => this.edges.random.float());
   }
 
-  private candidates(service: ForwardingService, overcommit: number): readonly Candidate[] {
-    const sharers = this.edges.sharers();
-    return this.edges.fleet.candidates(service.name, ({ slots }) => (
-      Math.max(1, Math.min(Math.ceil((slots * overcommit) / sharers), Math.floor(service.maxConnections / sharers)))
-    ));
-  }
-
   /** Whether one more send may reach a backend server; takes it from the budget where it is not the first. */
   private mayArrive(work: Work): boolean {
     if (work.trace.arrivals === 0 || this.edges.budget(work.service.name).take()) {
@@ -292,30 +378,34 @@
     return false;
   }
 
+  private note(trace: Trace, step: string): void {
+    trace.steps.push(`${step}@${Math.round(this.edges.clock.monotonic() - trace.arrivedAt)}`);
+  }
+
   private mayRunTwice({ route }: Work): boolean {
     return route.kind === CallKind.Idempotent;
   }
 
   private async send(
     work: Work,
-    candidate: Candidate,
+    server: ServerRecord,
     what: SendPlan['work'],
+    entered = this.edges.occupancy.enter(server.id, 'others'),
   ): Promise<{ readonly upstream: Upstream; readonly outcome: SendOutcome }> {
     const { clock, dialect, fleet } = this.edges;
-    const use = fleet.of(candidate.record);
-    const { service, route, trace } = work;
-    trace.sends += 1;
-    use.open += 1;
+    const use = fleet.of(server);
+    work.trace.sends += 1;
     const upstream = new Upstream(work.call, dialect, use.pool, {
-      server: candidate.record,
+      server,
       deadlineMs: Math.max(LEAST_SEND_MS, work.deadline - clock.monotonic() - this.opts.transitMs),
-      priority: service.engine === null ? null : Math.min(9, Math.max(0, route.priority)),
+      priority: null,
       work: what,
     }, work.body);
     const stop = (): void => upstream.abort(String(work.ended.reason));
     work.ended.addEventListener('abort', stop, { once: true });
     void upstream.closed.then(() => {
-      use.open -= 1;
+      entered.dispose();
+      if (what.type === 'prefill') this.lines.get(work.service.name)?.pump();
       work.ended.removeEventListener('abort', stop);
     });
     const outcome = await upstream.outcome;
@@ -352,8 +442,13 @@
         resolve(delivery);
       };
       res.on('drain', onDrain);
+      let pieceAt = 0;
       upstream.read({
         push: (chunk) => {
+          const now = this.edges.clock.monotonic();
+          if (work.trace.firstMs === null) work.trace.firstMs = now - work.trace.arrivedAt;
+          else work.trace.pauseMs = Math.max(work.trace.pauseMs, now - pieceAt);
+          pieceAt = now;
           begin();
           return res.destroyed || res.write(chunk);
         },
@@ -384,7 +479,7 @@
   }
 
   private unplaced({ service }: Work): Refusal {
-    const servers = this.edges.fleet.candidates(service.name, () => 1);
+    const servers = this.edges.fleet.candidates(service.name, 'others', () => 1);
     return servers.length === 0
       ? { code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS }
       : { code: 'occupied', retryAfterMs: RETRY_AFTER_MS };
@@ -395,7 +490,9 @@
     if (handle === null) return;
     const holder = this.edges.fleet.byAddress(handle.address);
     if (holder === null) return;
-    const { method, path, headers, body } = this.edges.dialect.freeRequest(handle);
+    const {
+      method, path, headers, body,
+    } = this.edges.dialect.freeRequest(handle);
     const failed = (message: string): void => {
       this.edges.log.warn('handle_not_freed', { address: handle.address, message });
     };
@@ -431,6 +528,8 @@
       version: this.edges.routes()?.configuration.version,
       servers_age_ms: Math.round(this.edges.knowledgeAgeMs()),
       steps: trace.steps.join(' '),
+      first_ms: trace.firstMs === null ? undefined : Math.round(trace.firstMs),
+      pause_ms: trace.pauseMs === 0 ? undefined : Math.round(trace.pauseMs),
       took_ms: Math.round(tookMs),
       outcome,
       status: delivery.type === 'delivered' ? delivery.status : undefined,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,8 @@
 import { FleetUse } from './fleet.js';
 import type { KeySource } from './follower.js';
 import { Forwarder } from './forward.js';
+import { Occupancy } from './occupancy.js';
+import type { Datagrams } from './occupancy.js';
 import { Records } from './records.js';
 import { RoleKeeper } from './rolekeeper.js';
 import { ServerRegistry } from './servers.js';
@@ -33,6 +35,7 @@
   readonly dialect: Dialect;
   readonly peerClient: PeerClient;
   readonly peerServer: PeerServer;
+  readonly datagrams: Datagrams;
 }
 
 /** Wait in ms of a call for changes; a silent connection is noticed within it and a short time-out. */
@@ -80,6 +83,8 @@
 
   private readonly registry: ServerRegistry;
 
+  private readonly occupancy: Occupancy;
+
   private readonly fleet: FleetUse;
 
   private readonly configuration: Records;
@@ -99,7 +104,9 @@
   private stopping = false;
 
   public constructor(private readonly edges: GatewayEdges, private readonly settings: GatewaySettings) {
-    const { clock, random, peerClient: client, peerServer: server } = edges;
+    const {
+      clock, random, peerClient: client, peerServer: server,
+    } = edges;
     this.membership = new Membership({
       id: settings.gateway.name,
       incarnation: createIncarnation(clock, random),
@@ -122,7 +129,8 @@
       isCandidate: () => this.isFirstCandidate(),
     });
     this.registry = this.disposables.add(new ServerRegistry(clock));
-    this.fleet = this.disposables.add(new FleetUse(this.registry, clock));
+    this.occupancy = new Occupancy({ clock, members: this.membership, datagrams: edges.datagrams });
+    this.fleet = this.disposables.add(new FleetUse(this.registry, this.occupancy, clock));
     const recordEdges = {
       ...edges, source: edges.store, client, server, members: this.membership,
     };
@@ -150,7 +158,7 @@
       fleet: this.fleet,
       routes: () => this.routes,
       budget: (service) => this.budget(service),
-      sharers: () => this.sharers(),
+      occupancy: this.occupancy,
       knowledgeAgeMs: () => this.servers.ageMs(),
     }, { failureDomain: settings.gateway.failureDomain, transitMs: TRANSIT_MS });
     this.roles = new RoleKeeper({
@@ -191,6 +199,7 @@
       this.servers.run(signal),
       this.authority.run(signal),
       this.roles.run(signal),
+      this.occupancy.run(signal),
     ]);
     this.edges.log.info('started', { gateway: this.settings.gateway.name });
     return ok(undefined);
@@ -222,6 +231,7 @@
       servers: { ...this.servers.dump(), list: this.fleet.dump() },
       membership: this.membership.dump(),
       authority: this.authority.dump(),
+      occupancy: this.occupancy.dump(),
     };
   }
 
@@ -286,7 +296,10 @@
     this.membership.update({ revision: parsed.data.version });
     meter.gauge('configuration_version', parsed.data.version);
     log.info('configuration_applied', {
-      version: parsed.data.version, previous, routes: parsed.data.routes.length, age_ms: Math.round(this.configuration.ageMs()),
+      version: parsed.data.version,
+      previous,
+      routes: parsed.data.routes.length,
+      age_ms: Math.round(this.configuration.ageMs()),
     });
   }
 
@@ -342,7 +355,8 @@
   /** The others look for a free lease only if the first in order does not take it, which keeps calls few. */
   private isFirstCandidate(): boolean {
     if (this.stopping || !this.ready()) return false;
-    const ids = [this.membership.self(), ...this.membership.live()].filter(({ leaving }) => !leaving).map(({ id }) => id);
+    const staying = [this.membership.self(), ...this.membership.live()].filter(({ leaving }) => !leaving);
+    const ids = staying.map(({ id }) => id);
     return lowestByRendezvous(ids, 'authority', 1).includes(this.settings.gateway.name);
   }
 }
--- /dev/null
+++ b/src/gateway/occupancy.ts
@@ -0,0 +1,161 @@
+import { createJSONRPCNotification } from 'json-rpc-2.0';
+import { z } from 'zod';
+import type { Clock, Disposable } from '../core/edges.js';
+import type { Members } from '../core/members.js';
+import { sleep } from '../core/time.js';
+
+/** Calls open at one backend server. */
+export interface OpenCalls {
+  /** Prefills of long prompts. */
+  readonly prefills: number;
+  /** Every other call. */
+  readonly others: number;
+}
+
+/** Carries small messages that may be lost to the other gateways. */
+export interface Datagrams {
+  send(ip: string, message: string): void;
+  onMessage(listener: (message: string) => void): Disposable;
+}
+
+/** Shortest time in ms between two messages; a prefill takes about as long, and a message costs about 0.05 ms. */
+const PERIOD_MS = 20;
+
+/** Time in ms after which an unchanged table is sent again, because a message may be lost. */
+const REPEAT_MS = 250;
+
+/** Time in ms after which the table of a gateway that is no longer heard counts as empty. */
+const EXPIRY_MS = 1_000;
+
+/** Gateways that one gateway sends to; the cost stays bounded where there are more. */
+const MAX_RECEIVERS = 24;
+
+const METHOD = 'occupancy';
+
+const messageSchema = z.object({
+  method: z.literal(METHOD),
+  params: z.object({
+    from: z.string(),
+    sequence: z.number(),
+    /** Server ids with their prefills and other calls. */
+    open: z.array(z.tuple([z.string(), z.number().int().nonnegative(), z.number().int().nonnegative()])).max(2_000),
+  }),
+});
+
+interface PeerTable {
+  readonly sequence: number;
+  readonly receivedAt: number;
+  readonly open: ReadonlyMap<string, OpenCalls>;
+}
+
+const NONE: OpenCalls = { prefills: 0, others: 0 };
+
+function safeJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Calls open at each backend server, of this gateway and, a few ms late, of the others. */
+export class Occupancy {
+  private readonly own = new Map<string, { prefills: number; others: number }>();
+
+  private readonly peers = new Map<string, PeerTable>();
+
+  private readonly listeners = new Set<() => void>();
+
+  private changed = false;
+
+  private sequence = 0;
+
+  public constructor(
+    private readonly edges: { readonly clock: Clock; readonly members: Members; readonly datagrams: Datagrams },
+  ) {
+    this.sequence = edges.clock.now().getTime();
+  }
+
+  /** Calls open at a server, all gateways together. */
+  public total(server: string): OpenCalls {
+    const now = this.edges.clock.monotonic();
+    let { prefills, others } = this.own.get(server) ?? NONE;
+    for (const { receivedAt, open } of this.peers.values()) {
+      const calls = now - receivedAt < EXPIRY_MS ? open.get(server) : undefined;
+      prefills += calls?.prefills ?? 0;
+      others += calls?.others ?? 0;
+    }
+    return { prefills, others };
+  }
+
+  /** Counts a call until the returned handle is disposed. */
+  public enter(server: string, kind: keyof OpenCalls): Disposable {
+    const calls = this.own.get(server) ?? { prefills: 0, others: 0 };
+    this.own.set(server, calls);
+    calls[kind] += 1;
+    this.changed = true;
+    return {
+      dispose: () => {
+        calls[kind] -= 1;
+        if (calls.prefills === 0 && calls.others === 0 && this.own.get(server) === calls) this.own.delete(server);
+        this.changed = true;
+      },
+    };
+  }
+
+  /** Calls `listener` when another gateway has told of its calls. */
+  public onChange(listener: () => void): Disposable {
+    this.listeners.add(listener);
+    return { dispose: () => this.listeners.delete(listener) };
+  }
+
+  /** Exchanges tables until `signal` aborts. */
+  public async run(signal: AbortSignal): Promise<void> {
+    const { clock, datagrams } = this.edges;
+    const subscription = datagrams.onMessage((message) => this.receive(message));
+    let sentAt = -Infinity;
+    while (!signal.aborted) {
+      await sleep(clock, PERIOD_MS, signal);
+      if (!this.changed && clock.monotonic() - sentAt < REPEAT_MS) continue;
+      this.changed = false;
+      sentAt = clock.monotonic();
+      this.broadcast();
+    }
+    subscription.dispose();
+  }
+
+  public dump(): Record<string, unknown> {
+    const now = this.edges.clock.monotonic();
+    return {
+      own: Object.fromEntries(this.own),
+      peers: [...this.peers].map(([name, { receivedAt, open }]) => ({
+        name, age_ms: now - receivedAt, servers: open.size,
+      })),
+    };
+  }
+
+  private broadcast(): void {
+    const { members, datagrams } = this.edges;
+    this.sequence += 1;
+    const open = [...this.own].map(([server, { prefills, others }]) => [server, prefills, others]);
+    const message = JSON.stringify(createJSONRPCNotification(METHOD, {
+      from: members.self().id, sequence: this.sequence, open,
+    }));
+    for (const { address } of members.live().slice(0, MAX_RECEIVERS)) {
+      datagrams.send(address.split(':')[0] ?? '', message);
+    }
+  }
+
+  private receive(message: string): void {
+    const parsed = messageSchema.safeParse(safeJson(message));
+    if (!parsed.success) return;
+    const { from, sequence, open } = parsed.data.params;
+    if ((this.peers.get(from)?.sequence ?? -1) >= sequence) return;
+    this.peers.set(from, {
+      sequence,
+      receivedAt: this.edges.clock.monotonic(),
+      open: new Map(open.map(([server, prefills, others]) => [server, { prefills, others }])),
+    });
+    for (const listener of this.listeners) listener();
+  }
+}
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,13 +1,13 @@
 import { Role } from '../core/edges.js';
-import { rendezvousWeight } from '../core/subset.js';
+import { lowestByRendezvous } from '../core/rendezvous.js';
 import type { Generation } from './dialect.js';
 import type { ServerRecord } from './servers.js';
 
-/** Backend server with the calls that this process has open there. */
+/** Backend server with the calls that all gateways have open there. */
 export interface Candidate {
   readonly record: ServerRecord;
   readonly open: number;
-  /** Most calls that this process may have open there. */
+  /** Most calls that may be open there. */
   readonly limit: number;
   /** Whether recent calls failed there. */
   readonly suspect: boolean;
@@ -52,15 +52,12 @@
 }
 
 /**
- * Engine to prefill a prompt: the home of its shared part, so that the fleet holds each part once, or the next home
- * in order where that one is occupied.
+ * Engines that prefill a prompt, the best first. Each shared part has the same few homes everywhere, so that the fleet
+ * holds it about once.
  */
-export function pickHome(candidates: readonly Candidate[], part: string, homes: number): Candidate | null {
-  const ranked = candidates
-    .filter(({ suspect }) => !suspect)
-    .map((candidate) => ({ candidate, weight: rendezvousWeight(candidate.record.id, part) }))
-    .sort((left, right) => left.weight - right.weight);
-  return ranked.slice(0, homes).find(({ candidate }) => free(candidate))?.candidate ?? null;
+export function homesOf(candidates: readonly Candidate[], part: string, count: number): readonly string[] {
+  const names = candidates.filter(({ suspect }) => !suspect).map(({ record }) => record.id);
+  return lowestByRendezvous(names, part, count);
 }
 
 /** Candidates that do one kind of work; an engine that names no role does all of it. */
--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -129,7 +129,9 @@
   }
 
   private async ask(peer: string, method: string, signal: AbortSignal): Promise<void> {
-    const { client, log, clock, meter } = this.edges;
+    const {
+      client, log, clock, meter,
+    } = this.edges;
     const params = { prefix: this.opts.prefix, revision: this.revision };
     const answer = await client.call(peer, method, params, { timeoutMs: ASK_TIMEOUT_MS, signal });
     if (!answer.success) {
--- a/src/gateway/rolekeeper.ts
+++ b/src/gateway/rolekeeper.ts
@@ -1,6 +1,6 @@
 import type { Authority } from '../core/authority.js';
 import type {
-  Clock, Log, Meter,
+  Clock, Disposable, Log, Meter,
 } from '../core/edges.js';
 import { Role } from '../core/edges.js';
 import { sleep } from '../core/time.js';
@@ -9,7 +9,7 @@
 import type { ServerRecord, ServerRegistry } from './servers.js';
 
 /** Share of a service's engines that decode; long prompts are prefilled on the others. */
-const DECODE_SHARE = 0.3;
+const DECODE_SHARE = 0.35;
 
 const LEAST_DECODERS = 2;
 
@@ -87,7 +87,9 @@
   }
 
   private async change({ server, role }: RoleChange, term: number): Promise<void> {
-    const { dialect, authority, log, meter, clock } = this.edges;
+    const {
+      dialect, authority, log, meter, clock,
+    } = this.edges;
     this.orderedAt.set(server.id, clock.monotonic());
     const report = await this.call(server, dialect.reportRequest());
     const state = report === null ? null : dialect.readReport(report.body);
@@ -95,7 +97,7 @@
       log.warn('role_not_ordered', { server: server.id, reason: 'no report' });
       return;
     }
-    if (state.changing || state.role === role) return;
+    if (state.changing || state.role === String(role)) return;
     if (!authority.mayAct() || authority.term !== term) return;
     const answer = await this.call(server, dialect.orderRequest(server, {
       holder: this.holder, fencingToken: term, expectedSequence: state.sequence, role,
@@ -111,11 +113,18 @@
     request: ReturnType<Dialect['reportRequest']>,
   ): Promise<{ readonly status: number; readonly body: Buffer } | null> {
     const { fleet, clock } = this.edges;
-    const { method, path, headers, body } = request;
+    const {
+      method, path, headers, body,
+    } = request;
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
       let status = 0;
       let size = 0;
+      let timer: Disposable | null = null;
+      const finish = (answer: { readonly status: number; readonly body: Buffer } | null): void => {
+        timer?.dispose();
+        resolve(answer);
+      };
       const transfer = fleet.of(server).pool.send({
         method, path, headers: ['host', server.address, ...headers], body,
       }, {
@@ -130,11 +139,7 @@
         end: () => finish({ status, body: Buffer.concat(chunks) }),
         failed: () => finish(null),
       });
-      const timer = clock.after(CALL_TIMEOUT_MS, () => transfer.abort());
-      const finish = (answer: { readonly status: number; readonly body: Buffer } | null): void => {
-        timer.dispose();
-        resolve(answer);
-      };
+      timer = clock.after(CALL_TIMEOUT_MS, () => transfer.abort());
     });
   }
 }
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -1,5 +1,4 @@
-import type { Clock, Disposable } from '../core/edges.js';
-import type { Role } from '../core/edges.js';
+import type { Clock, Disposable, Role } from '../core/edges.js';
 
 /** Model weights that an engine has loaded. */
 export interface ServedModel {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -20,6 +20,8 @@
     directory: addressSchema,
     /** Metrics and the dump. */
     metrics: addressSchema,
+    /** Datagrams between gateways; the port is the same at all of them. */
+    exchange: addressSchema,
   }),
   peers: z.strictObject({
     /** Peer addresses of gateways that a starting one asks first. */
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -1,4 +1,6 @@
-import type { AnswerHead, Call, Dialect, SendPlan } from './dialect.js';
+import type {
+  AnswerHead, Call, Dialect, SendPlan,
+} from './dialect.js';
 import { Execution } from './dialect.js';
 import type { AnswerSink, ConnectionPool, Transfer } from './connections.js';
 
--- /dev/null
+++ b/src/gateway/waitingline.ts
@@ -0,0 +1,161 @@
+import type { Clock, Disposable } from '../core/edges.js';
+import { fail, ok } from '../core/result.js';
+import type { Result } from '../core/result.js';
+
+/** Place at a server, counted until it is released. */
+export interface Place {
+  readonly server: string;
+  readonly held: Disposable;
+}
+
+/** Why a call leaves the line without a place; `afterMs` is when one is expected. */
+export interface Unplaced {
+  readonly afterMs: number;
+}
+
+/** Call that waits for a place. */
+export interface Waiting {
+  /** Servers that hold part of the prompt, the best first. */
+  readonly homes: readonly string[];
+  /** Monotonic time in ms by which the call should have its place, to be answered when callers expect it. */
+  readonly targetAt: number;
+  /** Monotonic time in ms after which a place is of no use. */
+  readonly lastAt: number;
+}
+
+/** Server with room for a call. */
+export interface FreePlace {
+  readonly server: string;
+  /** Whether the server has so little to do that it may also read the shared parts of a prompt again. */
+  readonly idle: boolean;
+}
+
+/** What the line asks of its surroundings. */
+export interface WaitingLineEdges {
+  readonly clock: Clock;
+  /** Servers that can take one more call now. */
+  readonly places: () => readonly FreePlace[];
+  /** Takes a place at a server at once, so that no other call gets it. */
+  readonly take: (server: string) => Disposable;
+}
+
+interface Entry extends Waiting {
+  readonly arrivedAt: number;
+  readonly settle: (result: Result<Place, Unplaced>) => void;
+}
+
+/** Wait in ms after which a call takes a place away from its homes, about the time to read the shared parts again. */
+const AWAY_AFTER_MS = 20;
+
+/** Time in ms over which the rate of placed calls is measured. */
+const RATE_WINDOW_MS = 1_000;
+
+const SWEEP_MS = 20;
+
+/**
+ * Line for the places at a service's engines. It answers a load over the capacity: calls that can still be answered in
+ * their target time go first, oldest first, so that as many as possible are; the others follow while their time lasts,
+ * and those that the line can't reach in time are refused at once.
+ */
+export class WaitingLine implements Disposable {
+  private entries: Entry[] = [];
+
+  private placedAt: number[] = [];
+
+  private timer: Disposable | null = null;
+
+  public constructor(private readonly edges: WaitingLineEdges) {}
+
+  public get length(): number {
+    return this.entries.length;
+  }
+
+  /** Settles with a place, or once the call won't get one in time. */
+  public wait(waiting: Waiting, signal: AbortSignal): Promise<Result<Place, Unplaced>> {
+    return new Promise((resolve) => {
+      const leave = (): void => {
+        this.entries = this.entries.filter(({ settle }) => settle !== finish);
+        finish(fail({ afterMs: 0 }));
+      };
+      function finish(result: Result<Place, Unplaced>): void {
+        signal.removeEventListener('abort', leave);
+        resolve(result);
+      }
+      const entry: Entry = { ...waiting, arrivedAt: this.edges.clock.monotonic(), settle: finish };
+      signal.addEventListener('abort', leave, { once: true });
+      this.entries.push(entry);
+      this.pump();
+    });
+  }
+
+  /** Gives free places to waiting calls; to be called whenever a place may have become free. */
+  public pump(): void {
+    while (this.entries.length > 0) {
+      const places = this.edges.places();
+      const chosen = places.length === 0 ? null : this.choose(places);
+      if (chosen === null) break;
+      this.entries = this.entries.filter((other) => other !== chosen.entry);
+      this.notePlaced();
+      chosen.entry.settle(ok({ server: chosen.server, held: this.edges.take(chosen.server) }));
+    }
+    this.refuseHopeless();
+    if (this.entries.length > 0) this.timer ??= this.edges.clock.after(SWEEP_MS, () => this.sweep());
+  }
+
+  public dispose(): void {
+    this.timer?.dispose();
+    for (const entry of this.entries.splice(0)) entry.settle(fail({ afterMs: 0 }));
+  }
+
+  private sweep(): void {
+    this.timer = null;
+    this.pump();
+  }
+
+  /** First entry that may take one of the places: on time before late, at home before elsewhere. */
+  private choose(places: readonly FreePlace[]): { readonly entry: Entry; readonly server: string } | null {
+    const now = this.edges.clock.monotonic();
+    const free = new Set(places.map(({ server }) => server));
+    const idle = places.find((place) => place.idle)?.server;
+    let away: Entry | null = null;
+    let late: { readonly entry: Entry; readonly server: string } | null = null;
+    for (const entry of this.entries) {
+      const home = entry.homes.find((server) => free.has(server));
+      const onTime = now <= entry.targetAt;
+      if (home !== undefined && onTime) return { entry, server: home };
+      if (home !== undefined && late === null) late = { entry, server: home };
+      const patient = entry.homes.length > 0 && now - entry.arrivedAt < AWAY_AFTER_MS;
+      if (home === undefined && !patient && (away === null || (onTime && now > away.targetAt))) away = entry;
+    }
+    if (away === null || idle === undefined || (late !== null && now > away.targetAt)) return late;
+    return { entry: away, server: idle };
+  }
+
+  private notePlaced(): void {
+    const now = this.edges.clock.monotonic();
+    this.placedAt.push(now);
+    while ((this.placedAt[0] ?? now) < now - RATE_WINDOW_MS) this.placedAt.shift();
+  }
+
+  /** Refuses the late calls that the line will not reach before their time is over, the last first. */
+  private refuseHopeless(): void {
+    const now = this.edges.clock.monotonic();
+    while ((this.placedAt[0] ?? now) < now - RATE_WINDOW_MS) this.placedAt.shift();
+    const perMs = Math.max(1, this.placedAt.length) / RATE_WINDOW_MS;
+    let ahead = this.entries.filter(({ targetAt }) => now <= targetAt).length;
+    const kept: Entry[] = [];
+    const refused: Entry[] = [];
+    for (const entry of this.entries) {
+      const onTime = now <= entry.targetAt;
+      const reachedAt = now + ahead / perMs;
+      if (now > entry.lastAt || (!onTime && reachedAt > entry.lastAt)) refused.push(entry);
+      else {
+        kept.push(entry);
+        if (!onTime) ahead += 1;
+      }
+    }
+    if (refused.length === 0) return;
+    this.entries = kept;
+    for (const entry of refused) entry.settle(fail({ afterMs: ahead / perMs }));
+  }
+}
