--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -77,6 +77,8 @@
   readonly matches: boolean;
   /** Whether the backend server vouches for the answer; only then a success may be passed on. */
   readonly signed: boolean;
+  /** Whether the body has no length and ends with its connection. */
+  readonly endsWithConnection: boolean;
   /** Names and values in turn, as passed on to the caller. */
   readonly headers: readonly string[];
 }
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -435,7 +435,13 @@
     return new Promise((resolve) => {
       const onDrain = (): void => upstream.resume();
       const begin = (): void => {
-        if (!res.headersSent && !res.destroyed) res.writeHead(head.status, [...head.headers]);
+        if (res.headersSent || res.destroyed) return;
+        if (head.endsWithConnection) {
+          // The caller must see that nothing but the close vouches for the end.
+          res.shouldKeepAlive = false;
+          res.useChunkedEncodingByDefault = false;
+        }
+        res.writeHead(head.status, [...head.headers]);
       };
       const finish = (delivery: Delivery): void => {
         res.off('drain', onDrain);
@@ -459,6 +465,8 @@
         },
         failed: (message) => {
           if (res.headersSent) {
+            // A plain close would make an answer without length look complete.
+            if (head.endsWithConnection) res.socket?.resetAndDestroy();
             res.destroy();
             finish({ type: 'cut', reason: message });
           } else if (ended.aborted) finish(this.givenUp(work, null));
--- a/src/gateway/waitingline.ts
+++ b/src/gateway/waitingline.ts
@@ -42,6 +42,8 @@
 interface Entry extends Waiting {
   readonly arrivedAt: number;
   readonly settle: (result: Result<Place, Unplaced>) => void;
+  /** Takes the call out of the line, because its caller has left or its time is over. */
+  readonly leave: () => void;
 }
 
 /** Wait in ms after which a call takes a place away from its homes, about the time to read the shared parts again. */
@@ -73,16 +75,19 @@
   /** Settles with a place, or once the call won't get one in time. */
   public wait(waiting: Waiting, signal: AbortSignal): Promise<Result<Place, Unplaced>> {
     return new Promise((resolve) => {
-      const leave = (): void => {
-        this.entries = this.entries.filter(({ settle }) => settle !== finish);
-        finish(fail({ afterMs: 0 }));
+      const entry: Entry = {
+        ...waiting,
+        arrivedAt: this.edges.clock.monotonic(),
+        settle: (result) => {
+          signal.removeEventListener('abort', entry.leave);
+          resolve(result);
+        },
+        leave: () => {
+          this.entries = this.entries.filter((other) => other !== entry);
+          entry.settle(fail({ afterMs: 0 }));
+        },
       };
-      function finish(result: Result<Place, Unplaced>): void {
-        signal.removeEventListener('abort', leave);
-        resolve(result);
-      }
-      const entry: Entry = { ...waiting, arrivedAt: this.edges.clock.monotonic(), settle: finish };
-      signal.addEventListener('abort', leave, { once: true });
+      signal.addEventListener('abort', entry.leave, { once: true });
       this.entries.push(entry);
       this.pump();
     });
