Avoid backend servers that refuse or are silent, and change roles of unused engines only

Change: a server that refuses twice in a row, can't be reached or answers nothing for 350 ms and more is avoided, and then tried by one call at a time; a handle is kept for another decoder; roles change only at engines without open calls.

Ruled out: telling lapsed handles from refusals by the refusal itself; it has no such field.

--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -5,36 +5,68 @@
 import { incarnationOf } from './servers.js';
 import type { ServerRecord, ServerRegistry } from './servers.js';
 
-/** Time in ms for which a server is avoided after a call failed there. */
-const SUSPECT_MS = 1_500;
+/** Time in ms for which a server is avoided after it was found not to answer. */
+const SILENT_MS = 1_200;
 
-/** Failures in a row after which a server is avoided. */
-const SUSPECT_FAILURES = 2;
+/** Refusals or failures in a row after which a server is avoided. */
+const LEAST_IN_ROW = 2;
+
+/** Time in ms for which a server is avoided after its first refusals; it doubles up to {@link MAX_REFUSING_MS}. */
+const REFUSING_MS = 100;
+
+const MAX_REFUSING_MS = 1_600;
 
 /** One start of a backend server, as this process uses it. */
 export class ServerUse {
-  private failures = 0;
+  /** Monotonic time in ms of the last answer of any kind. */
+  public answeredAt = -Infinity;
+
+  private failuresInRow = 0;
+
+  private avoidUntil = -Infinity;
 
-  private suspectUntil = -Infinity;
+  /** Calls open that find out whether a server that was avoided takes work again. */
+  private probes = 0;
 
   public constructor(
     public readonly pool: ConnectionPool,
     private readonly clock: Clock,
   ) {}
 
+  /** Whether the server should get no work now; after a while one call at a time tries it again. */
   public get suspect(): boolean {
-    return this.clock.monotonic() < this.suspectUntil;
+    if (this.failuresInRow < LEAST_IN_ROW) return false;
+    return this.clock.monotonic() < this.avoidUntil || this.probes > 0;
+  }
+
+  /** Counts a call that may find out whether the server takes work again. */
+  public enter(): Disposable {
+    if (this.failuresInRow < LEAST_IN_ROW) return { dispose: () => {} };
+    this.probes += 1;
+    return {
+      dispose: () => {
+        this.probes -= 1;
+      },
+    };
   }
 
   public succeeded(): void {
-    this.failures = 0;
-    this.suspectUntil = -Infinity;
+    this.answeredAt = this.clock.monotonic();
+    this.failuresInRow = 0;
+  }
+
+  /** Notes a refusal, or an answer that broke off. */
+  public refused(): void {
+    this.answeredAt = this.clock.monotonic();
+    this.failuresInRow += 1;
+    const avoidMs = Math.min(MAX_REFUSING_MS, REFUSING_MS * 2 ** Math.max(0, this.failuresInRow - LEAST_IN_ROW));
+    this.avoidUntil = Math.max(this.avoidUntil, this.clock.monotonic() + avoidMs);
   }
 
-  /** Notes a call without an answer; `certain` where the server can't be reached at all. */
-  public failed(certain: boolean): void {
-    this.failures += 1;
-    if (certain || this.failures >= SUSPECT_FAILURES) this.suspectUntil = this.clock.monotonic() + SUSPECT_MS;
+  /** Notes that the server can't be reached, or does not answer. */
+  public silent(): void {
+    this.failuresInRow = Math.max(LEAST_IN_ROW, this.failuresInRow + 1);
+    this.avoidUntil = this.clock.monotonic() + SILENT_MS;
   }
 }
 
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -61,6 +61,12 @@
 /** Calls of all gateways together per slot of a server, the waiting ones included. */
 const OVERCOMMIT = 3;
 
+/** Least time in ms without an answer that says something about a server. */
+const LEAST_SILENCE_MS = 350;
+
+/** Silence that says something about a server, in usual times of an answer. */
+const SILENCE_FACTOR = 1.5;
+
 /** Weight of the newest of the measured times. */
 const SMOOTHING = 0.1;
 
@@ -265,15 +271,6 @@
           type: 'refused', refusal: { code: 'outcome_unknown', message: outcome.message },
         };
       }
-      if (outcome.type === 'not_executed' && handle !== null) {
-        // The handle may be spent or gone; another prefill would read the prompt again.
-        handle = null;
-        if (attempt + 1 < route.maxAttempts) {
-          const second = await this.prefill(work, true);
-          if (second.type === 'refused') return second;
-          handle = second.handle;
-        }
-      }
       if (outcome.type === 'broken') last = { code: 'outcome_unknown', message: outcome.message };
       // A send that was not written reached nobody and is not an attempt.
       if (outcome.type === 'not_sent') attempt -= 1;
@@ -382,6 +379,12 @@
     trace.steps.push(`${step}@${Math.round(this.edges.clock.monotonic() - trace.arrivedAt)}`);
   }
 
+  /** Time in ms without any answer of a server after which it counts as silent. */
+  private silenceMs({ route, service }: Work, what: SendPlan['work']): number {
+    const usualMs = service.engine === null ? route.targetMs : this.prefillMs + this.decodeMs;
+    return Math.max(what.type === 'whole' ? route.targetMs : 0, LEAST_SILENCE_MS, SILENCE_FACTOR * usualMs);
+  }
+
   private mayRunTwice({ route }: Work): boolean {
     return route.kind === CallKind.Idempotent;
   }
@@ -402,15 +405,29 @@
       work: what,
     }, work.body);
     const stop = (): void => upstream.abort(String(work.ended.reason));
+    const probe = use.enter();
+    const sentAt = clock.monotonic();
+    const silence = clock.after(this.silenceMs(work, what), () => {
+      if (use.answeredAt >= sentAt) return;
+      use.silent();
+      // A prefill is not a run, and an idempotent call may run again.
+      if (what.type === 'prefill' || this.mayRunTwice(work)) upstream.abort('the server is silent');
+    });
     work.ended.addEventListener('abort', stop, { once: true });
     void upstream.closed.then(() => {
       entered.dispose();
+      probe.dispose();
       if (what.type === 'prefill') this.lines.get(work.service.name)?.pump();
       work.ended.removeEventListener('abort', stop);
     });
     const outcome = await upstream.outcome;
+    silence.dispose();
     if (outcome.type === 'answered') use.succeeded();
-    else if (!work.ended.aborted && outcome.type !== 'not_executed') use.failed(outcome.type === 'not_sent');
+    else if (outcome.type === 'not_executed') use.refused();
+    else if (!work.ended.aborted) {
+      if (outcome.type === 'not_sent') use.silent();
+      else use.refused();
+    }
     return { upstream, outcome };
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Authority } from '../core/authority.js';
 import { DisposableStore } from '../core/disposables.js';
@@ -69,6 +70,9 @@
 
 const EXIT_BEFORE_MS = 400;
 
+/** Tasks and calls that wait for the end of the process at the same time. */
+const MAX_TASKS = 200;
+
 const SMALL_LIMITS = { body: 1_024, connections: 1_024, headerTimeout: 3_000 };
 
 /** One process between callers and backend servers. */
@@ -166,6 +170,7 @@
       authority: this.authority,
       registry: this.registry,
       fleet: this.fleet,
+      occupancy: this.occupancy,
       engineServices: () => this.engineServices(),
     }, settings.gateway.name);
   }
@@ -193,6 +198,7 @@
     }
     if (callers.success) this.listener = callers.data;
     const { signal } = this.stop;
+    setMaxListeners(MAX_TASKS, signal);
     void Promise.all([
       this.membership.run(signal),
       this.configuration.run(signal),
--- a/src/gateway/rolekeeper.ts
+++ b/src/gateway/rolekeeper.ts
@@ -6,6 +6,7 @@
 import { sleep } from '../core/time.js';
 import type { Dialect } from './dialect.js';
 import type { FleetUse } from './fleet.js';
+import type { Occupancy } from './occupancy.js';
 import type { ServerRecord, ServerRegistry } from './servers.js';
 
 /** Share of a service's engines that decode; long prompts are prefilled on the others. */
@@ -30,15 +31,19 @@
 }
 
 /**
- * Changes that give a service its division of roles. Engines change to decoding only where fewer than half of the
- * decoders are left, because a change takes an engine out of service for seconds.
+ * Changes that give a service its division of roles. A change takes an engine out of service until its streams have
+ * ended and for seconds more, so only engines without work are changed, and to decoding only where fewer than half of
+ * the decoders are left.
  */
-export function planRoles(servers: readonly ServerRecord[]): readonly RoleChange[] {
+export function planRoles(
+  servers: readonly ServerRecord[],
+  unused: (server: ServerRecord) => boolean,
+): readonly RoleChange[] {
   const decoders = servers.filter(({ role }) => role === Role.Decode);
   const prefillers = servers.filter(({ role }) => role === Role.Prefill);
   const wanted = Math.max(LEAST_DECODERS, Math.round((decoders.length + prefillers.length) * DECODE_SHARE));
   if (decoders.length > wanted) {
-    return decoders.slice(wanted).map((server) => ({ server, role: Role.Prefill }));
+    return decoders.filter(unused).slice(0, decoders.length - wanted).map((server) => ({ server, role: Role.Prefill }));
   }
   if (decoders.length * 2 < wanted) {
     return prefillers.slice(0, wanted - decoders.length).map((server) => ({ server, role: Role.Decode }));
@@ -55,6 +60,7 @@
   readonly authority: Authority;
   readonly registry: ServerRegistry;
   readonly fleet: FleetUse;
+  readonly occupancy: Occupancy;
   /** Services whose servers are engines, or `null` before the first configuration. */
   readonly engineServices: () => readonly string[];
 }
@@ -77,7 +83,10 @@
   }
 
   private async settle(service: string, term: number): Promise<void> {
-    const changes = planRoles(this.edges.registry.available(service));
+    const changes = planRoles(this.edges.registry.available(service), ({ id }) => {
+      const { prefills, others } = this.edges.occupancy.total(id);
+      return prefills + others === 0;
+    });
     await Promise.all(changes.filter(({ server }) => this.due(server)).map((change) => this.change(change, term)));
   }
 
