--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 
 export default [
-  { ignores: ['dist', 'node_modules', 'coverage'] },
+  { ignores: ['dist', 'target', 'node_modules', 'coverage', 'journal'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -67,6 +67,11 @@
 /** Silence that says something about a server, in usual times of an answer. */
 const SILENCE_FACTOR = 1.5;
 
+/** The same for plain services, whose work takes several times its target now and then. */
+const PLAIN_SILENCE_MS = 700;
+
+const PLAIN_SILENCE_FACTOR = 2.5;
+
 /** Weight of the newest of the measured times. */
 const SMOOTHING = 0.1;
 
@@ -381,7 +386,8 @@
 
   /** Time in ms without any answer of a server after which it counts as silent. */
   private silenceMs({ route, service }: Work, what: SendPlan['work']): number {
-    const usualMs = service.engine === null ? route.targetMs : this.prefillMs + this.decodeMs;
+    if (service.engine === null) return Math.max(PLAIN_SILENCE_MS, PLAIN_SILENCE_FACTOR * route.targetMs);
+    const usualMs = this.prefillMs + this.decodeMs;
     return Math.max(what.type === 'whole' ? route.targetMs : 0, LEAST_SILENCE_MS, SILENCE_FACTOR * usualMs);
   }
 
--- a/src/gateway/waitingline.ts
+++ b/src/gateway/waitingline.ts
@@ -52,6 +52,9 @@
 /** Time in ms over which the rate of placed calls is measured. */
 const RATE_WINDOW_MS = 1_000;
 
+/** Share of the places that late calls are expected to get once a crest has passed, whatever they get now. */
+const LEAST_LATE_SHARE = 0.1;
+
 const SWEEP_MS = 20;
 
 /**
@@ -62,7 +65,7 @@
 export class WaitingLine implements Disposable {
   private entries: Entry[] = [];
 
-  private placedAt: number[] = [];
+  private readonly placed: { readonly at: number; readonly late: boolean }[] = [];
 
   private timer: Disposable | null = null;
 
@@ -100,7 +103,7 @@
       const chosen = places.length === 0 ? null : this.choose(places);
       if (chosen === null) break;
       this.entries = this.entries.filter((other) => other !== chosen.entry);
-      this.notePlaced();
+      this.notePlaced(chosen.entry);
       chosen.entry.settle(ok({ server: chosen.server, held: this.edges.take(chosen.server) }));
     }
     this.refuseHopeless();
@@ -136,18 +139,24 @@
     return { entry: away, server: idle };
   }
 
-  private notePlaced(): void {
+  private notePlaced({ targetAt }: Entry): void {
     const now = this.edges.clock.monotonic();
-    this.placedAt.push(now);
-    while ((this.placedAt[0] ?? now) < now - RATE_WINDOW_MS) this.placedAt.shift();
+    this.placed.push({ at: now, late: now > targetAt });
+  }
+
+  /** Late calls per ms that get a place, after those that are still on time. */
+  private lateRate(): number {
+    const since = this.edges.clock.monotonic() - RATE_WINDOW_MS;
+    while ((this.placed[0]?.at ?? Infinity) < since) this.placed.shift();
+    const late = this.placed.filter((placed) => placed.late).length;
+    return Math.max(1, late, this.placed.length * LEAST_LATE_SHARE) / RATE_WINDOW_MS;
   }
 
   /** Refuses the late calls that the line will not reach before their time is over, the last first. */
   private refuseHopeless(): void {
     const now = this.edges.clock.monotonic();
-    while ((this.placedAt[0] ?? now) < now - RATE_WINDOW_MS) this.placedAt.shift();
-    const perMs = Math.max(1, this.placedAt.length) / RATE_WINDOW_MS;
-    let ahead = this.entries.filter(({ targetAt }) => now <= targetAt).length;
+    const perMs = this.lateRate();
+    let ahead = 0;
     const kept: Entry[] = [];
     const refused: Entry[] = [];
     for (const entry of this.entries) {
--- /dev/null
+++ b/test/forwardingdecisions.test.ts
@@ -0,0 +1,190 @@
+import { describe, expect, it } from 'vitest';
+import { Role } from '../src/core/edges.js';
+import { SimulatedClock } from '../src/emulator/clock.js';
+import { CallKind, chooseDestination, RouteTable } from '../src/gateway/configuration.js';
+import type { Route } from '../src/gateway/configuration.js';
+import { ConnectionPool } from '../src/gateway/connections.js';
+import { ServerUse } from '../src/gateway/fleet.js';
+import { homesOf, pickLeastOccupied, withRole } from '../src/gateway/placement.js';
+import type { Candidate } from '../src/gateway/placement.js';
+import { planRoles } from '../src/gateway/rolekeeper.js';
+import { ServerRegistry } from '../src/gateway/servers.js';
+import type { ServerRecord } from '../src/gateway/servers.js';
+
+function route(name: string, pathPrefix: string, destinations = [{ service: 'ledger', weight: 1 }]): Route {
+  return {
+    name,
+    host: 'shop.example',
+    pathPrefix,
+    kind: CallKind.Idempotent,
+    timeoutMs: 1_000,
+    targetMs: 100,
+    maxAttempts: 1,
+    priority: 0,
+    resumable: false,
+    destinations,
+  };
+}
+
+function server(id: string, changes: Partial<ServerRecord> = {}): ServerRecord {
+  return {
+    id,
+    bornAt: 1,
+    service: 'ledger',
+    address: '127.0.0.1:1',
+    failureDomain: 'regina',
+    slots: 6,
+    draining: false,
+    role: null,
+    models: [],
+    ...changes,
+  };
+}
+
+function candidate(id: string, open: number, changes: Partial<Candidate> = {}): Candidate {
+  return {
+    record: server(id), open, limit: 10, suspect: false, ...changes,
+  };
+}
+
+describe('RouteTable', () => {
+  const table = new RouteTable({
+    version: 1,
+    routes: [route('short', '/a/'), route('long', '/a/b/'), { ...route('other', '/a/b/c/'), host: 'other.example' }],
+    services: new Map(),
+    limits: {
+      headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+    },
+  });
+
+  // Guards against a split route whose calls go to the service of the shorter prefix.
+  it('takes the longest prefix of the host, whatever its port and case', () => {
+    expect(table.find('shop.example', '/a/b/c/d?x=/')?.name).toBe('long');
+    expect(table.find('SHOP.example:8000', '/a/x')?.name).toBe('short');
+  });
+
+  it('finds nothing for another host, or a path that only resembles a prefix', () => {
+    expect(table.find('nowhere.example', '/a/b/')).toBeNull();
+    expect(table.find('shop.example', '/a')).toBeNull();
+    expect(table.find('shop.example', '/?/a/b/')).toBeNull();
+  });
+
+  it('divides calls between destinations by their weights', () => {
+    const split = route('split', '/a/', [{ service: 'x', weight: 90 }, { service: 'y', weight: 10 }]);
+    expect([0, 0.89, 0.91, 0.999].map((draw) => chooseDestination(split, draw))).toEqual(['x', 'x', 'y', 'y']);
+    expect(chooseDestination(route('none', '/a/', []), 0.5)).toBeNull();
+  });
+});
+
+describe('placement', () => {
+  const draw = (): number => 0;
+
+  // Guards against work at servers that are full or failing while another one has room.
+  it('takes the least occupied server that works', () => {
+    const all = [
+      candidate('a', 3), candidate('b', 1, { suspect: true }), candidate('c', 2), candidate('d', 0, { limit: 0 }),
+    ];
+    expect(pickLeastOccupied(all, 'brandon', draw)?.record.id).toBe('c');
+    expect(pickLeastOccupied([all[1]!], 'brandon', draw)?.record.id).toBe('b');
+    expect(pickLeastOccupied([all[3]!], 'brandon', draw)).toBeNull();
+  });
+
+  it('prefers its own failure domain among equals', () => {
+    const near = { ...candidate('b', 2), record: server('b', { failureDomain: 'brandon' }) };
+    expect(pickLeastOccupied([candidate('a', 2), near], 'brandon', draw)?.record.id).toBe('b');
+  });
+
+  // Guards against a fleet that reads all shared parts again when one engine comes or goes.
+  it('moves only the parts of an engine that leaves', () => {
+    const all = ['a', 'b', 'c', 'd'].map((id) => candidate(id, 0));
+    const parts = Array.from({ length: 200 }, (_, index) => `part${index}`);
+    const before = parts.map((part) => homesOf(all, part, 1)[0]);
+    const after = parts.map((part) => homesOf(all.slice(0, 3), part, 1)[0]);
+    expect(parts.filter((_, index) => before[index] !== 'd' && before[index] !== after[index])).toEqual([]);
+    expect(new Set(before).size).toBe(4);
+  });
+
+  it('leaves engines of another role out', () => {
+    const decoder = { ...candidate('a', 0), record: server('a', { role: Role.Decode }) };
+    expect(withRole([decoder, candidate('b', 0)], Role.Prefill).map(({ record }) => record.id)).toEqual(['b']);
+  });
+});
+
+describe('planRoles', () => {
+  const engines = (prefill: number, decode: number): ServerRecord[] => [
+    ...Array.from({ length: prefill }, (_, index) => server(`p${index}`, { role: Role.Prefill })),
+    ...Array.from({ length: decode }, (_, index) => server(`d${index}`, { role: Role.Decode })),
+  ];
+
+  it('turns decoders over the share into prefillers', () => {
+    const changes = planRoles(engines(3, 7), () => true);
+    expect(changes.map(({ role }) => role)).toEqual([Role.Prefill, Role.Prefill, Role.Prefill]);
+  });
+
+  // Guards against engines that refuse everything for the time that their streams still run.
+  it('changes no engine that has work', () => {
+    expect(planRoles(engines(3, 7), ({ id }) => id === 'd6').map(({ server: { id } }) => id)).toEqual(['d6']);
+  });
+
+  it('restores decoders only when fewer than half are left', () => {
+    expect(planRoles(engines(8, 2), () => true)).toEqual([]);
+    const restored = planRoles(engines(9, 1), () => true).map(({ role }) => role);
+    expect(restored).toEqual([Role.Decode, Role.Decode, Role.Decode]);
+  });
+});
+
+describe('ServerUse', () => {
+  function use() {
+    const clock = new SimulatedClock();
+    return { clock, use: new ServerUse(new ConnectionPool('127.0.0.1:1'), clock) };
+  }
+
+  // Guards against a server that refuses everything, has no open calls for that reason and so gets all of them.
+  it('is avoided after two refusals, longer each time, and tried by one call', async () => {
+    const { clock, use: engine } = use();
+    engine.refused();
+    expect(engine.suspect).toBe(false);
+    engine.refused();
+    expect(engine.suspect).toBe(true);
+    await clock.advance(101);
+    expect(engine.suspect).toBe(false);
+    const probe = engine.enter();
+    expect(engine.suspect).toBe(true);
+    probe.dispose();
+    engine.refused();
+    await clock.advance(150);
+    expect(engine.suspect).toBe(true);
+    engine.succeeded();
+    expect(engine.suspect).toBe(false);
+  });
+
+  it('is avoided at once when it is silent', () => {
+    const { use: engine } = use();
+    engine.silent();
+    expect(engine.suspect).toBe(true);
+  });
+});
+
+describe('ServerRegistry', () => {
+  // Guards against a store outage that takes every server out, although all of them register again.
+  it('keeps what is missing after an outage of discovery until it had time to return', async () => {
+    const clock = new SimulatedClock();
+    const registry = new ServerRegistry(clock);
+    registry.replace([server('a'), server('b')]);
+    registry.discoveryReturned();
+    registry.replace([]);
+    expect(registry.available('ledger')).toHaveLength(2);
+    await clock.advance(1_000);
+    registry.put(server('a'));
+    await clock.advance(1_500);
+    expect(registry.available('ledger').map(({ id }) => id)).toEqual(['a']);
+  });
+
+  it('takes draining and removed servers out at once otherwise', () => {
+    const registry = new ServerRegistry(new SimulatedClock());
+    registry.replace([server('a'), server('b')]);
+    registry.put(server('a', { draining: true }));
+    registry.remove('b');
+    expect(registry.available('ledger')).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/gateway.test.ts
@@ -0,0 +1,348 @@
+import { Agent, request as httpRequest } from 'node:http';
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
+import { connect } from 'node:net';
+import {
+  afterAll, beforeAll, beforeEach, describe, expect, it,
+} from 'vitest';
+import {
+  configuration, notExecuted, ServerStandIn, signed, startGateway, StoreStandIn,
+} from './support/platform.js';
+import type { Received, RunningGateway } from './support/platform.js';
+
+interface Answer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer ended before its end. */
+  readonly broken: boolean;
+  readonly tookMs: number;
+}
+
+let store: StoreStandIn;
+let gateway: RunningGateway;
+let first: ServerStandIn;
+let second: ServerStandIn;
+let behave: (res: ServerResponse, call: Received, server: string) => void = (res) => signed(res, 'done');
+
+async function until(condition: () => boolean | Promise<boolean>): Promise<void> {
+  for (let tries = 0; tries < 400; tries += 1) {
+    if (await condition()) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+  expect(await condition()).toBe(true);
+}
+
+const agent = new Agent({ keepAlive: true });
+
+let ids = 0;
+
+function ask(
+  path: string,
+  opts: { readonly method?: string; readonly headers?: Record<string, string>; readonly body?: string } = {},
+): Promise<Answer> {
+  const [host, port] = gateway.callers.split(':');
+  ids += 1;
+  const startedAt = performance.now();
+  return new Promise((resolve) => {
+    const req = httpRequest({
+      host,
+      port,
+      path,
+      agent,
+      method: opts.method ?? 'GET',
+      headers: { host: 'shop.example', 'catkinscale-request-id': `id${ids}`, ...opts.headers },
+    }, (res) => {
+      let body = '';
+      let broken = false;
+      res.setEncoding('utf8');
+      res.on('data', (chunk: string) => {
+        body += chunk;
+      });
+      res.on('error', () => {
+        broken = true;
+      });
+      res.on('close', () => resolve({
+        status: res.statusCode ?? 0,
+        headers: res.headers,
+        body,
+        broken: broken || !res.complete,
+        tookMs: performance.now() - startedAt,
+      }));
+    });
+    req.on('error', () => resolve({
+      status: 0, headers: {}, body: '', broken: true, tookMs: performance.now() - startedAt,
+    }));
+    req.end(opts.body);
+  });
+}
+
+async function readyStatus(): Promise<number> {
+  return fetch(`http://${gateway.readiness}/ready`).then(({ status }) => status, () => 0);
+}
+
+beforeAll(async () => {
+  store = new StoreStandIn();
+  await store.start();
+  first = new ServerStandIn('i-1', (res, call) => behave(res, call, 'i-1'));
+  second = new ServerStandIn('i-2', (res, call) => behave(res, call, 'i-2'));
+  await first.start();
+  await second.start();
+  gateway = await startGateway(store, 21_300);
+});
+
+afterAll(async () => {
+  await gateway.stop();
+  agent.destroy();
+  first.stop();
+  second.stop();
+  store.stop();
+});
+
+beforeEach(async () => {
+  behave = (res) => signed(res, 'done');
+  // Servers that a test has made suspect are used again.
+  store.put('servers/i-1', first.entry('ledger', { born: ids * 2 }));
+  store.put('servers/i-2', second.entry('ledger', { born: ids * 2 }));
+  store.put('op/config', configuration({}, ids + 1));
+  await until(async () => (await ask('/safe/warm-up')).status === 200 && (await ask('/safe/warm-up')).status === 200);
+  await until(() => {
+    const { list } = gateway.gateway.dump().servers as { list: readonly { bornAt: number }[] };
+    return list.every(({ bornAt }) => bornAt === list[0]?.bornAt);
+  });
+  first.received.length = 0;
+  second.received.length = 0;
+});
+
+function runs(): number {
+  return first.received.length + second.received.length;
+}
+
+describe('a call', () => {
+  it('reaches a server unchanged, and its answer the caller', async () => {
+    behave = (res, call) => {
+      res.setHeader('X-Own', 'kept');
+      signed(res, `${call.method} ${call.url} ${call.body}`);
+    };
+    const answer = await ask('/order/a%2Fb?x=1', { method: 'POST', body: 'crate', headers: { 'catkinscale-deadline-ms': '500' } });
+    expect(answer).toMatchObject({ status: 200, body: 'POST /order/a%2Fb?x=1 crate' });
+    expect(answer.headers).toMatchObject({ 'x-own': 'kept', 'catkinscale-server-signature': 's1' });
+    const { headers } = [...first.received, ...second.received][0]!;
+    expect(headers['catkinscale-expect-instance']).toMatch(/^i-[12]$/);
+    expect(Number(headers['catkinscale-deadline-ms'])).toBeLessThanOrEqual(500);
+  });
+
+  it('is 404 without a route, 400 without an id and 413 with too large a body', async () => {
+    expect((await ask('/nowhere/')).status).toBe(404);
+    expect((await ask('/safe/', { headers: { 'catkinscale-request-id': '' } })).status).toBe(200);
+    expect((await ask('/order/', { method: 'POST', body: 'x'.repeat(5_000) })).status).toBe(413);
+  });
+
+  // Guards against answers that are held until the caller has given up.
+  it('has its final answer at the time-out of its route', async () => {
+    behave = () => {};
+    const answer = await ask('/order/slow', { method: 'POST', body: 'x' });
+    expect(answer.status).toBe(504);
+    expect(answer.tookMs).toBeGreaterThan(550);
+    expect(answer.tookMs).toBeLessThan(900);
+  });
+
+  // Guards against work for callers that have left.
+  it('is given up at the server when its caller leaves', async () => {
+    behave = () => {};
+    const [host, port] = gateway.callers.split(':');
+    const socket = connect(Number(port), host);
+    socket.write('GET /safe/x HTTP/1.1\r\nHost: shop.example\r\nCatkinscale-Request-Id: gone\r\n\r\n');
+    await until(() => runs() === 1);
+    socket.destroy();
+    await until(() => [...first.received, ...second.received].every(({ aborted }) => aborted));
+  });
+});
+
+describe('a call that may run once', () => {
+  // Guards against bookings that run twice.
+  it('is not sent again after its connection broke, and its answer promises nothing', async () => {
+    behave = (res) => res.destroy();
+    expect((await ask('/order/x', { method: 'POST', body: 'x' })).status).toBe(502);
+    expect(runs()).toBe(1);
+  });
+
+  it('is sent to another server where the first states that it did not run', async () => {
+    behave = (res, _call, server) => {
+      if (first.received.length + second.received.length === 1) notExecuted(res);
+      else signed(res, server);
+    };
+    expect((await ask('/order/x', { method: 'POST', body: 'x' })).status).toBe(200);
+    expect(runs()).toBe(2);
+  });
+
+  it('is refused with the promise only where no server ran it', async () => {
+    behave = (res) => notExecuted(res);
+    const answer = await ask('/order/x', { method: 'POST', body: 'x' });
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+  });
+
+  // Guards against a promise that the server did not make.
+  it('is 502 after a 503 without that statement', async () => {
+    behave = (res) => signed(res, 'busy', 503);
+    expect((await ask('/order/x', { method: 'POST', body: 'x' })).status).toBe(502);
+    expect(runs()).toBe(1);
+  });
+});
+
+describe('a call that may run again', () => {
+  it('is sent to another server after a failure', async () => {
+    behave = (res) => (runs() === 1 ? res.destroy() : signed(res, 'second'));
+    expect(await ask('/safe/x')).toMatchObject({ status: 200, body: 'second' });
+    expect(new Set([first.received.length, second.received.length])).toEqual(new Set([1]));
+  });
+
+  it('is sent to no more servers than its route allows', async () => {
+    behave = (res) => signed(res, 'failed', 500);
+    expect((await ask('/safe/x')).status).toBe(500);
+    expect(runs()).toBe(2);
+  });
+});
+
+describe('an answer', () => {
+  // Guards against a success without the server's word for it.
+  it('without a signature is no success', async () => {
+    behave = (res) => res.writeHead(200, { 'Content-Length': 2 }).end('ok');
+    expect((await ask('/order/x', { method: 'POST', body: 'x' })).status).toBe(502);
+  });
+
+  // Guards against the answer of another call that arrives on the same connection.
+  it('with another id is not the answer', async () => {
+    behave = (res) => {
+      res.setHeader('Catkinscale-Request-Id', 'other');
+      signed(res, 'of another call');
+    };
+    expect((await ask('/order/x', { method: 'POST', body: 'x' })).status).toBe(502);
+  });
+
+  // Guards against the terminator of a chunked answer that the server never sent.
+  it('in chunks that ends with a close does not look complete', async () => {
+    behave = (res) => {
+      res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', Connection: 'close' });
+      res.write('half');
+      setTimeout(() => res.socket?.end(), 20);
+    };
+    expect(await ask('/safe/x')).toMatchObject({ status: 200, body: 'half', broken: true });
+  });
+
+  it('without length that is reset does not look complete', async () => {
+    behave = (res) => {
+      res.shouldKeepAlive = false;
+      res.useChunkedEncodingByDefault = false;
+      res.writeHead(200, { 'Catkinscale-Server-Signature': 's1' });
+      res.write('half');
+      setTimeout(() => res.socket?.resetAndDestroy(), 20);
+    };
+    expect(await ask('/safe/x')).toMatchObject({ broken: true });
+  });
+
+  it('without length stays without length', async () => {
+    behave = (res) => {
+      res.shouldKeepAlive = false;
+      res.useChunkedEncodingByDefault = false;
+      res.writeHead(200, { 'Catkinscale-Server-Signature': 's1' });
+      res.end('whole');
+    };
+    const answer = await ask('/safe/x');
+    expect(answer).toMatchObject({ status: 200, body: 'whole', broken: false });
+    expect(answer.headers['transfer-encoding']).toBeUndefined();
+  });
+
+  it('of a stream is passed on event by event', async () => {
+    behave = (res) => {
+      res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', 'Content-Type': 'text/event-stream' });
+      res.write('id: 1\n\n');
+      setTimeout(() => res.end('id: 2\n\n'), 150);
+    };
+    const answer = await ask('/talk/x', { method: 'POST', body: '{}' });
+    expect(answer).toMatchObject({ status: 200, body: 'id: 1\n\nid: 2\n\n', broken: false });
+  });
+});
+
+describe('the configuration', () => {
+  it('is followed, and removed routes are 404', async () => {
+    const reduced = JSON.parse(configuration({}, ids + 10_000)) as { routes: object[] };
+    store.put('op/config', JSON.stringify({ ...reduced, routes: reduced.routes.slice(1) }));
+    await until(async () => (await ask('/safe/x')).status === 404);
+    ids += 10_001;
+  });
+
+  // Guards against a configuration that can't be read and takes the one in force away.
+  it('stays in force where a new one can not be read', async () => {
+    store.put('op/config', '{"version":');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+    expect((await ask('/safe/x')).status).toBe(200);
+  });
+});
+
+describe('a gateway', () => {
+  it('names its address to callers, and shows metrics and its state', async () => {
+    const answer = await fetch(`http://${gateway.directory}/resolve?name=x&region=r&zone=z`);
+    expect(await answer.json()).toEqual({ addresses: [gateway.callers], 'ttl-s': 0.1 });
+    expect(await readyStatus()).toBe(200);
+    const metrics = await fetch(`http://${gateway.metrics}/metrics`).then((res) => res.text());
+    expect(metrics).toContain('catkinscale_forwarded_total');
+    const dump = await fetch(`http://${gateway.metrics}/dump`).then((res) => res.json()) as object;
+    expect(dump).toHaveProperty('servers.list');
+  });
+
+  // Guards against a process that claims to be ready before it can serve, and refuses in a way that is final.
+  it('is not ready without a configuration, and then refuses with 503', async () => {
+    const empty = new StoreStandIn();
+    await empty.start();
+    const starting = await startGateway(empty, 21_310);
+    const ready = await fetch(`http://${starting.readiness}/ready`);
+    expect(ready.status).toBe(503);
+    const call = await fetch(`http://${starting.callers}/safe/x`, { headers: { 'catkinscale-request-id': 'x' } });
+    expect(call.status).toBe(503);
+    await starting.stop();
+    empty.stop();
+  });
+
+  // Guards against a process that knows nothing because the store is away when it starts.
+  it('learns everything from another one while the store is away', async () => {
+    const away = new StoreStandIn();
+    await away.start();
+    away.fault = (_req, res) => {
+      res.writeHead(503).end();
+      return true;
+    };
+    const starting = await startGateway(away, 21_320, ['127.0.0.1:21302']);
+    await until(async () => (await fetch(`http://${starting.readiness}/ready`)).status === 200);
+    const call = await fetch(`http://${starting.callers}/safe/x`, {
+      headers: { host: 'shop.example', 'catkinscale-request-id': 'peer' },
+    }).catch(() => null);
+    expect(call).not.toBeNull();
+    await starting.stop();
+    away.stop();
+  });
+
+  it('finishes what runs when it stops, and is not ready from the first moment', async () => {
+    const other = await startGateway(store, 21_330);
+    await until(async () => (await fetch(`http://${other.readiness}/ready`)).status === 200);
+    behave = (res) => setTimeout(() => signed(res, 'late'), 400);
+    const [host, port] = other.callers.split(':');
+    const running = new Promise<number>((resolve, reject) => {
+      httpRequest({
+        host, port, path: '/safe/x', headers: { host: 'shop.example', 'catkinscale-request-id': 'drained' },
+      }, (res) => {
+        res.resume();
+        res.on('close', () => resolve(res.complete ? res.statusCode ?? 0 : 0));
+      }).on('error', reject).end();
+    });
+    await until(() => runs() === 1);
+    const stopped = other.stop();
+    expect((await fetch(`http://${other.readiness}/ready`)).status).toBe(503);
+    expect(await running).toBe(200);
+    await stopped;
+  });
+});
