Split forwarding from placing, and let whole calls wait for a slot of a decoder

Change: a gateway keeps two slots of each decoder for continuations, lets whole calls wait in a line of their own, prefills only where a decoder has room, and replaces decoders that are missing for longer than a crash lasts.

--- /dev/null
+++ b/src/gateway/delivery.ts
@@ -0,0 +1,73 @@
+import type { Clock } from '../core/edges.js';
+import type { AnswerHead } from './dialect.js';
+import type { Refusal } from './outcome.js';
+import type { Upstream } from './upstream.js';
+import type { Delivery, Work } from './work.js';
+
+/** Statuses that promise that a call did not run; only this system gives them, and only where it is certain. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+function unusable(head: AnswerHead): string | null {
+  if (head.status < 300 && !head.signed) return 'unsigned success';
+  if (PROMISING_STATUSES.has(head.status)) return `status ${head.status} without its promise`;
+  return null;
+}
+
+/** Passes an answer on to the caller as it arrives; one that breaks off does not look complete. */
+export function deliver(
+  { res, trace }: Work,
+  upstream: Upstream,
+  head: AnswerHead,
+  clock: Clock,
+  brokenBefore: (message: string) => Delivery,
+): Promise<Delivery> {
+  const problem = unusable(head);
+  if (problem !== null) {
+    upstream.abort(problem);
+    const refusal: Refusal = { code: 'outcome_unknown', message: problem };
+    return Promise.resolve({ type: 'refused', refusal });
+  }
+  return new Promise((resolve) => {
+    let pieceAt = 0;
+    const onDrain = (): void => upstream.resume();
+    const begin = (): void => {
+      if (res.headersSent || res.destroyed) return;
+      if (head.endsWithConnection) {
+        // The caller must see that nothing but the close vouches for the end.
+        res.shouldKeepAlive = false;
+        res.useChunkedEncodingByDefault = false;
+      }
+      res.writeHead(head.status, [...head.headers]);
+    };
+    const finish = (delivery: Delivery): void => {
+      res.off('drain', onDrain);
+      resolve(delivery);
+    };
+    res.on('drain', onDrain);
+    upstream.read({
+      push: (chunk) => {
+        const now = clock.monotonic();
+        if (trace.firstMs === null) trace.firstMs = now - trace.arrivedAt;
+        else trace.pauseMs = Math.max(trace.pauseMs, now - pieceAt);
+        pieceAt = now;
+        begin();
+        return res.destroyed || res.write(chunk);
+      },
+      end: () => {
+        begin();
+        res.end();
+        finish({ type: 'delivered', status: head.status });
+      },
+      failed: (message) => {
+        if (!res.headersSent) {
+          finish(brokenBefore(message));
+          return;
+        }
+        // A plain close would make an answer without length look complete.
+        if (head.endsWithConnection) res.socket?.resetAndDestroy();
+        res.destroy();
+        finish({ type: 'cut', reason: message });
+      },
+    });
+  });
+}
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -87,12 +87,12 @@
   /** Servers of a service that take work; `limit` is the most calls that may be open at one. */
   public candidates(
     service: string,
-    kind: keyof OpenCalls,
+    open: (calls: OpenCalls) => number,
     limit: (record: ServerRecord) => number,
   ): readonly Candidate[] {
     return this.registry.available(service).map((record) => ({
       record,
-      open: this.occupancy.total(record.id)[kind],
+      open: open(this.occupancy.total(record.id)),
       limit: limit(record),
       suspect: this.of(record).suspect,
     }));
@@ -108,6 +108,11 @@
     return use;
   }
 
+  /** The server that is registered under an id, or `null`. */
+  public record(id: string): ServerRecord | null {
+    return this.registry.get(id);
+  }
+
   /** Use of the server that is registered at an address, or `null`. */
   public byAddress(address: string): ServerUse | null {
     const record = this.registry.all().find((candidate) => candidate.address === address);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -157,14 +157,14 @@
       seeds,
       returned: () => this.registry.discoveryReturned(),
     });
-    this.forwarder = new Forwarder({
+    this.forwarder = this.disposables.add(new Forwarder({
       ...edges,
       fleet: this.fleet,
       routes: () => this.routes,
       budget: (service) => this.budget(service),
       occupancy: this.occupancy,
       knowledgeAgeMs: () => this.servers.ageMs(),
-    }, { failureDomain: settings.gateway.failureDomain, transitMs: TRANSIT_MS });
+    }, { failureDomain: settings.gateway.failureDomain, transitMs: TRANSIT_MS }));
     this.roles = new RoleKeeper({
       ...edges,
       authority: this.authority,
--- a/src/gateway/occupancy.ts
+++ b/src/gateway/occupancy.ts
@@ -8,8 +8,10 @@
 export interface OpenCalls {
   /** Prefills of long prompts. */
   readonly prefills: number;
-  /** Every other call. */
-  readonly others: number;
+  /** Calls that go on from a prefill elsewhere. */
+  readonly continuations: number;
+  /** Calls that the server works on from their beginning to their end. */
+  readonly wholes: number;
 }
 
 /** Carries small messages that may be lost to the other gateways. */
@@ -32,13 +34,18 @@
 
 const METHOD = 'occupancy';
 
+/** Servers in one message. */
+const MAX_SERVERS = 2_000;
+
+const countSchema = z.number().int().nonnegative();
+
 const messageSchema = z.object({
   method: z.literal(METHOD),
   params: z.object({
     from: z.string(),
     sequence: z.number(),
-    /** Server ids with their prefills and other calls. */
-    open: z.array(z.tuple([z.string(), z.number().int().nonnegative(), z.number().int().nonnegative()])).max(2_000),
+    /** Server ids with their prefills, continuations and whole calls. */
+    open: z.array(z.tuple([z.string(), countSchema, countSchema, countSchema])).max(MAX_SERVERS),
   }),
 });
 
@@ -48,7 +55,7 @@
   readonly open: ReadonlyMap<string, OpenCalls>;
 }
 
-const NONE: OpenCalls = { prefills: 0, others: 0 };
+const NONE: OpenCalls = { prefills: 0, continuations: 0, wholes: 0 };
 
 function safeJson(text: string): unknown {
   try {
@@ -60,7 +67,7 @@
 
 /** Calls open at each backend server, of this gateway and, a few ms late, of the others. */
 export class Occupancy {
-  private readonly own = new Map<string, { prefills: number; others: number }>();
+  private readonly own = new Map<string, { -readonly [Kind in keyof OpenCalls]: number }>();
 
   private readonly peers = new Map<string, PeerTable>();
 
@@ -79,25 +86,27 @@
   /** Calls open at a server, all gateways together. */
   public total(server: string): OpenCalls {
     const now = this.edges.clock.monotonic();
-    let { prefills, others } = this.own.get(server) ?? NONE;
+    let { prefills, continuations, wholes } = this.own.get(server) ?? NONE;
     for (const { receivedAt, open } of this.peers.values()) {
       const calls = now - receivedAt < EXPIRY_MS ? open.get(server) : undefined;
       prefills += calls?.prefills ?? 0;
-      others += calls?.others ?? 0;
+      continuations += calls?.continuations ?? 0;
+      wholes += calls?.wholes ?? 0;
     }
-    return { prefills, others };
+    return { prefills, continuations, wholes };
   }
 
   /** Counts a call until the returned handle is disposed. */
   public enter(server: string, kind: keyof OpenCalls): Disposable {
-    const calls = this.own.get(server) ?? { prefills: 0, others: 0 };
+    const calls = this.own.get(server) ?? { ...NONE };
     this.own.set(server, calls);
     calls[kind] += 1;
     this.changed = true;
     return {
       dispose: () => {
         calls[kind] -= 1;
-        if (calls.prefills === 0 && calls.others === 0 && this.own.get(server) === calls) this.own.delete(server);
+        const unused = calls.prefills + calls.continuations + calls.wholes === 0;
+        if (unused && this.own.get(server) === calls) this.own.delete(server);
         this.changed = true;
       },
     };
@@ -137,7 +146,7 @@
   private broadcast(): void {
     const { members, datagrams } = this.edges;
     this.sequence += 1;
-    const open = [...this.own].map(([server, { prefills, others }]) => [server, prefills, others]);
+    const open = [...this.own].map(([server, calls]) => [server, calls.prefills, calls.continuations, calls.wholes]);
     const message = JSON.stringify(createJSONRPCNotification(METHOD, {
       from: members.self().id, sequence: this.sequence, open,
     }));
@@ -154,7 +163,9 @@
     this.peers.set(from, {
       sequence,
       receivedAt: this.edges.clock.monotonic(),
-      open: new Map(open.map(([server, prefills, others]) => [server, { prefills, others }])),
+      open: new Map(open.map(([server, prefills, continuations, wholes]) => (
+        [server, { prefills, continuations, wholes }]
+      ))),
     });
     for (const listener of this.listeners) listener();
   }
--- a/src/gateway/rolekeeper.ts
+++ b/src/gateway/rolekeeper.ts
@@ -14,6 +14,9 @@
 
 const LEAST_DECODERS = 2;
 
+/** Time in ms for which decoders are missing before others take their place; a crashed one is back sooner. */
+const LACK_MS = 2_500;
+
 /** Time in ms between two looks at the roles. */
 const PERIOD_MS = 500;
 
@@ -30,25 +33,31 @@
   readonly role: Role.Prefill | Role.Decode;
 }
 
+function wantedDecoders(servers: readonly ServerRecord[]): number {
+  const engines = servers.filter(({ role }) => role === Role.Decode || role === Role.Prefill).length;
+  return Math.max(LEAST_DECODERS, Math.round(engines * DECODE_SHARE));
+}
+
 /**
  * Changes that give a service its division of roles. A change takes an engine out of service until its streams have
- * ended and for seconds more, so only engines without work are changed, and to decoding only where fewer than half of
- * the decoders are left.
+ * ended and for seconds more, so only decoders without work are changed, and prefillers only where decoders have been
+ * missing for `lackedMs`.
  */
 export function planRoles(
   servers: readonly ServerRecord[],
   unused: (server: ServerRecord) => boolean,
+  lackedMs: number,
 ): readonly RoleChange[] {
   const decoders = servers.filter(({ role }) => role === Role.Decode);
   const prefillers = servers.filter(({ role }) => role === Role.Prefill);
-  const wanted = Math.max(LEAST_DECODERS, Math.round((decoders.length + prefillers.length) * DECODE_SHARE));
+  const wanted = wantedDecoders(servers);
   if (decoders.length > wanted) {
     return decoders.filter(unused).slice(0, decoders.length - wanted).map((server) => ({ server, role: Role.Prefill }));
   }
-  if (decoders.length * 2 < wanted) {
-    return prefillers.slice(0, wanted - decoders.length).map((server) => ({ server, role: Role.Decode }));
-  }
-  return [];
+  const missing = lackedMs < LACK_MS ? 0 : wanted - decoders.length;
+  // One engine that prefills stays, whatever else is missing.
+  const most = Math.max(0, prefillers.length - 1);
+  return prefillers.slice(0, Math.min(missing, most)).map((server) => ({ server, role: Role.Decode }));
 }
 
 /** Edges of {@link RoleKeeper}. */
@@ -69,6 +78,8 @@
 export class RoleKeeper {
   private readonly orderedAt = new Map<string, number>();
 
+  private readonly lackingSince = new Map<string, number>();
+
   public constructor(private readonly edges: RoleKeeperEdges, private readonly holder: string) {}
 
   public async run(signal: AbortSignal): Promise<void> {
@@ -84,12 +95,25 @@
 
   private async settle(service: string, term: number): Promise<void> {
     const changes = planRoles(this.edges.registry.available(service), ({ id }) => {
-      const { prefills, others } = this.edges.occupancy.total(id);
-      return prefills + others === 0;
-    });
+      const { prefills, continuations, wholes } = this.edges.occupancy.total(id);
+      return prefills + continuations + wholes === 0;
+    }, this.lackedMs(service));
     await Promise.all(changes.filter(({ server }) => this.due(server)).map((change) => this.change(change, term)));
   }
 
+  /** Time in ms for which a service has had fewer decoders than it should. */
+  private lackedMs(service: string): number {
+    const servers = this.edges.registry.available(service);
+    const now = this.edges.clock.monotonic();
+    if (servers.filter(({ role }) => role === Role.Decode).length >= wantedDecoders(servers)) {
+      this.lackingSince.delete(service);
+      return 0;
+    }
+    const since = this.lackingSince.get(service) ?? now;
+    this.lackingSince.set(service, since);
+    return now - since;
+  }
+
   private due({ id }: ServerRecord): boolean {
     const at = this.orderedAt.get(id);
     return at === undefined || this.edges.clock.monotonic() - at > SETTLE_MS;
--- /dev/null
+++ b/src/gateway/work.ts
@@ -0,0 +1,47 @@
+import type { ServerResponse } from 'node:http';
+import type { ForwardingService, Route } from './configuration.js';
+import type { Call } from './dialect.js';
+import type { Refusal } from './outcome.js';
+
+/** Counts and findings of one call, for its log line; times in ms. */
+export interface Trace {
+  readonly arrivedAt: number;
+  /** Sends that count against the retry budget once there is more than one. */
+  arrivals: number;
+  readonly steps: string[];
+  /** Time from the arrival to the first bytes of the answer's body. */
+  firstMs: number | null;
+  /** Longest time between two pieces of the answer's body. */
+  pauseMs: number;
+}
+
+/** One call on its way to an answer. */
+export interface Work {
+  readonly call: Call;
+  readonly body: Buffer | null;
+  readonly route: Route;
+  readonly service: ForwardingService;
+  /** Monotonic time in ms by which the final answer is due. */
+  readonly deadline: number;
+  readonly trace: Trace;
+  readonly res: ServerResponse;
+  /** Aborts when the caller has left or the time is over. */
+  readonly ended: AbortSignal;
+}
+
+/** Why {@link Work.ended} aborts. */
+export enum EndReason {
+  CallerLeft = 'caller left',
+  Timeout = 'timeout',
+}
+
+/** What the caller got. */
+export type Delivery =
+  | { readonly type: 'delivered'; readonly status: number }
+  | { readonly type: 'cut'; readonly reason: string }
+  | { readonly type: 'refused'; readonly refusal: Refusal };
+
+/** Adds a step with its time to the log line of a call. */
+export function note(trace: Trace, step: string, now: number): void {
+  trace.steps.push(`${step}@${Math.round(now - trace.arrivedAt)}`);
+}
