--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,6 +8,10 @@
   plugins.typescriptEslint,
   ...configs.base.recommended,
   ...configs.base.typescript,
+  {
+    files: ['**/*.cjs'],
+    languageOptions: { globals: { __dirname: 'readonly', process: 'readonly' } },
+  },
   {
     files: ['**/*.ts'],
     languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
--- a/scripts/bundleoptions.mjs
+++ b/scripts/bundleoptions.mjs
@@ -1,4 +1,53 @@
-import { join } from 'node:path';
+import { createRequire } from 'node:module';
+import { dirname, join } from 'node:path';
+
+const require = createRequire(import.meta.url);
+
+/**
+ * Parts of large libraries that the program uses. A process that was killed is back sooner the less it loads: undici
+ * brings fetch and its caches, zod the messages of forty languages, hdr-histogram-js a WebAssembly engine.
+ */
+const SLIM_MODULES = {
+  undici: {
+    directory: dirname(require.resolve('undici')),
+    contents: `
+      const Dispatcher = require('./lib/dispatcher/dispatcher');
+      const Agent = require('./lib/dispatcher/agent');
+      Object.assign(Dispatcher.prototype, { request: require('./lib/api/api-request') });
+      module.exports = {
+        Agent,
+        Client: require('./lib/dispatcher/client'),
+        Pool: require('./lib/dispatcher/pool'),
+        DecoratorHandler: require('./lib/handler/decorator-handler'),
+      };`,
+  },
+  'zod-locales': {
+    directory: join(dirname(require.resolve('zod/v4')), 'locales'),
+    contents: "export { default as en } from './en.js';",
+  },
+  'hdr-wasm': {
+    directory: dirname(require.resolve('hdr-histogram-js')),
+    contents: 'exports.webAssemblyAvailable = false;',
+  },
+};
+
+const slimLibraries = {
+  name: 'slim-libraries',
+  setup(build) {
+    const redirect = (filter, module, importer = /./) => build.onResolve({ filter }, (args) => (
+      importer.test(args.importer) ? { path: module, namespace: 'slim' } : undefined
+    ));
+    redirect(/^undici$/, 'undici');
+    redirect(/locales\/index\.js$/, 'zod-locales', /node_modules\/zod\//);
+    redirect(/^\.\/wasm$/, 'hdr-wasm', /hdr-histogram-js\/dist\/HistogramBuilder/);
+    build.onResolve({ filter: /^hdr-histogram-js$/ }, () => ({
+      path: join(dirname(require.resolve('hdr-histogram-js')), 'HistogramBuilder.js'),
+    }));
+    build.onLoad({ filter: /./, namespace: 'slim' }, ({ path }) => ({
+      contents: SLIM_MODULES[path].contents, resolveDir: SLIM_MODULES[path].directory, loader: 'js',
+    }));
+  },
+};
 
 /** Options of esbuild for the one file that holds the whole program. */
 export function bundleOptions(root, outfile) {
@@ -10,6 +59,7 @@
     target: 'node20',
     format: 'cjs',
     legalComments: 'none',
+    plugins: [slimLibraries],
     // yargs reads import.meta.url, which a CommonJS bundle does not have.
     define: { 'import.meta.url': 'importMetaUrl' },
     banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;" },
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -1,4 +1,4 @@
-import { request } from 'undici';
+import { Pool } from 'undici';
 import type { Secret } from '../core/settings.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
@@ -40,8 +40,11 @@
 
 /** Sends one request over a connection of its own. */
 export async function askEntry(req: EntryRequest): Promise<Result<Reply, NoReply>> {
+  let pool: Pool | null = null;
   try {
-    const res = await request(`http://${req.address}${req.path}`, {
+    pool = new Pool(`http://${req.address}`);
+    const res = await pool.request({
+      path: req.path,
       method: req.method,
       headers: {
         connection: 'close',
@@ -56,5 +59,7 @@
     const code = String((err as { code?: unknown }).code ?? '');
     const message = err instanceof Error && err.message !== '' ? err.message : code;
     return fail({ sent: !NOT_SENT.has(code), message: `${req.address}: ${message}` });
+  } finally {
+    await pool?.destroy();
   }
 }
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -5,7 +5,7 @@
   JSONRPCErrorException, JSONRPCServer,
 } from 'json-rpc-2.0';
 import type { JSONRPCResponse } from 'json-rpc-2.0';
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import { listenHttp, readBody, sendRefusal } from './http.js';
 import type { HttpLimits, HttpListener, ListenError } from './http.js';
 import { httpRefusalAnswer, refusalAnswer } from './refusals.js';
@@ -167,8 +167,9 @@
     this.opts.meter.count('peer_calls', 1, { method });
     this.opts.meter.count('peer_sent_bytes', Buffer.byteLength(body), { method });
     try {
-      const answer = await request(`http://${address}/`, {
-        dispatcher: this.agent,
+      const answer = await this.agent.request({
+        origin: `http://${address}`,
+        path: '/',
         method: 'POST',
         headers: { authorization: this.token },
         body,
