--- a/test/support/pages.ts
+++ b/test/support/pages.ts
@@ -4,8 +4,8 @@
 import { safeParseSettings } from '../../src/core/settings.js';
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
-const DIRECTORIES = ['docs', 'src', 'test', 'examples', 'scripts', '.ci'];
-const FILE_NAME = /^[\w.*/-]+\.(?:ts|md|mjs|json|ini|txt|scenario|golden)$/;
+const DIRECTORIES = ['docs', 'src', 'platform', 'deploy', 'test', 'examples', 'scripts', '.ci'];
+const FILE_NAME = /^[\w.*/-]+\.(?:ts|md|mjs|cjs|json|ini|toml|txt|scenario|golden)$/;
 const METRIC_PREFIX = 'catkinscale_';
 /** Words that the bench command takes in place of an experiment. */
 const BENCH_WORDS = ['all', 'report'];
@@ -47,7 +47,7 @@
 }
 
 function listMetrics(files: readonly string[]): Set<string> {
-  const sources = files.filter((file) => /^src\/(?:core|daemon|adapters)\/.*\.ts$/.test(file));
+  const sources = files.filter((file) => /^src\/(?:core|daemon|adapters|gateway)\/.*\.ts$/.test(file));
   return new Set(sources.flatMap((file) => (
     [...read(file).matchAll(/\bmeter\.(count|record|gauge)\(\s*'(\w+)'/g)].map(([, kind, name]) => (
       kind === 'count' && !name!.endsWith('_total') ? `${name}_total` : name!
