Give calls without an answer up sooner where they may run again, and prefer nearer decoders

Change: a prefill, an idempotent call and a resumable stream without an event are given up after the usual time and sent elsewhere within the budget; a decoder of the own failure domain may be two calls busier.

--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -167,11 +167,10 @@
     this.edges.budget(service.name).succeeded();
     let handle: PrefillHandle | null = null;
     if (service.engine !== null && call.generation !== null && isLongPrompt(call.generation)) {
-      const prefilled = await this.prefill(work);
+      const prefilled = await this.prefill(work, false);
       if (prefilled.type === 'refused') return work.ended.aborted ? this.givenUp(work) : prefilled;
       handle = prefilled.handle;
     }
-    const what: SendPlan['work'] = handle === null ? { type: 'whole' } : { type: 'decode', handle };
     let last: Refusal = { code: 'not_executed', retryAfterMs: RETRY_AFTER_MS };
     const tried = new Set<string>();
     for (let attempts = 0; attempts < route.maxAttempts;) {
@@ -188,6 +187,7 @@
         break;
       }
       tried.add(place.data.server.id);
+      const what: SendPlan['work'] = handle === null ? { type: 'whole' } : { type: 'decode', handle };
       const { upstream, outcome, tookMs } = await this.send(work, place.data, what);
       if (outcome.type === 'answered') {
         if (handle !== null) this.places.observe('continuation', tookMs);
@@ -202,6 +202,12 @@
         if (work.ended.aborted) return this.givenUp(work);
         last = { code: 'outcome_unknown', message: outcome.message };
         if (!this.mayRunTwice(work)) return refused(last);
+        if (handle !== null && attempts + 1 < route.maxAttempts) {
+          // The engine may have taken the handle.
+          const prefilled = await this.prefill(work, true);
+          if (prefilled.type === 'refused') return work.ended.aborted ? this.givenUp(work) : refused(last);
+          handle = prefilled.handle;
+        }
       }
       // A send that was not written reached nobody and is no attempt.
       if (outcome.type === 'not_sent') trace.arrivals -= 1;
@@ -212,7 +218,7 @@
   }
 
   /** Prefills a prompt on an engine of that role; only the first prefill of a call is free of the budget. */
-  private async prefill(work: Work): Promise<Prefilled> {
+  private async prefill(work: Work, again: boolean): Promise<Prefilled> {
     const { service, trace } = work;
     const { clock, budget, dialect } = this.edges;
     const tried = new Set<string>();
@@ -221,7 +227,7 @@
       note(trace, place.success ? 'line' : 'line:refused', clock.monotonic());
       if (!place.success) return { type: 'refused', refusal: place.error };
       const { server, held } = place.data;
-      if (tried.size > 0 && !budget(service.name).take()) {
+      if ((again || tried.size > 0) && !budget(service.name).take()) {
         held.dispose();
         note(trace, 'prefill:budget', clock.monotonic());
         return { type: 'refused', refusal: { code: 'not_executed', retryAfterMs: RETRY_AFTER_MS } };
@@ -258,8 +264,9 @@
     return Math.max(what.type === 'whole' ? route.targetMs : 0, LEAST_SILENCE_MS, usualMs);
   }
 
+  /** Whether a call may run again as long as nothing of its answer has reached the caller. */
   private mayRunTwice({ route }: Work): boolean {
-    return route.kind === CallKind.Idempotent;
+    return route.kind === CallKind.Idempotent || (route.kind === CallKind.Stream && route.resumable);
   }
 
   private async send(work: Work, { server, held }: Placed, what: SendPlan['work']): Promise<Sending> {
@@ -277,10 +284,9 @@
     const stop = (): void => upstream.abort(String(work.ended.reason));
     work.ended.addEventListener('abort', stop, { once: true });
     const silence = clock.after(this.silenceMs(work, what), () => {
-      if (use.answeredAt >= sentAt) return;
-      use.silent();
-      // A prefill is not a run, and an idempotent call may run again.
-      if (what.type === 'prefill' || this.mayRunTwice(work)) upstream.abort('the server is silent');
+      if (use.answeredAt < sentAt) use.silent();
+      // A prefill is not a run. A server that answers others may still never answer this call.
+      if (what.type === 'prefill' || this.mayRunTwice(work)) upstream.abort('no answer in the usual time');
     });
     void upstream.closed.then(() => {
       held.dispose();
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -26,6 +26,9 @@
   return generation.parts.at(-2)?.id ?? generation.parts.at(-1)?.id ?? null;
 }
 
+/** Calls by which a server of the own failure domain may be busier: bytes between failure domains are dear. */
+const DISTANCE_CALLS = 2;
+
 function free(candidate: Candidate): boolean {
   return candidate.open < candidate.limit;
 }
@@ -40,7 +43,7 @@
   let bestRank = Infinity;
   for (const candidate of candidates) {
     if (!free(candidate)) continue;
-    const distance = candidate.record.failureDomain === near ? 0 : 0.5;
+    const distance = candidate.record.failureDomain === near ? 0 : DISTANCE_CALLS;
     const rank = (candidate.suspect ? 1_000 : 0) + candidate.open / candidate.record.slots
       + (distance + draw() / 4) / candidate.record.slots;
     if (rank < bestRank) {
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -103,13 +103,14 @@
 beforeEach(async () => {
   behave = (res) => signed(res, 'done');
   // Servers that a test has made suspect are used again.
-  store.put('servers/i-1', first.entry('ledger', { born: ids * 2 }));
-  store.put('servers/i-2', second.entry('ledger', { born: ids * 2 }));
+  const born = ids * 2;
+  store.put('servers/i-1', first.entry('ledger', { born }));
+  store.put('servers/i-2', second.entry('ledger', { born }));
   store.put('op/config', configuration({}, ids + 1));
   await until(async () => (await ask('/safe/warm-up')).status === 200 && (await ask('/safe/warm-up')).status === 200);
   await until(() => {
-    const { list } = gateway.gateway.dump().servers as { list: readonly { bornAt: number }[] };
-    return list.every(({ bornAt }) => bornAt === list[0]?.bornAt);
+    const { list } = gateway.gateway.dump().servers as { list: readonly { id: string; bornAt: number }[] };
+    return list.every(({ id, bornAt }) => !id.startsWith('i-') || bornAt === born);
   });
   first.received.length = 0;
   second.received.length = 0;
@@ -266,6 +267,87 @@
   });
 });
 
+describe('a long prompt', () => {
+  const headers = {
+    'catkinscale-token-count': '9000,2', 'catkinscale-prompt-prefix': 'a1:2500,b2:3500,c3:3000',
+  };
+  const engines = new Map<string, ServerStandIn>();
+  /** Takes a call away from the usual answer where it returns true. */
+  let act: (res: ServerResponse, call: Received) => boolean = () => false;
+
+  const isPrefill = (call: Received): boolean => call.headers['catkinscale-stage'] === 'prefill';
+
+  const answer = (engine: string) => (res: ServerResponse, call: Received): void => {
+    if (act(res, call)) return;
+    if (isPrefill(call)) signed(res, `{"kv-handle":"h-${engine}","tokens":9000,"version":1}`);
+    else signed(res, `from ${String(call.headers['catkinscale-kv-source'])}`);
+  };
+
+  const seen = (...names: readonly string[]): readonly Received[] => (
+    names.flatMap((name) => engines.get(name)!.received)
+  );
+
+  const send = (): Promise<Answer> => ask('/long/x', { method: 'POST', body: 'p', headers });
+
+  beforeAll(async () => {
+    for (const [engine, stage] of [['p1', 'prefill'], ['p2', 'prefill'], ['d1', 'decode'], ['d2', 'decode']] as const) {
+      const standIn = new ServerStandIn(engine, answer(engine));
+      await standIn.start();
+      engines.set(engine, standIn);
+      store.put(`servers/${engine}`, standIn.entry('engine', { stage }));
+    }
+    await until(() => (gateway.gateway.dump().servers as { list: unknown[] }).list.length === 6);
+  });
+
+  beforeEach(() => {
+    act = () => false;
+    for (const engine of engines.values()) engine.received.length = 0;
+  });
+
+  afterAll(() => {
+    for (const engine of engines.values()) engine.stop();
+  });
+
+  it('is prefilled on one engine and goes on at another', async () => {
+    const { status, body } = await send();
+    expect(status).toBe(200);
+    expect(body).toMatch(/^from 127\.0\.0\.1:\d+\/h-p[12]$/);
+    expect(seen('p1', 'p2')).toHaveLength(1);
+  });
+
+  // Guards against places that calls without an answer hold until their deadline, at an engine that answers others.
+  it('is prefilled elsewhere where its engine never answers', async () => {
+    act = (_res, call) => isPrefill(call) && seen('p1', 'p2').length === 1;
+    const { status, tookMs } = await send();
+    expect(status).toBe(200);
+    expect(tookMs).toBeLessThan(1_000);
+    expect([seen('p1').length, seen('p2').length]).toEqual([1, 1]);
+  });
+
+  it('may run again before any event has reached the caller, because its route is resumable', async () => {
+    act = (res, call) => {
+      if (isPrefill(call) || seen('d1', 'd2').length > 1) return false;
+      res.destroy();
+      return true;
+    };
+    expect((await send()).status).toBe(200);
+    expect([seen('d1').length, seen('d2').length]).toEqual([1, 1]);
+    expect(seen('p1', 'p2')).toHaveLength(2);
+  });
+
+  it('is refused, and its cache freed, where no engine goes on', async () => {
+    act = (res, call) => {
+      if (call.method === 'DELETE' || isPrefill(call)) return false;
+      notExecuted(res);
+      return true;
+    };
+    expect((await send()).status).toBe(503);
+    await until(() => seen('p1', 'p2').some(({ method, url }) => (
+      method === 'DELETE' && url.startsWith('/kv-handle/h-p')
+    )));
+  });
+});
+
 describe('the configuration', () => {
   it('is followed, and removed routes are 404', async () => {
     const reduced = JSON.parse(configuration({}, ids + 10_000)) as { routes: object[] };
--- a/test/support/platform.ts
+++ b/test/support/platform.ts
@@ -252,8 +252,19 @@
       {
         ...route, name: 'talk', 'path-prefix': '/talk/', kind: 'streaming',
       },
+      {
+        ...route,
+        name: 'long',
+        'path-prefix': '/long/',
+        kind: 'streaming',
+        resumable: true,
+        service: 'engine',
+        'timeout-ms': 2_000,
+      },
+    ],
+    services: [
+      { name: 'ledger', 'max-connections': 50 }, { name: 'engine', 'max-connections': 50, engine: { slots: 4 } },
     ],
-    services: [{ name: 'ledger', 'max-connections': 50 }],
     limits: {
       'max-header-bytes': 16_384, 'max-body-bytes': 4_096, 'header-timeout-ms': 3_000, 'idle-timeout-ms': 15_000,
     },
