Name only gateways that are heard, and log the members

The logs had no line on members. Change: a gateway whose datagrams stopped for 1.5 s is not named unless nobody is heard; each change of the members is logged. The retry budget of a starting gateway, which knows no others yet, is divided among six at least; before, six starting gateways could spend 120 second sends together. Discovery, listeners and reports are modules of their own; forward.ts and gateway.ts shrink.

--- /dev/null
+++ b/src/gateway/directory.ts
@@ -0,0 +1,26 @@
+import type { Member } from '../core/members.js';
+
+/** Time in ms without a message from a gateway after which callers are not sent there; one comes each 250 ms. */
+const HEARD_MS = 1_500;
+
+/** What this gateway knows of another one. */
+export interface KnownGateway {
+  readonly member: Pick<Member, 'callerAddress' | 'leaving' | 'revision'>;
+  readonly suspected: boolean;
+  /** Time in ms since its last message, or `null` where it sends none to this gateway. */
+  readonly heardMs: number | null;
+}
+
+/**
+ * Addresses that callers may use. Gateways that stopped a moment ago are still members; their messages stop at once.
+ * Where no gateway is heard at all, this one may have been paused, and membership alone decides.
+ */
+export function callerAddresses(
+  own: { readonly callerAddress: string; readonly ready: boolean; readonly configured: boolean },
+  others: readonly KnownGateway[],
+): readonly string[] {
+  const staying = others.filter(({ member, suspected }) => !member.leaving && member.revision > 0 && !suspected);
+  const heard = staying.filter(({ heardMs }) => heardMs !== null && heardMs < HEARD_MS);
+  const named = (heard.length > 0 ? heard : staying).map(({ member }) => member.callerAddress);
+  return own.ready || (named.length === 0 && own.configured) ? [own.callerAddress, ...named] : named;
+}
--- /dev/null
+++ b/src/gateway/discovery.ts
@@ -0,0 +1,49 @@
+import type { Log, Meter } from '../core/edges.js';
+import type { Dialect } from './dialect.js';
+import type { RecordsListener } from './records.js';
+import type { ServerRecord, ServerRegistry } from './servers.js';
+
+/** Longest part of a key or of a problem in a log line, in characters. */
+const LOGGED_CHARACTERS = 200;
+
+/** Keeps the registry of backend servers in step with their records; one that can't be read names no server. */
+export class Discovery implements RecordsListener {
+  public constructor(
+    private readonly registry: ServerRegistry,
+    private readonly edges: { readonly dialect: Dialect; readonly log: Log; readonly meter: Meter },
+  ) {}
+
+  public replaced(entries: Parameters<RecordsListener['replaced']>[0]): void {
+    this.registry.replace(entries.flatMap(({ key, value }) => this.read(key, value) ?? []));
+  }
+
+  public put({ key, value }: Parameters<RecordsListener['put']>[0]): void {
+    const record = this.read(key, value);
+    if (record === null) {
+      this.registry.remove(this.edges.dialect.serverId(key));
+      return;
+    }
+    const known = this.registry.get(record.id);
+    this.registry.put(record);
+    if (known?.draining !== record.draining || known.role !== record.role || known.bornAt !== record.bornAt) {
+      this.edges.log.info('server', {
+        server: record.id, service: record.service, draining: record.draining, role: record.role, born: record.bornAt,
+      });
+    }
+  }
+
+  public removed(key: string): void {
+    const id = this.edges.dialect.serverId(key);
+    this.registry.remove(id);
+    this.edges.log.info('server_removed', { server: id, at_once: this.registry.get(id) === null });
+  }
+
+  private read(key: string, value: string): ServerRecord | null {
+    const record = this.edges.dialect.readServer(key, value);
+    if (record.success) return record.data;
+    const problem = record.error.slice(0, LOGGED_CHARACTERS);
+    this.edges.log.warn('server_unreadable', { key: key.slice(0, LOGGED_CHARACTERS), problem });
+    this.edges.meter.count('servers_unreadable');
+    return null;
+  }
+}
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -12,11 +12,11 @@
 } from './dialect.js';
 import type { FleetUse } from './fleet.js';
 import type { Occupancy } from './occupancy.js';
-import { refusalAnswer } from './outcome.js';
 import type { Refusal } from './outcome.js';
 import { isLongPrompt } from './placement.js';
 import { Places } from './places.js';
 import type { Placed } from './places.js';
+import { refuse, report } from './report.js';
 import { Upstream } from './upstream.js';
 import type { SendOutcome } from './upstream.js';
 import { EndReason, note } from './work.js';
@@ -116,8 +116,12 @@
           ? { code: 'body_too_large' } : { code: 'occupied', retryAfterMs: RETRY_AFTER_MS });
       } else if (call.success) delivery = await this.serve(call.data, body.data, routed, res, trace);
       else delivery = refused(call.error);
-      if (delivery.type === 'refused') this.refuse(res, delivery.refusal);
-      this.report(call.success ? call.data.id : null, 'route' in routed ? routed.route : null, delivery, trace);
+      if (delivery.type === 'refused') refuse(res, delivery.refusal);
+      report(call.success ? call.data.id : null, 'route' in routed ? routed.route : null, delivery, trace, {
+        ...this.edges,
+        version: this.edges.routes()?.configuration.version,
+        knowledgeAgeMs: this.edges.knowledgeAgeMs(),
+      });
     } finally {
       this.active -= 1;
     }
@@ -323,41 +327,4 @@
       sent: () => {}, head: () => {}, data: () => {}, end: () => {}, failed,
     });
   }
-
-  private refuse(res: ServerResponse, refusal: Refusal): void {
-    if (res.destroyed || res.headersSent) return;
-    const { status, retryAfterMs } = refusalAnswer(refusal);
-    const text = JSON.stringify({ error: refusal });
-    res.writeHead(status, {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(text),
-      ...(retryAfterMs === null ? {} : { 'retry-after': (retryAfterMs / 1_000).toFixed(2) }),
-    });
-    res.end(text);
-  }
-
-  private report(id: string | null, route: Route | null, delivery: Delivery, trace: Trace): void {
-    const { clock, log, meter } = this.edges;
-    const tookMs = clock.monotonic() - trace.arrivedAt;
-    const outcome = delivery.type === 'refused' ? delivery.refusal.code : delivery.type;
-    const kind = route?.kind ?? 'none';
-    meter.count('forwarded', 1, { outcome, route: kind });
-    meter.record('forward_ms', tookMs, { route: kind });
-    const detail = delivery.type === 'cut' ? delivery.reason : undefined;
-    const fields = {
-      request: id,
-      route: route?.name,
-      version: this.edges.routes()?.configuration.version,
-      servers_age_ms: Math.round(this.edges.knowledgeAgeMs()),
-      steps: trace.steps.join(' '),
-      first_ms: trace.firstMs === null ? undefined : Math.round(trace.firstMs),
-      pause_ms: trace.pauseMs === 0 ? undefined : Math.round(trace.pauseMs),
-      took_ms: Math.round(tookMs),
-      outcome,
-      status: delivery.type === 'delivered' ? delivery.status : undefined,
-      detail: delivery.type === 'refused' && 'message' in delivery.refusal ? delivery.refusal.message : detail,
-    };
-    if (delivery.type === 'delivered') log.info('call', fields);
-    else log.warn('call', fields);
-  }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,11 +11,13 @@
 import type { Result } from '../core/result.js';
 import { RetryBudget } from '../core/retries.js';
 import { sleep, within } from '../core/time.js';
-import { listenHttp, sendJson } from '../daemon/http.js';
+import { listenHttp } from '../daemon/http.js';
 import type { HttpListener, ListenError } from '../daemon/http.js';
 import type { Metrics } from '../daemon/metrics.js';
 import { RouteTable } from './configuration.js';
 import type { Dialect } from './dialect.js';
+import { callerAddresses } from './directory.js';
+import { Discovery } from './discovery.js';
 import { FleetUse } from './fleet.js';
 import type { KeySource } from './follower.js';
 import { Forwarder } from './forward.js';
@@ -25,6 +27,8 @@
 import { RoleKeeper } from './rolekeeper.js';
 import { ServerRegistry } from './servers.js';
 import type { GatewaySettings } from './settings.js';
+import { listenDirectory, listenMetrics, listenReadiness } from './surfaces.js';
+import type { Shown } from './surfaces.js';
 
 /** Everything outside of a gateway. */
 export interface GatewayEdges {
@@ -73,7 +77,8 @@
 /** Tasks and calls that wait for the end of the process at the same time. */
 const MAX_TASKS = 200;
 
-const SMALL_LIMITS = { body: 1_024, connections: 1_024, headerTimeout: 3_000 };
+/** Least number of gateways among which the retry budget is divided; one that starts knows no others yet. */
+const LEAST_SHARERS = 6;
 
 /** One process between callers and backend servers. */
 export class Gateway {
@@ -107,6 +112,8 @@
 
   private stopping = false;
 
+  private reportedMembers = '';
+
   public constructor(private readonly edges: GatewayEdges, private readonly settings: GatewaySettings) {
     const {
       clock, random, peerClient: client, peerServer: server,
@@ -146,11 +153,7 @@
     }, {
       prefix: edges.dialect.configurationPrefix, waitMs: WATCH_WAIT_MS, periodMs: 0, seeds,
     });
-    this.servers = new Records(recordEdges, {
-      replaced: (entries) => this.registry.replace(entries.flatMap(({ key, value }) => this.readServer(key, value))),
-      put: ({ key, value }) => this.putServer(key, value),
-      removed: (key) => this.removeServer(key),
-    }, {
+    this.servers = new Records(recordEdges, new Discovery(this.registry, edges), {
       prefix: edges.dialect.serverPrefix,
       waitMs: WATCH_WAIT_MS,
       periodMs: SERVERS_PERIOD_MS,
@@ -186,11 +189,17 @@
     const callers = await listenHttp(listen.callers, (req, res) => this.forward(req, res), FIRST_LIMITS, {
       keepAlive: FIRST_IDLE_MS + IDLE_MARGIN_MS, maxHead: MAX_HEAD_BYTES, unreadBodies: MAX_UNREAD_BODIES,
     });
+    const shown: Shown = {
+      ready: () => this.ready(),
+      addressBody: () => this.addressBody(),
+      metrics: () => this.edges.meter.render(),
+      dump: () => this.dump(),
+    };
     const opened = [
       callers,
-      await listenHttp(listen.readiness, async (req, res) => this.answerReady(req, res), SMALL_LIMITS),
-      await listenHttp(listen.directory, async (req, res) => this.answerDirectory(req, res), SMALL_LIMITS),
-      await listenHttp(listen.metrics, async (req, res) => this.answerMetrics(req, res), SMALL_LIMITS),
+      await listenReadiness(listen.readiness, shown),
+      await listenDirectory(listen.directory, shown),
+      await listenMetrics(listen.metrics, shown),
     ];
     for (const listener of opened) {
       if (!listener.success) return fail(listener.error);
@@ -199,6 +208,7 @@
     if (callers.success) this.listener = callers.data;
     const { signal } = this.stop;
     setMaxListeners(MAX_TASKS, signal);
+    this.disposables.add(this.membership.onChange(() => this.reportMembers()));
     void Promise.all([
       this.membership.run(signal),
       this.configuration.run(signal),
@@ -246,41 +256,32 @@
     await this.forwarder.handle(req, res);
   }
 
-  private answerReady(req: IncomingMessage, res: ServerResponse): void {
-    req.resume();
-    const ready = this.ready();
-    sendJson(res, ready ? 200 : 503, { ready });
-  }
-
-  private answerDirectory(req: IncomingMessage, res: ServerResponse): void {
-    req.resume();
+  private addressBody(): string | null {
     const addresses = this.callerAddresses();
-    if (addresses.length === 0) {
-      sendJson(res, 503, { error: 'no gateway is ready' });
-      return;
-    }
-    const text = this.edges.dialect.addressBody(addresses, this.settings.directory.keep);
-    res.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) });
-    res.end(text);
+    const { keep } = this.settings.directory;
+    return addresses.length === 0 ? null : this.edges.dialect.addressBody(addresses, keep);
   }
 
-  private answerMetrics(req: IncomingMessage, res: ServerResponse): void {
-    req.resume();
-    if (req.url === '/dump') {
-      sendJson(res, 200, this.dump());
-      return;
-    }
-    const text = this.edges.meter.render();
-    res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4', 'content-length': Buffer.byteLength(text) });
-    res.end(text);
+  private callerAddresses(): readonly string[] {
+    const own = {
+      callerAddress: this.settings.listen.callers, ready: this.ready(), configured: this.routes !== null,
+    };
+    return callerAddresses(own, this.membership.live().map((member) => ({
+      member,
+      suspected: this.membership.suspected(member.incarnation),
+      heardMs: this.occupancy.heardMs(member.id),
+    })));
   }
 
-  private callerAddresses(): readonly string[] {
-    const others = this.membership.live()
-      .filter((member) => !member.leaving && member.revision > 0 && !this.membership.suspected(member.incarnation))
-      .map(({ callerAddress }) => callerAddress);
-    return this.ready() || (others.length === 0 && this.routes !== null)
-      ? [this.settings.listen.callers, ...others] : others;
+  /** Logs the gateways that have come, are leaving or suspected, or are gone. */
+  private reportMembers(): void {
+    const members = this.membership.live().map(({ id, incarnation, leaving }) => {
+      const suspected = this.membership.suspected(incarnation);
+      return `${id}${leaving ? ' leaving' : ''}${suspected ? ' suspected' : ''}`;
+    }).sort().join(', ');
+    if (members === this.reportedMembers) return;
+    this.reportedMembers = members;
+    this.edges.log.info('members', { members });
   }
 
   private configure(key: string, value: string): void {
@@ -309,43 +310,14 @@
     });
   }
 
-  private readServer(key: string, value: string) {
-    const record = this.edges.dialect.readServer(key, value);
-    if (record.success) return [record.data];
-    this.edges.log.warn('server_unreadable', { key: key.slice(0, 100), problem: record.error.slice(0, 200) });
-    this.edges.meter.count('servers_unreadable');
-    return [];
-  }
-
-  private putServer(key: string, value: string): void {
-    const id = this.edges.dialect.serverId(key);
-    const [record] = this.readServer(key, value);
-    if (record === undefined) {
-      this.registry.remove(id);
-      return;
-    }
-    const known = this.registry.get(id);
-    this.registry.put(record);
-    if (known?.draining !== record.draining || known.role !== record.role || known.bornAt !== record.bornAt) {
-      this.edges.log.info('server', {
-        server: id, service: record.service, draining: record.draining, role: record.role, born: record.bornAt,
-      });
-    }
-  }
-
-  private removeServer(key: string): void {
-    const id = this.edges.dialect.serverId(key);
-    this.registry.remove(id);
-    this.edges.log.info('server_removed', { server: id, at_once: this.registry.get(id) === null });
-  }
-
   private engineServices(): readonly string[] {
     const services = this.routes?.configuration.services.values() ?? [];
     return [...services].filter(({ engine }) => engine !== null).map(({ name }) => name);
   }
 
   private sharers(): number {
-    return 1 + this.membership.live().filter(({ leaving }) => !leaving).length;
+    const staying = this.membership.live().filter(({ leaving }) => !leaving);
+    return Math.max(LEAST_SHARERS, 1 + staying.length);
   }
 
   private budget(service: string): RetryBudget {
--- a/src/gateway/occupancy.ts
+++ b/src/gateway/occupancy.ts
@@ -96,6 +96,12 @@
     return { prefills, continuations, wholes };
   }
 
+  /** Time in ms since the last message of a gateway, or `null` where there was none. */
+  public heardMs(gateway: string): number | null {
+    const table = this.peers.get(gateway);
+    return table === undefined ? null : this.edges.clock.monotonic() - table.receivedAt;
+  }
+
   /** Counts a call until the returned handle is disposed. */
   public enter(server: string, kind: keyof OpenCalls): Disposable {
     const calls = this.own.get(server) ?? { ...NONE };
--- /dev/null
+++ b/src/gateway/report.ts
@@ -0,0 +1,68 @@
+import type { ServerResponse } from 'node:http';
+import type { Clock, Log, Meter } from '../core/edges.js';
+import type { Route } from './configuration.js';
+import { refusalAnswer } from './outcome.js';
+import type { Refusal } from './outcome.js';
+import type { Delivery, Trace } from './work.js';
+
+const MS_PER_S = 1_000;
+
+/** Answers a call that no backend server answers. */
+export function refuse(res: ServerResponse, refusal: Refusal): void {
+  if (res.destroyed || res.headersSent) return;
+  const { status, retryAfterMs } = refusalAnswer(refusal);
+  const text = JSON.stringify({ error: refusal });
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    ...(retryAfterMs === null ? {} : { 'retry-after': (retryAfterMs / MS_PER_S).toFixed(2) }),
+  });
+  res.end(text);
+}
+
+function detailOf(delivery: Delivery): string | undefined {
+  if (delivery.type === 'cut') return delivery.reason;
+  return delivery.type === 'refused' && 'message' in delivery.refusal ? delivery.refusal.message : undefined;
+}
+
+/** What a log line says beside the call itself. */
+export interface ReportContext {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly meter: Meter;
+  /** Version of the configuration in force. */
+  readonly version: number | undefined;
+  /** Age in ms of what is known of the backend servers. */
+  readonly knowledgeAgeMs: number;
+}
+
+/** Counts a call that has ended and writes its log line. */
+export function report(
+  id: string | null,
+  route: Route | null,
+  delivery: Delivery,
+  trace: Trace,
+  context: ReportContext,
+): void {
+  const { clock, log, meter } = context;
+  const tookMs = clock.monotonic() - trace.arrivedAt;
+  const outcome = delivery.type === 'refused' ? delivery.refusal.code : delivery.type;
+  const kind = route?.kind ?? 'none';
+  meter.count('forwarded', 1, { outcome, route: kind });
+  meter.record('forward_ms', tookMs, { route: kind });
+  const fields = {
+    request: id,
+    route: route?.name,
+    version: context.version,
+    servers_age_ms: Math.round(context.knowledgeAgeMs),
+    steps: trace.steps.join(' '),
+    first_ms: trace.firstMs === null ? undefined : Math.round(trace.firstMs),
+    pause_ms: trace.pauseMs === 0 ? undefined : Math.round(trace.pauseMs),
+    took_ms: Math.round(tookMs),
+    outcome,
+    status: delivery.type === 'delivered' ? delivery.status : undefined,
+    detail: detailOf(delivery),
+  };
+  if (delivery.type === 'delivered') log.info('call', fields);
+  else log.warn('call', fields);
+}
--- a/test/support/platform.ts
+++ b/test/support/platform.ts
@@ -297,6 +297,7 @@
     '[store]', `address = ${store.address}`,
     '[drain]', 'grace = 2 s',
     '[directory]', 'keep = 100 ms',
+    '[retries]', 'burst = 200',
   ].join('\n'), 'test');
   if (!settings.success) throw new Error(JSON.stringify(settings.error));
   const meter = new Metrics();
