--- /dev/null
+++ b/test/gatewaysettings.test.ts
@@ -0,0 +1,55 @@
+import { readFileSync } from 'node:fs';
+import path from 'node:path';
+import { describe, expect, it } from 'vitest';
+import { safeParseGatewaySettings } from '../src/gateway/settings.js';
+
+const TEMPLATE = readFileSync(path.resolve(import.meta.dirname, '../deploy/gateway.ini'), 'utf8');
+
+/** Values as the platform fills them in. */
+const VALUES: Readonly<Record<string, string>> = {
+  node: 'front-regina-1',
+  zone: 'regina',
+  ip: '10.1.0.35',
+  seeds: '10.1.0.35:8146,10.2.0.28:8146',
+  'listen.front': '10.1.0.35:8144',
+  'listen.ready': '10.1.0.35:8140',
+  'listen.control': '10.1.0.35:8146',
+  'listen.directory': '10.1.0.35:8143',
+  'internal-ports.0': '7660',
+  'internal-ports.1': '7675',
+  'platform.address': '10.200.1.7:8142',
+  'bounds.grace-s': '8',
+  'bounds.lease-ms': '3000',
+};
+
+function filled(values: Readonly<Record<string, string>>): string {
+  return TEMPLATE.replace(/\{\{([^}]+)\}\}/g, (_all, name: string) => values[name] ?? '');
+}
+
+describe('settings of a gateway', () => {
+  // Guards against a template whose names the program does not know, which shows only when the platform starts it.
+  it('are what the template gives', () => {
+    expect(safeParseGatewaySettings(filled(VALUES), 'gateway.ini')).toMatchObject({
+      success: true,
+      data: {
+        gateway: { name: 'front-regina-1', failureDomain: 'regina' },
+        listen: { metrics: '10.1.0.35:7675', exchange: '10.1.0.35:7660' },
+        peers: { seeds: ['10.1.0.35:8146', '10.2.0.28:8146'] },
+        drain: { grace: 8_000 },
+        authority: { lease: 3_000 },
+      },
+    });
+  });
+
+  it('may have no seeds', () => {
+    expect(safeParseGatewaySettings(filled({ ...VALUES, seeds: '' }), 'gateway.ini')).toMatchObject({
+      success: true, data: { peers: { seeds: [] } },
+    });
+  });
+
+  it('are checked as a whole, with every issue and its line', () => {
+    const parsed = safeParseGatewaySettings(`${filled({ ...VALUES, 'bounds.grace-s': 'x', zone: '' })}\n[other]\n`, 'g.ini');
+    const paths = parsed.success ? [] : parsed.error.map((issue) => issue.path.join(' '));
+    expect(paths).toEqual(expect.arrayContaining(['other', 'gateway failure-domain', 'drain grace']));
+  });
+});
