Ask other gateways at once while nothing is known, and let membership name large fleets

A gateway that starts while the store is away waited 2.1 s before it asked another one; and with more than 24 others, those that send no datagrams here would never have been named. Both were found by reading; the second has a test, the first is covered by the test of a start without the store.

--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -1,4 +1,5 @@
 import type { Member } from '../core/members.js';
+import { MAX_RECEIVERS } from './occupancy.js';
 
 /** Time in ms without a message from a gateway after which callers are not sent there; one comes each 250 ms. */
 const HEARD_MS = 1_500;
@@ -13,7 +14,8 @@
 
 /**
  * Addresses that callers may use. Gateways that stopped a moment ago are still members; their messages stop at once.
- * Where no gateway is heard at all, this one may have been paused, and membership alone decides.
+ * Membership alone decides where no gateway is heard at all, because this one may have been paused, and in a fleet so
+ * large that not every gateway sends messages to this one.
  */
 export function callerAddresses(
   own: { readonly callerAddress: string; readonly ready: boolean; readonly configured: boolean },
@@ -21,6 +23,7 @@
 ): readonly string[] {
   const staying = others.filter(({ member, suspected }) => !member.leaving && member.revision > 0 && !suspected);
   const heard = staying.filter(({ heardMs }) => heardMs !== null && heardMs < HEARD_MS);
-  const named = (heard.length > 0 ? heard : staying).map(({ member }) => member.callerAddress);
+  const heardDecides = heard.length > 0 && others.length <= MAX_RECEIVERS;
+  const named = (heardDecides ? heard : staying).map(({ member }) => member.callerAddress);
   return own.ready || (named.length === 0 && own.configured) ? [own.callerAddress, ...named] : named;
 }
--- a/src/gateway/occupancy.ts
+++ b/src/gateway/occupancy.ts
@@ -30,7 +30,7 @@
 const EXPIRY_MS = 1_000;
 
 /** Gateways that one gateway sends to; the cost stays bounded where there are more. */
-const MAX_RECEIVERS = 24;
+export const MAX_RECEIVERS = 24;
 
 const METHOD = 'occupancy';
 
--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -119,7 +119,8 @@
     const { clock, random, members } = this.edges;
     while (!signal.aborted) {
       await sleep(clock, ASK_PERIOD_MS, signal);
-      if (signal.aborted || this.follower.ageMs() < STALE_MS + this.opts.waitMs) continue;
+      const current = this.complete && this.follower.ageMs() < STALE_MS + this.opts.waitMs;
+      if (signal.aborted || current) continue;
       const own = members.self().address;
       const peers = [...new Set([...members.live().map(({ address }) => address), ...this.opts.seeds])]
         .filter((address) => address !== own);
--- a/test/occupancy.test.ts
+++ b/test/occupancy.test.ts
@@ -119,6 +119,12 @@
       .toEqual(['own:80', 'a', 'b']);
   });
 
+  // Guards against a large fleet in which the few gateways that are heard get all callers.
+  it('follows membership where not every gateway sends messages to this one', () => {
+    const many = Array.from({ length: 40 }, (_, index) => known(`a${index}`, { heardMs: index < 5 ? 100 : null }));
+    expect(callerAddresses(own, many)).toHaveLength(41);
+  });
+
   it('names itself while it stops only if there is nobody else', () => {
     const stopping = { ...own, ready: false };
     expect(callerAddresses(stopping, [known('a')])).toEqual(['a']);
