--- a/src/core/ini.ts
+++ b/src/core/ini.ts
@@ -152,3 +152,32 @@
   }
   return fail(issues);
 }
+
+/**
+ * Parses a file whose sections and keys are all known, and checks all of them; the error holds every issue. Keys in
+ * `lists` hold items separated by commas.
+ */
+export function safeParseSections<Sections extends Readonly<Record<string, z.ZodObject>>>(
+  sections: Sections,
+  text: string,
+  file: string,
+  lists: readonly string[],
+): Result<{ readonly [Name in keyof Sections]: z.output<Sections[Name]> }, readonly Issue[]> {
+  const document = parseIni(text, file);
+  const issues: Issue[] = [...document.issues];
+  const accepted = Object.keys(sections);
+  for (const section of document.sections.values()) {
+    if (!Object.hasOwn(sections, section.name)) {
+      issues.push({
+        code: 'unknown_key', path: [section.name], file, line: section.line, accepted,
+      });
+    }
+  }
+  const entries = Object.entries(sections).map(([name, schema]) => {
+    const section = safeParseSection(name, document.sections.get(name), schema, { file, lists });
+    if (!section.success) issues.push(...section.error);
+    return [name, section.success ? section.data : undefined];
+  });
+  if (issues.length > 0) return fail(issues);
+  return ok(Object.fromEntries(entries) as { readonly [Name in keyof Sections]: z.output<Sections[Name]> });
+}
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import { addressSchema, nameSchema } from './fleet.js';
-import { parseIni, safeParseSection } from './ini.js';
+import { parseIni, safeParseSection, safeParseSections } from './ini.js';
 import { IssuesError } from './issues.js';
 import type { Issue } from './issues.js';
 import { fail, ok } from './result.js';
@@ -58,31 +58,12 @@
 
 const LISTS = ['seeds'];
 
-type SectionName = keyof typeof SECTIONS;
-
 /** Settings of one entry; durations are in ms and sizes in bytes. */
-export type Settings = { readonly [Name in SectionName]: z.output<typeof SECTIONS[Name]> };
+export type Settings = { readonly [Name in keyof typeof SECTIONS]: z.output<typeof SECTIONS[Name]> };
 
 /** Parses the settings of an entry and checks all of them; the error holds every issue. */
 export function safeParseSettings(text: string, file: string): Result<Settings, readonly Issue[]> {
-  const document = parseIni(text, file);
-  const issues: Issue[] = [...document.issues];
-  const accepted = Object.keys(SECTIONS) as SectionName[];
-  for (const section of document.sections.values()) {
-    if (!Object.hasOwn(SECTIONS, section.name)) {
-      issues.push({
-        code: 'unknown_key', path: [section.name], file, line: section.line, accepted,
-      });
-    }
-  }
-  const entries = accepted.map((name) => {
-    const section = safeParseSection(name, document.sections.get(name), SECTIONS[name] as z.ZodObject, {
-      file, lists: LISTS,
-    });
-    if (!section.success) issues.push(...section.error);
-    return [name, section.success ? section.data : undefined];
-  });
-  return issues.length === 0 ? ok(Object.fromEntries(entries) as Settings) : fail(issues);
+  return safeParseSections(SECTIONS, text, file, LISTS);
 }
 
 /** Parses the settings of an entry; throws {@link IssuesError} with every issue. */
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -99,6 +99,7 @@
     this.places.dispose();
   }
 
+  /** Serves one call up to the end of its answer. */
   public async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const trace: Trace = {
       arrivedAt: this.edges.clock.monotonic(), arrivals: 0, steps: [], firstMs: null, pauseMs: 0,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -1,8 +1,7 @@
 import { z } from 'zod';
 import { addressSchema } from '../core/fleet.js';
-import { parseIni, safeParseSection } from '../core/ini.js';
+import { safeParseSections } from '../core/ini.js';
 import type { Issue } from '../core/issues.js';
-import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import { countSchema, durationSchema } from '../core/units.js';
 
@@ -55,29 +54,10 @@
 
 const LISTS = ['seeds'];
 
-type SectionName = keyof typeof SECTIONS;
-
 /** Settings of one gateway; durations in ms. */
-export type GatewaySettings = { readonly [Name in SectionName]: z.output<typeof SECTIONS[Name]> };
+export type GatewaySettings = { readonly [Name in keyof typeof SECTIONS]: z.output<typeof SECTIONS[Name]> };
 
 /** Parses the settings of a gateway and checks all of them; the error holds every issue. */
 export function safeParseGatewaySettings(text: string, file: string): Result<GatewaySettings, readonly Issue[]> {
-  const document = parseIni(text, file);
-  const issues: Issue[] = [...document.issues];
-  const accepted = Object.keys(SECTIONS) as SectionName[];
-  for (const section of document.sections.values()) {
-    if (!Object.hasOwn(SECTIONS, section.name)) {
-      issues.push({
-        code: 'unknown_key', path: [section.name], file, line: section.line, accepted,
-      });
-    }
-  }
-  const entries = accepted.map((name) => {
-    const section = safeParseSection(name, document.sections.get(name), SECTIONS[name] as z.ZodObject, {
-      file, lists: LISTS,
-    });
-    if (!section.success) issues.push(...section.error);
-    return [name, section.success ? section.data : undefined];
-  });
-  return issues.length === 0 ? ok(Object.fromEntries(entries) as GatewaySettings) : fail(issues);
+  return safeParseSections(SECTIONS, text, file, LISTS);
 }
