Prefill no more for a caller that has left

Cause, found by reading: when a caller left during its prefill, the broken prefill counted as one that may be tried elsewhere; the line did not look at a signal that had fired before, so the prompt was prefilled once more, possibly much later. Two tests fail before and pass after.

--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -232,6 +232,10 @@
       note(trace, place.success ? 'line' : 'line:refused', clock.monotonic());
       if (!place.success) return { type: 'refused', refusal: place.error };
       const { server, held } = place.data;
+      if (work.ended.aborted) {
+        held.dispose();
+        return { type: 'refused', refusal: { code: 'expired', retryAfterMs: RETRY_AFTER_MS } };
+      }
       if ((again || tried.size > 0) && !budget(service.name).take()) {
         held.dispose();
         note(trace, 'prefill:budget', clock.monotonic());
--- a/src/gateway/waitingline.ts
+++ b/src/gateway/waitingline.ts
@@ -77,6 +77,7 @@
 
   /** Settles with a place, or once the call won't get one in time. */
   public wait(waiting: Waiting, signal: AbortSignal): Promise<Result<Place, Unplaced>> {
+    if (signal.aborted) return Promise.resolve(fail({ afterMs: 0 }));
     return new Promise((resolve) => {
       const entry: Entry = {
         ...waiting,
@@ -132,8 +133,8 @@
       const onTime = now <= entry.targetAt;
       if (home !== undefined && onTime) return { entry, server: home };
       if (home !== undefined && late === null) late = { entry, server: home };
-      const patient = entry.homes.length > 0 && now - entry.arrivedAt < AWAY_AFTER_MS;
-      if (home === undefined && !patient && (away === null || (onTime && now > away.targetAt))) away = entry;
+      const keptForHome = entry.homes.length > 0 && now - entry.arrivedAt < AWAY_AFTER_MS;
+      if (home === undefined && !keptForHome && (away === null || (onTime && now > away.targetAt))) away = entry;
     }
     if (away === null || idle === undefined || (late !== null && now > away.targetAt)) return late;
     return { entry: away, server: idle };
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -324,6 +324,22 @@
     expect([seen('p1').length, seen('p2').length]).toEqual([1, 1]);
   });
 
+  // Guards against a second prefill for a caller that left during the first.
+  it('is prefilled no more once its caller has left', async () => {
+    act = (_res, call) => isPrefill(call);
+    const [host, port] = gateway.callers.split(':');
+    const socket = connect(Number(port), host);
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+    socket.write(`POST /long/x HTTP/1.1\r\nHost: shop.example\r\nCatkinscale-Request-Id: left\r\n${lines}Content-Length: 1\r\n\r\np`);
+    await until(() => seen('p1', 'p2').length === 1);
+    socket.destroy();
+    await until(() => seen('p1', 'p2').every(({ aborted }) => aborted));
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+    expect(seen('p1', 'p2')).toHaveLength(1);
+  });
+
   it('may run again before any event has reached the caller, because its route is resumable', async () => {
     act = (res, call) => {
       if (isPrefill(call) || seen('d1', 'd2').length > 1) return false;
--- a/test/waitingline.test.ts
+++ b/test/waitingline.test.ts
@@ -151,6 +151,17 @@
     expect(line.length).toBe(1);
   });
 
+  // Guards against work for a caller that left before its call came into the line.
+  it('takes no call whose caller has left already', async () => {
+    const { clock, line } = twoEngines();
+    const left = new AbortController();
+    left.abort();
+    const place = await line.wait({ homes: ['a'], targetAt: 10, lastAt: 100 }, left.signal);
+    await clock.advance(5);
+    expect(place.success).toBe(false);
+    expect(line.length).toBe(0);
+  });
+
   // Guards against callers that have left and still take places.
   it('forgets a call whose caller has left', async () => {
     const { clock, engines, line } = twoEngines();
