Refuse calls that a stopping gateway could not end within its grace

Change: from SIGTERM on, a call whose time could reach beyond the grace is refused at once with 503 and a Retry-After of 20 ms, and the caller finds another gateway. Ruled out: taking such calls for the first seconds; long answers take up to 10 s there.

--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -35,6 +35,8 @@
   readonly routes: () => RouteTable | null;
   /** Budget for second sends to a service, shared with the other processes by its share. */
   readonly budget: (service: string) => RetryBudget;
+  /** Monotonic time in ms by which all calls must have ended, or `null` while this process is not stopping. */
+  readonly endsAt: () => number | null;
   /** Age in ms of what is known of the backend servers. */
   readonly knowledgeAgeMs: () => number;
 }
@@ -64,6 +66,9 @@
 
 const RETRY_AFTER_MS = 250;
 
+/** Another gateway can take a call at once. */
+const ELSEWHERE_AFTER_MS = 20;
+
 interface Routed { readonly route: Route; readonly service: ForwardingService }
 
 type Prefilled =
@@ -141,6 +146,10 @@
 
   private async serve(call: Call, bytes: Buffer, routed: Routed, res: ServerResponse, trace: Trace): Promise<Delivery> {
     const waitMs = Math.min(call.deadlineMs ?? Infinity, routed.route.timeoutMs);
+    const endsAt = this.edges.endsAt();
+    if (endsAt !== null && trace.arrivedAt + waitMs > endsAt) {
+      return refused({ code: 'stopping', retryAfterMs: ELSEWHERE_AFTER_MS });
+    }
     const ended = new AbortController();
     const leave = (): void => {
       if (!res.writableFinished) ended.abort(EndReason.CallerLeft);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -112,6 +112,9 @@
 
   private stopping = false;
 
+  /** Monotonic time in ms by which running calls are broken, once a planned stop has begun. */
+  private endsAt: number | null = null;
+
   private reportedMembers = '';
 
   public constructor(private readonly edges: GatewayEdges, private readonly settings: GatewaySettings) {
@@ -166,6 +169,7 @@
       routes: () => this.routes,
       budget: (service) => this.budget(service),
       occupancy: this.occupancy,
+      endsAt: () => this.endsAt,
       knowledgeAgeMs: () => this.servers.ageMs(),
     }, { failureDomain: settings.gateway.failureDomain, transitMs: TRANSIT_MS }));
     this.roles = new RoleKeeper({
@@ -228,6 +232,7 @@
     const startedAt = clock.monotonic();
     const left = (): number => grace - (clock.monotonic() - startedAt);
     this.stopping = true;
+    this.endsAt = startedAt + grace - EXIT_BEFORE_MS;
     log.info('stopping', { running: this.forwarder.running });
     this.membership.update({ leaving: true });
     void this.authority.release();
--- a/src/gateway/outcome.ts
+++ b/src/gateway/outcome.ts
@@ -13,6 +13,8 @@
   | { readonly code: 'occupied'; readonly retryAfterMs: number }
   /** Every send was refused by the backend server, or could not be written. */
   | { readonly code: 'not_executed'; readonly retryAfterMs: number }
+  /** This process stops before the call would certainly have ended; others serve it. */
+  | { readonly code: 'stopping'; readonly retryAfterMs: number }
   /** The time of the caller or of the route ended before the call was sent. */
   | { readonly code: 'expired'; readonly retryAfterMs: number }
   /** The call may have run, and its answer is lost. */
@@ -37,6 +39,7 @@
     case 'no_server':
     case 'occupied':
     case 'not_executed':
+    case 'stopping':
     case 'expired': return { status: 503, retryAfterMs: refusal.retryAfterMs };
     case 'outcome_unknown': return { status: 502, retryAfterMs: null };
     case 'timeout': return { status: 504, retryAfterMs: null };
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -439,6 +439,16 @@
     });
     await until(() => runs() === 1);
     const stopped = other.stop();
+    // Guards against a stream that is taken after SIGTERM and cut when the grace ends.
+    const late = await new Promise<Pick<Answer, 'status' | 'headers'>>((resolve, reject) => {
+      httpRequest({
+        host, port, path: '/long/x', method: 'POST', headers: { host: 'shop.example', 'catkinscale-request-id': 'late' },
+      }, (res) => {
+        res.resume();
+        resolve({ headers: res.headers, status: res.statusCode ?? 0 });
+      }).on('error', reject).end('x');
+    });
+    expect([late.status, Number(late.headers['retry-after']) < 0.1]).toEqual([503, true]);
     expect((await fetch(`http://${other.readiness}/ready`)).status).toBe(503);
     expect(await running).toBe(200);
     await stopped;
