--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -45,8 +45,6 @@
 }
 
 class Connection {
-  public busy = false;
-
   /** Set once the connection was reset, which ends an answer without length before its time. */
   public wasReset = false;
 
@@ -184,15 +182,12 @@
   /** Sends one request on the connection that was used last, or on a new one. */
   public send(outgoing: Outgoing, sink: AnswerSink): Transfer {
     const connection = this.idle.pop() ?? this.create();
-    connection.busy = true;
     const exchange = new Exchange(connection, sink, () => this.release(connection));
     connection.client.dispatch({
       method: outgoing.method,
       path: outgoing.path,
       headers: outgoing.headers as string[],
       body: outgoing.body,
-      // Requests are never written before the answer to the previous one is complete.
-      blocking: false,
     }, exchange);
     return exchange;
   }
@@ -210,7 +205,6 @@
   }
 
   private release(connection: Connection): void {
-    connection.busy = false;
     if (this.disposed || connection.wasReset || connection.wasClosed) this.discard(connection);
     else if (this.all.has(connection)) this.idle.push(connection);
   }
--- a/src/gateway/occupancy.ts
+++ b/src/gateway/occupancy.ts
@@ -1,6 +1,7 @@
 import { createJSONRPCNotification } from 'json-rpc-2.0';
 import { z } from 'zod';
 import type { Clock, Disposable } from '../core/edges.js';
+import { safeParseJson } from '../core/json.js';
 import type { Members } from '../core/members.js';
 import { sleep } from '../core/time.js';
 
@@ -57,14 +58,6 @@
 
 const NONE: OpenCalls = { prefills: 0, continuations: 0, wholes: 0 };
 
-function safeJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 /** Calls open at each backend server, of this gateway and, a few ms late, of the others. */
 export class Occupancy {
   private readonly own = new Map<string, { -readonly [Kind in keyof OpenCalls]: number }>();
@@ -162,7 +155,7 @@
   }
 
   private receive(message: string): void {
-    const parsed = messageSchema.safeParse(safeJson(message));
+    const parsed = messageSchema.safeParse(safeParseJson(message));
     if (!parsed.success) return;
     const { from, sequence, open } = parsed.data.params;
     if ((this.peers.get(from)?.sequence ?? -1) >= sequence) return;
