--- a/src/adapters/platform.ts
+++ b/src/adapters/platform.ts
@@ -1,8 +1,8 @@
 import { z } from 'zod';
-import { HostState } from '../core/edges.js';
+import { HostState } from '../core/edges/index.js';
 import type {
   CallOptions, EdgeError, HostList, HostRecord, WeightStore,
-} from '../core/edges.js';
+} from '../core/edges/index.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import { HttpConnection } from './http.js';
--- a/src/adapters/system.ts
+++ b/src/adapters/system.ts
@@ -1,5 +1,5 @@
 import { randomFillSync } from 'node:crypto';
-import type { Clock, Disposable, Random } from '../core/edges.js';
+import type { Clock, Disposable, Random } from '../core/edges/index.js';
 
 /** Clock of this process. */
 export class SystemClock implements Clock {
--- a/src/bench/attempt.ts
+++ b/src/bench/attempt.ts
@@ -1,7 +1,26 @@
-import type { DispatchHandle } from '../core/dispatch.js';
-import { AttemptOutcome } from '../core/placement.js';
-import type { Placement, WorkItem } from '../core/placement.js';
-import type { RequestRecord, SimulatedEntry, Simulation } from './simulation.js';
+import type { Dispatcher, DispatchHandle } from '../core/admission/index.js';
+import { AttemptOutcome } from '../core/serving/index.js';
+import type { EngineDirectory, Placement, WorkItem } from '../core/serving/index.js';
+import type { SimulatedClock } from '../emulator/clock.js';
+import type { EngineModel, ModelLoad } from '../emulator/enginemodel.js';
+import type { Arrival } from './workload.js';
+
+/** What became of one request. */
+export interface RequestRecord {
+  readonly arrival: Arrival;
+  firstTokenAt: number | null;
+  endAt: number | null;
+  refusedAt: number | null;
+  attempts: number;
+}
+
+/** One entry of the simulation with decision parts of its own. */
+export interface SimulatedEntry {
+  readonly dispatcher: Dispatcher;
+  readonly directory: EngineDirectory;
+  /** Receives a late load report of each engine every `REPORT_PERIOD_MS`. */
+  readonly report?: (engine: string, load: ModelLoad) => void;
+}
 
 /** Options of {@link Attempt}. */
 export interface AttemptOptions {
@@ -17,6 +36,21 @@
   readonly onLost: (produced: number) => void;
 }
 
+/** What an attempt starts from. */
+export type AttemptStart = Omit<AttemptOptions, 'onRefused' | 'onLost'>;
+
+/** What an attempt needs of the simulation that runs it. */
+export interface AttemptRunner {
+  readonly options: { readonly clock: SimulatedClock; readonly delayMs?: number };
+  readonly engines: ReadonlyMap<string, EngineModel>;
+  /** Submits a request, or what is left of it. */
+  attempt(start: AttemptStart): unknown;
+  /** Counts an attempt at an engine. */
+  enter(attempt: Attempt, engine: string): void;
+  /** Ends what {@link enter} began. */
+  leave(attempt: Attempt, engine: string): void;
+}
+
 /** One attempt of the simulation at running a request, from submission to its end. */
 export class Attempt {
   /** Output tokens of the whole answer that this attempt has reached. */
@@ -43,7 +77,7 @@
 
   private readonly at = new Set<string>();
 
-  public constructor(private readonly simulation: Simulation, public readonly options: AttemptOptions) {
+  public constructor(private readonly simulation: AttemptRunner, public readonly options: AttemptOptions) {
     this.produced = options.produced;
     this.lastProgressAt = simulation.options.clock.monotonic();
     const { importedTokens } = options;
--- a/src/bench/bookingfaults.ts
+++ b/src/bench/bookingfaults.ts
@@ -1,16 +1,14 @@
-import { BatchingKeyValue } from '../core/batching.js';
-import { Bookings } from '../core/bookings.js';
-import type { ServiceOutcome } from '../core/bookings.js';
-import { ServiceCaller } from '../core/calls.js';
+import { BatchingKeyValue, Bookings, ServiceCaller } from '../core/bookings/index.js';
+import type { ServiceOutcome } from '../core/bookings/index.js';
 import type {
   CallOptions, Clock, KeyValue, Log, PlainService, ServiceAnswer, ServiceCall, ServiceError,
-} from '../core/edges.js';
+} from '../core/edges/index.js';
 import { Ran, ranOf } from '../core/refusals.js';
 import type { Refusal } from '../core/refusals.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import { RetryBudget, RetryPolicy } from '../core/retries.js';
-import { ServerDirectory } from '../core/servers.js';
+import { ServerDirectory } from '../core/serving/index.js';
 import { sleep } from '../core/time.js';
 import { SimulatedClock } from '../emulator/clock.js';
 import { EmulatedKeyValue, KeyValueStore } from '../emulator/keyvalue.js';
--- a/src/bench/child.ts
+++ b/src/bench/child.ts
@@ -3,7 +3,7 @@
 import { Agent, request } from 'undici';
 import { SystemClock } from '../adapters/system.js';
 import { startEntryProcess } from '../daemon/process.js';
-import { parseSettings, safeParseSecrets } from '../core/settings.js';
+import { parseSettings, safeParseSecrets } from '../core/configuration/index.js';
 import { EmulatedHostList, EmulatedWeightStore } from '../emulator/platform.js';
 import { KeyValueStore } from '../emulator/keyvalue.js';
 import { startKeyValueServer } from '../emulator/keyvalueserver.js';
--- a/src/bench/combined.ts
+++ b/src/bench/combined.ts
@@ -1,7 +1,7 @@
-import { EngineDirectory } from '../core/directory.js';
-import { Role } from '../core/edges.js';
-import { PolicyDispatcher } from '../core/policy.js';
-import { LeastRequestsRouter } from '../core/routing.js';
+import { EngineDirectory } from '../core/serving/index.js';
+import { Role } from '../core/edges/index.js';
+import { PolicyDispatcher } from '../core/admission/index.js';
+import { LeastRequestsRouter } from '../core/routing/index.js';
 import { SeededRandom } from '../emulator/random.js';
 import { createDaemon } from './daemonentry.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
--- a/src/bench/daemonentry.ts
+++ b/src/bench/daemonentry.ts
@@ -1,10 +1,10 @@
-import type { Demand } from '../core/affinity.js';
-import { NO_DEMAND, sumDemand } from '../core/affinity.js';
-import type { EngineDirectory } from '../core/directory.js';
+import type { Demand } from '../core/routing/index.js';
+import { NO_DEMAND, sumDemand } from '../core/routing/index.js';
+import type { EngineDirectory } from '../core/serving/index.js';
 import { ServingPolicy } from '../daemon/policy.js';
 import type { SimulatedClock } from '../emulator/clock.js';
 import type { SeededRandom } from '../emulator/random.js';
-import type { SimulatedEntry } from './simulation.js';
+import type { SimulatedEntry } from './attempt.js';
 
 /** Simulated entry with the policy that the daemon runs. */
 interface DaemonEntry extends SimulatedEntry {
--- a/src/bench/fairness.ts
+++ b/src/bench/fairness.ts
@@ -6,7 +6,7 @@
 } from './fleets.js';
 import type { CreateDispatcher, User } from './fleets.js';
 import { isGood } from './simulation.js';
-import type { RequestRecord } from './simulation.js';
+import type { RequestRecord } from './attempt.js';
 import {
   round, seedsFrom, spread, variantLine,
 } from './summary.js';
--- a/src/bench/fleets.ts
+++ b/src/bench/fleets.ts
@@ -1,14 +1,12 @@
-import type { Dispatcher } from '../core/dispatch.js';
-import { FifoDispatcher } from '../core/dispatch.js';
-import { EngineDirectory } from '../core/directory.js';
-import { Role } from '../core/edges.js';
-import { PolicyDispatcher } from '../core/policy.js';
-import type { PolicyOptions } from '../core/policy.js';
-import { LeastRequestsRouter } from '../core/routing.js';
+import type { Dispatcher, PolicyOptions } from '../core/admission/index.js';
+import { FifoDispatcher, PolicyDispatcher } from '../core/admission/index.js';
+import { EngineDirectory } from '../core/serving/index.js';
+import { Role } from '../core/edges/index.js';
+import { LeastRequestsRouter } from '../core/routing/index.js';
 import { SimulatedClock } from '../emulator/clock.js';
 import { SeededRandom } from '../emulator/random.js';
 import { Simulation } from './simulation.js';
-import type { SimulatedEntry } from './simulation.js';
+import type { SimulatedEntry } from './attempt.js';
 import { GALINHEIRO, HALVORSEN, generateArrivals } from './workload.js';
 import type { Arrival, ClassRate, RequestClass } from './workload.js';
 
--- a/src/bench/headofline.ts
+++ b/src/bench/headofline.ts
@@ -1,4 +1,4 @@
-import { Priority } from '../core/edges.js';
+import { Priority } from '../core/edges/index.js';
 import { SeededRandom } from '../emulator/random.js';
 import { createDaemon } from './daemonentry.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
@@ -7,7 +7,7 @@
 } from './fleets.js';
 import type { CreateDispatcher, FleetRun, User } from './fleets.js';
 import { quantile } from './simulation.js';
-import type { RequestRecord } from './simulation.js';
+import type { RequestRecord } from './attempt.js';
 import {
   goodput, round, seedsFrom, spread, variantLine,
 } from './summary.js';
--- a/src/bench/hedges.ts
+++ b/src/bench/hedges.ts
@@ -1,7 +1,6 @@
 import {
-  HedgePolicy, HedgeRace, RaceStep, Runner,
-} from '../core/hedging.js';
-import { HealthState } from '../core/health.js';
+  HedgePolicy, HedgeRace, RaceStep, Runner, HealthState,
+} from '../core/routing/index.js';
 import type { Attempt } from './attempt.js';
 import type { PolicyEntry } from './policy.js';
 import type { Simulation } from './simulation.js';
--- a/src/bench/leaving.ts
+++ b/src/bench/leaving.ts
@@ -1,5 +1,5 @@
-import { HostState } from '../core/edges.js';
-import type { DrainReport } from '../core/draining.js';
+import { HostState } from '../core/edges/index.js';
+import type { DrainReport } from '../core/membership/index.js';
 import { editFleet } from '../scenario/fleets.js';
 import type { Experiment, Verdict } from './experiment.js';
 import { LeavingLoad } from './leavingload.js';
--- a/src/bench/leavingload.ts
+++ b/src/bench/leavingload.ts
@@ -1,5 +1,5 @@
-import type { AddressAnswer } from '../core/addresses.js';
-import { Priority } from '../core/edges.js';
+import type { AddressAnswer } from '../core/membership/index.js';
+import { Priority } from '../core/edges/index.js';
 import { Deployment } from '../emulator/deployment.js';
 import type { DeployedEntry } from '../emulator/deployment.js';
 import { SeededRandom } from '../emulator/random.js';
--- a/src/bench/memorynode.ts
+++ b/src/bench/memorynode.ts
@@ -1,7 +1,7 @@
 import { SystemClock, SystemRandom } from '../adapters/system.js';
-import type { Log, Meter } from '../core/edges.js';
-import { createIncarnation, Membership } from '../core/membership.js';
-import { Secret } from '../core/settings.js';
+import type { Log, Meter } from '../core/edges/index.js';
+import { createIncarnation, Membership } from '../core/membership/index.js';
+import { Secret } from '../core/configuration/index.js';
 import { PeerCaller, PeerListener } from '../daemon/peers.js';
 
 /** Program of one member over real HTTP; prints what it used when it is told to end. */
--- a/src/bench/mixshift.ts
+++ b/src/bench/mixshift.ts
@@ -1,7 +1,6 @@
-import { Role } from '../core/edges.js';
-import { DEFAULT_PLANNER_OPTIONS, RolePlanner } from '../core/roles.js';
-import type { RoleCounts } from '../core/split.js';
-import { DEFAULT_SPLIT_MODEL } from '../core/split.js';
+import { Role } from '../core/edges/index.js';
+import { DEFAULT_PLANNER_OPTIONS, RolePlanner, DEFAULT_SPLIT_MODEL } from '../core/roles/index.js';
+import type { RoleCounts } from '../core/roles/index.js';
 import { SeededRandom } from '../emulator/random.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
 import type { PolicyEntry, User } from './policy.js';
--- a/src/bench/overhead.ts
+++ b/src/bench/overhead.ts
@@ -1,6 +1,6 @@
 import { Agent, request } from 'undici';
 import { askEntry } from '../cli/client.js';
-import { Secret } from '../core/settings.js';
+import { Secret } from '../core/configuration/index.js';
 import { SeededRandom } from '../emulator/random.js';
 import {
   benchFleet, CALLER_PORT, Child, OPERATOR_PORT, OPERATOR_TOKEN, PIPE_PORT,
--- a/src/bench/peak.ts
+++ b/src/bench/peak.ts
@@ -1,4 +1,4 @@
-import { Priority } from '../core/edges.js';
+import { Priority } from '../core/edges/index.js';
 import { createDaemon } from './daemonentry.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
 import {
@@ -6,7 +6,7 @@
 } from './fleets.js';
 import type { CreateDispatcher, FleetRun, User } from './fleets.js';
 import { firstTokenMs, isGood, quantile } from './simulation.js';
-import type { RequestRecord } from './simulation.js';
+import type { RequestRecord } from './attempt.js';
 import {
   arrivedIn, goodput, round, seedsFrom, spread, variantLine,
 } from './summary.js';
--- a/src/bench/peercost.ts
+++ b/src/bench/peercost.ts
@@ -1,8 +1,8 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server } from 'node:net';
-import type { Log, Meter } from '../core/edges.js';
+import type { Log, Meter } from '../core/edges/index.js';
 import { ok } from '../core/result.js';
-import { Secret } from '../core/settings.js';
+import { Secret } from '../core/configuration/index.js';
 import { PeerCaller, PeerListener } from '../daemon/peers.js';
 
 /** Cost of one JSON-RPC call over Node's HTTP on loopback, beyond its parameters and its result. */
--- a/src/bench/planners.ts
+++ b/src/bench/planners.ts
@@ -1,13 +1,12 @@
-import { Authority } from '../core/authority.js';
-import { Role } from '../core/edges.js';
-import type { Engine } from '../core/edges.js';
+import { Authority } from '../core/authority/index.js';
+import { Role } from '../core/edges/index.js';
+import type { Engine } from '../core/edges/index.js';
 import {
   DesiredRole, Fencing, ServerState,
-} from '../core/fleet.js';
-import type { EngineSpec, Fleet } from '../core/fleet.js';
-import { Orders } from '../core/orders.js';
-import { Planning } from '../core/planning.js';
-import type { EngineDrain, RoleSource } from '../core/planning.js';
+} from '../core/configuration/index.js';
+import type { EngineSpec, Fleet } from '../core/configuration/index.js';
+import { Orders, Planning } from '../core/orders/index.js';
+import type { EngineDrain, RoleSource } from '../core/orders/index.js';
 import { sleep } from '../core/time.js';
 import { SimulatedClock } from '../emulator/clock.js';
 import { EmulatedEngine } from '../emulator/engine.js';
--- a/src/bench/policy.ts
+++ b/src/bench/policy.ts
@@ -1,18 +1,14 @@
-import type { Demand } from '../core/affinity.js';
-import { NO_DEMAND, sumDemand } from '../core/affinity.js';
-import { FifoDispatcher } from '../core/dispatch.js';
-import { EngineDirectory } from '../core/directory.js';
-import type { Role } from '../core/edges.js';
-import { DEFAULT_HEALTH_OPTIONS, HealthTracker } from '../core/health.js';
-import { AttemptOutcome } from '../core/placement.js';
-import type { Placement, WorkItem } from '../core/placement.js';
-import type { CostRouterOptions } from '../core/costrouter.js';
-import { CostRouter } from '../core/costrouter.js';
-import type { Router } from '../core/routing.js';
-import { LeastRequestsRouter } from '../core/routing.js';
+import type { Demand, CostRouterOptions, Router } from '../core/routing/index.js';
+import {
+  NO_DEMAND, sumDemand, DEFAULT_HEALTH_OPTIONS, HealthTracker, CostRouter, LeastRequestsRouter,
+} from '../core/routing/index.js';
+import { FifoDispatcher } from '../core/admission/index.js';
+import { EngineDirectory, AttemptOutcome } from '../core/serving/index.js';
+import type { Role } from '../core/edges/index.js';
+import type { Placement, WorkItem } from '../core/serving/index.js';
 import { SimulatedClock } from '../emulator/clock.js';
 import { SeededRandom } from '../emulator/random.js';
-import type { SimulatedEntry } from './simulation.js';
+import type { SimulatedEntry } from './attempt.js';
 import {
   firstTokenMs, isGood, perTokenMs, quantile, Simulation,
 } from './simulation.js';
--- a/src/bench/prefix.ts
+++ b/src/bench/prefix.ts
@@ -1,5 +1,5 @@
-import { Role } from '../core/edges.js';
-import { PREFIX_BLOCK_TOKENS, PrefixIndex } from '../core/prefixes.js';
+import { Role } from '../core/edges/index.js';
+import { PREFIX_BLOCK_TOKENS, PrefixIndex } from '../core/routing/index.js';
 import { SeededRandom } from '../emulator/random.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
 import type { PolicyEntry } from './policy.js';
--- a/src/bench/propagation.ts
+++ b/src/bench/propagation.ts
@@ -1,10 +1,8 @@
 import { readFileSync } from 'node:fs';
-import { CONFIGURATION_KEY } from '../core/applying.js';
-import { Configuration } from '../core/configuration.js';
-import type { ApplyOutcome } from '../core/configuration.js';
-import type { PeerClient } from '../core/edges.js';
-import { safeParseFleet } from '../core/fleet.js';
-import { Membership, createIncarnation } from '../core/membership.js';
+import { CONFIGURATION_KEY, Configuration, safeParseFleet } from '../core/configuration/index.js';
+import type { ApplyOutcome } from '../core/configuration/index.js';
+import type { PeerClient } from '../core/edges/index.js';
+import { Membership, createIncarnation } from '../core/membership/index.js';
 import { SimulatedClock } from '../emulator/clock.js';
 import { EmulatedEntry, silent } from '../emulator/entry.js';
 import { KeyValueStore } from '../emulator/keyvalue.js';
--- a/src/bench/retrystorm.ts
+++ b/src/bench/retrystorm.ts
@@ -1,4 +1,4 @@
-import type { Random } from '../core/edges.js';
+import type { Random } from '../core/edges/index.js';
 import { RetryBudget, RetryPolicy, Sent } from '../core/retries.js';
 import { SimulatedClock } from '../emulator/clock.js';
 import { SeededRandom } from '../emulator/random.js';
--- a/src/bench/roledriver.ts
+++ b/src/bench/roledriver.ts
@@ -1,8 +1,7 @@
-import { sumDemand } from '../core/affinity.js';
-import { Role } from '../core/edges.js';
-import type { PlannedEngine, RolePlanner } from '../core/roles.js';
-import { DEFAULT_PLANNER_OPTIONS } from '../core/roles.js';
-import type { RoleCounts } from '../core/split.js';
+import { sumDemand } from '../core/routing/index.js';
+import { Role } from '../core/edges/index.js';
+import type { PlannedEngine, RolePlanner, RoleCounts } from '../core/roles/index.js';
+import { DEFAULT_PLANNER_OPTIONS } from '../core/roles/index.js';
 import type { PolicyEntry } from './policy.js';
 import type { Simulation } from './simulation.js';
 
--- a/src/bench/scale.ts
+++ b/src/bench/scale.ts
@@ -1,12 +1,8 @@
-import { CostRouter } from '../core/costrouter.js';
-import { EngineDirectory } from '../core/directory.js';
-import { Priority, Role } from '../core/edges.js';
-import { AttemptOutcome } from '../core/placement.js';
-import type { Placement, WorkItem } from '../core/placement.js';
-import type { Router } from '../core/routing.js';
-import { LeastRequestsRouter } from '../core/routing.js';
-import type { SubsetEngine } from '../core/subset.js';
-import { selectSubset } from '../core/subset.js';
+import { CostRouter, LeastRequestsRouter, selectSubset } from '../core/routing/index.js';
+import { EngineDirectory, AttemptOutcome } from '../core/serving/index.js';
+import { Priority, Role } from '../core/edges/index.js';
+import type { Placement, WorkItem } from '../core/serving/index.js';
+import type { Router, SubsetEngine } from '../core/routing/index.js';
 import { SimulatedClock } from '../emulator/clock.js';
 import { SeededRandom } from '../emulator/random.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
--- a/src/bench/simulation.ts
+++ b/src/bench/simulation.ts
@@ -1,24 +1,15 @@
-import { Role } from '../core/edges.js';
-import type { Dispatcher } from '../core/dispatch.js';
-import type { EngineDirectory } from '../core/directory.js';
-import type { WorkItem } from '../core/placement.js';
+import { Role } from '../core/edges/index.js';
+import type { WorkItem } from '../core/serving/index.js';
 import type { SimulatedClock } from '../emulator/clock.js';
 import { ENGINE_PARAMETERS, EngineModel } from '../emulator/enginemodel.js';
-import type { EngineParameters, ModelLoad } from '../emulator/enginemodel.js';
+import type { EngineParameters } from '../emulator/enginemodel.js';
 import type { SeededRandom } from '../emulator/random.js';
 import { Attempt } from './attempt.js';
-import type { AttemptOptions } from './attempt.js';
+import type {
+  AttemptRunner, AttemptStart, RequestRecord, SimulatedEntry,
+} from './attempt.js';
 import type { Arrival } from './workload.js';
 
-/** What became of one request. */
-export interface RequestRecord {
-  readonly arrival: Arrival;
-  firstTokenAt: number | null;
-  endAt: number | null;
-  refusedAt: number | null;
-  attempts: number;
-}
-
 /** Limits that a good answer meets. */
 export interface ServiceLevel {
   readonly firstTokenMs: number;
@@ -31,14 +22,6 @@
 /** Model name that all simulated requests ask for. */
 export const SIMULATED_MODEL = 'model';
 
-/** One entry of the simulation with decision parts of its own. */
-export interface SimulatedEntry {
-  readonly dispatcher: Dispatcher;
-  readonly directory: EngineDirectory;
-  /** Receives a late load report of each engine every `REPORT_PERIOD_MS`. */
-  readonly report?: (engine: string, load: ModelLoad) => void;
-}
-
 const REPORT_PERIOD_MS = 1_000;
 
 const MOVE_PERIOD_MS = 100;
@@ -58,7 +41,7 @@
 }
 
 /** Runs arrivals through the real dispatchers and routers against engine fakes. */
-export class Simulation {
+export class Simulation implements AttemptRunner {
   public readonly engines = new Map<string, EngineModel>();
 
   public readonly entries: SimulatedEntry[] = [];
@@ -178,7 +161,7 @@
   }
 
   /** Submits a request, or what is left of it, at an entry. */
-  public attempt(attempt: Omit<AttemptOptions, 'onRefused' | 'onLost'>): Attempt {
+  public attempt(attempt: AttemptStart): Attempt {
     Object.assign(attempt.record, { attempts: attempt.record.attempts + 1 });
     return new Attempt(this, {
       ...attempt,
--- a/src/bench/summary.ts
+++ b/src/bench/summary.ts
@@ -1,7 +1,8 @@
 import {
   SERVICE_LEVEL, firstTokenMs, isGood, perTokenMs, quantile,
 } from './simulation.js';
-import type { RequestRecord, ServiceLevel } from './simulation.js';
+import type { RequestRecord } from './attempt.js';
+import type { ServiceLevel } from './simulation.js';
 
 /** Seeds of one experiment: the given one and the four after it. */
 export const SEEDS_PER_RUN = 5;
--- a/src/bench/takeover.ts
+++ b/src/bench/takeover.ts
@@ -1,4 +1,4 @@
-import { Fencing } from '../core/fleet.js';
+import { Fencing } from '../core/configuration/index.js';
 import { SeededRandom } from '../emulator/random.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
 import { LEASE_MS, PAUSE_ALLOWANCE_MS, PlannerGroup } from './planners.js';
--- a/src/bench/workload.ts
+++ b/src/bench/workload.ts
@@ -1,5 +1,5 @@
-import { Priority } from '../core/edges.js';
-import { PREFIX_BLOCK_TOKENS } from '../core/prefixes.js';
+import { Priority } from '../core/edges/index.js';
+import { PREFIX_BLOCK_TOKENS } from '../core/routing/index.js';
 import type { SeededRandom } from '../emulator/random.js';
 
 /** Request of a workload; the policy must not read `outputTokens`. */
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -1,5 +1,5 @@
 import { Pool } from 'undici';
-import type { Secret } from '../core/settings.js';
+import type { Secret } from '../core/configuration/index.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -3,11 +3,11 @@
 import { safeLoadSettings, safeReadText } from './files.js';
 import { ExitCode, failed, invalid } from './outcome.js';
 import type { Outcome } from './outcome.js';
-import { safeParseFleet } from '../core/fleet.js';
+import { safeParseFleet } from '../core/configuration/index.js';
 import type { Issue } from '../core/issues.js';
 import { issueText } from '../core/issues.js';
 import type { Result } from '../core/result.js';
-import type { Secret } from '../core/settings.js';
+import type { Secret } from '../core/configuration/index.js';
 
 /** Entry that an operator command talks to. */
 export interface OperatorTarget {
--- a/src/cli/files.ts
+++ b/src/cli/files.ts
@@ -3,8 +3,8 @@
 import type { Issue } from '../core/issues.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
-import { safeParseSecrets, safeParseSettings } from '../core/settings.js';
-import type { Secrets, Settings } from '../core/settings.js';
+import { safeParseSecrets, safeParseSettings } from '../core/configuration/index.js';
+import type { Secrets, Settings } from '../core/configuration/index.js';
 
 /** Reads a text file; an unreadable one is an issue. */
 export function safeReadText(file: string): Result<string, readonly Issue[]> {
--- a/src/cli/gateway.ts
+++ b/src/cli/gateway.ts
@@ -4,7 +4,7 @@
 import { openLog } from '../daemon/logs.js';
 import { Metrics } from '../daemon/metrics.js';
 import { PeerCaller, PeerListener } from '../daemon/peers.js';
-import { Secret } from '../core/settings.js';
+import { Secret } from '../core/configuration/index.js';
 import { Gateway } from '../gateway/gateway.js';
 import { BoundedLog } from '../gateway/logs.js';
 import { safeParseGatewaySettings } from '../gateway/settings.js';
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -12,7 +12,7 @@
 import type { Issue } from '../core/issues.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
-import { Secret, SECRET_VARIABLES } from '../core/settings.js';
+import { Secret, SECRET_VARIABLES } from '../core/configuration/index.js';
 import { parseIni } from '../core/ini.js';
 
 const VERSION = '0.1.0';
--- a/src/core/admission.ts
+++ b/src/core/admission/admission.ts
@@ -1,6 +1,6 @@
-import type { Clock, Random } from './edges.js';
-import { Priority } from './edges.js';
-import type { PolicyRefusal, WorkItem } from './placement.js';
+import type { Clock, Random } from '../edges/index.js';
+import { Priority } from '../edges/index.js';
+import type { PolicyRefusal, WorkItem } from '../serving/index.js';
 
 /** Request that waits for a placement. */
 export interface Queued {
--- a/src/core/dispatch.ts
+++ b/src/core/admission/dispatch.ts
@@ -1,9 +1,9 @@
-import type { Clock } from './edges.js';
-import { Priority } from './edges.js';
+import type { Clock } from '../edges/index.js';
+import { Priority } from '../edges/index.js';
 import type {
   AttemptOutcome, Placement, PolicyRefusal, WorkItem,
-} from './placement.js';
-import type { Router } from './routing.js';
+} from '../serving/index.js';
+import type { Router } from '../routing/index.js';
 
 /** Receives the decision on one request; exactly one of the two is called, once. */
 export interface DispatchListener {
--- a/src/core/estimates.ts
+++ b/src/core/admission/estimates.ts
@@ -1,4 +1,4 @@
-import type { WorkItem } from './placement.js';
+import type { WorkItem } from '../serving/index.js';
 
 /** Buckets per doubling of the length. */
 const BUCKETS_PER_OCTAVE = 4;
--- /dev/null
+++ b/src/core/admission/index.ts
@@ -0,0 +1,2 @@
+export * from './dispatch.js';
+export * from './policy.js';
--- a/src/core/lanes.ts
+++ b/src/core/admission/lanes.ts
@@ -1,8 +1,7 @@
 import { createHash } from 'node:crypto';
-import type { EngineDirectory } from './directory.js';
-import { Role } from './edges.js';
-import type { EngineFacts, WorkItem } from './placement.js';
-import { assertNever } from './result.js';
+import type { EngineDirectory, EngineFacts, WorkItem } from '../serving/index.js';
+import { Role } from '../edges/index.js';
+import { assertNever } from '../result.js';
 
 /** Work that is kept apart on mixed engines. */
 export enum Lane {
--- a/src/core/limits.ts
+++ b/src/core/admission/limits.ts
@@ -1,11 +1,10 @@
 import { AdaptiveLimit } from './adaptive.js';
-import type { EngineDirectory } from './directory.js';
-import type { Clock } from './edges.js';
-import { Priority, Role } from './edges.js';
+import type { EngineDirectory, Placement, WorkItem } from '../serving/index.js';
+import type { Clock } from '../edges/index.js';
+import { Priority, Role } from '../edges/index.js';
 import { LANES, Lane } from './lanes.js';
 import { PrefillFloor } from './floor.js';
 import type { LanePlan } from './lanes.js';
-import type { Placement, WorkItem } from './placement.js';
 
 /** Times that 95 of 100 answers should meet, in ms. */
 export interface ServiceTarget {
--- a/src/core/policy.ts
+++ b/src/core/admission/policy.ts
@@ -1,18 +1,17 @@
 import { AdmissionQueue } from './admission.js';
 import type { Queued } from './admission.js';
-import type { EngineDirectory } from './directory.js';
+import type {
+  EngineDirectory, Placement, PolicyRefusal, WorkItem, QuickBounds,
+} from '../serving/index.js';
 import type { DispatchHandle, DispatchListener, Dispatcher } from './dispatch.js';
-import type { Clock, Disposable, Random } from './edges.js';
+import type { Clock, Disposable, Random } from '../edges/index.js';
 import { Estimates } from './estimates.js';
 import { LanePlan } from './lanes.js';
 import type { EntryShare } from './lanes.js';
 import { EngineLimits, SERVICE_TARGET, TOLERANCE } from './limits.js';
 import type { Held, RoomOptions, ServiceTarget } from './limits.js';
-import { AttemptOutcome } from './placement.js';
-import type { Placement, PolicyRefusal, WorkItem } from './placement.js';
-import { isQuickWork } from './quick.js';
-import type { QuickBounds } from './quick.js';
-import type { Router, RouterOptions } from './routing.js';
+import { AttemptOutcome, isQuickWork } from '../serving/index.js';
+import type { Router, RouterOptions } from '../routing/index.js';
 import { WorkspaceShares } from './shares.js';
 
 /** Options of {@link PolicyDispatcher}. */
--- a/src/core/authority.ts
+++ b/src/core/authority/authority.ts
@@ -1,13 +1,11 @@
 import type {
   Clock, Disposable, KeyValue, Log, Meter, Random,
-} from './edges.js';
-import type { Members } from './membership.js';
-import { lowestByRendezvous } from './rendezvous.js';
+} from '../edges/index.js';
+import type { Members } from '../membership/index.js';
+import { lowestByRendezvous } from '../rendezvous.js';
 import { AUTHORITY_KEY, Terms } from './terms.js';
 import type { Holder, Seen } from './terms.js';
-import { sleep } from './time.js';
-
-export type { Holder } from './terms.js';
+import { sleep } from '../time.js';
 
 /** Entries that look for a free lease several times in each lease length. */
 const FREQUENT_READERS = 5;
--- /dev/null
+++ b/src/core/authority/index.ts
@@ -0,0 +1,2 @@
+export * from './authority.js';
+export * from './terms.js';
--- a/src/core/terms.ts
+++ b/src/core/authority/terms.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
-import { KeyValueErrorCode } from './edges.js';
-import type { CallOptions, KeyValue, KeyValueEntry } from './edges.js';
+import { KeyValueErrorCode } from '../edges/index.js';
+import type { CallOptions, KeyValue, KeyValueEntry } from '../edges/index.js';
 
 /** Key that the holder's lease keeps alive. */
 export const AUTHORITY_KEY = 'authority';
--- a/src/core/batching.ts
+++ b/src/core/bookings/batching.ts
@@ -1,12 +1,12 @@
 import {
   KEY_VALUE_MAX_BYTES, KEY_VALUE_MAX_OPERATIONS, KeyValueErrorCode,
-} from './edges.js';
+} from '../edges/index.js';
 import type {
   CallOptions, CasOperation, CasResult, Clock, KeyValue, KeyValueEntry, KeyValueError, WatchEvent,
-} from './edges.js';
-import { fail, ok } from './result.js';
-import type { Result } from './result.js';
-import { within } from './time.js';
+} from '../edges/index.js';
+import { fail, ok } from '../result.js';
+import type { Result } from '../result.js';
+import { within } from '../time.js';
 
 /** Time for which a compare-and-swap waits for others to share its call. */
 export const BATCH_WAIT_MS = 2;
--- a/src/core/bookings.ts
+++ b/src/core/bookings/bookings.ts
@@ -1,17 +1,17 @@
 import type { ServiceCaller, ServiceRequest } from './calls.js';
 import type {
   Clock, KeyValue, Log, Random,
-} from './edges.js';
+} from '../edges/index.js';
 import {
   BookingRecords, BookingState, callHash, recordKey, SharedLease,
 } from './records.js';
 import type { BookingRecord, StoredOutcome, StoredRecord } from './records.js';
-import { Ran } from './refusals.js';
-import type { Refusal } from './refusals.js';
-import { assertNever, fail, ok } from './result.js';
-import type { Result } from './result.js';
+import { Ran } from '../refusals.js';
+import type { Refusal } from '../refusals.js';
+import { assertNever, fail, ok } from '../result.js';
+import type { Result } from '../result.js';
 import { Settlements } from './settlements.js';
-import { sleep, within } from './time.js';
+import { sleep, within } from '../time.js';
 
 /** Answer of a plain service; `repeated` tells that a stored outcome was returned. */
 export interface ServiceOutcome {
--- a/src/core/calls.ts
+++ b/src/core/bookings/calls.ts
@@ -1,11 +1,11 @@
 import type {
   Clock, Log, Random, ServiceAnswer, ServiceError,
-} from './edges.js';
-import type { Result } from './result.js';
-import { Sent } from './retries.js';
-import type { RetryPolicy } from './retries.js';
-import type { ServerDirectory, ServerFacts } from './servers.js';
-import { sleep, within } from './time.js';
+} from '../edges/index.js';
+import type { Result } from '../result.js';
+import { Sent } from '../retries.js';
+import type { RetryPolicy } from '../retries.js';
+import type { ServerDirectory, ServerFacts } from '../serving/index.js';
+import { sleep, within } from '../time.js';
 
 /** Call of a plain service after the caller's input has been checked. */
 export interface ServiceRequest {
--- /dev/null
+++ b/src/core/bookings/index.ts
@@ -0,0 +1,3 @@
+export * from './batching.js';
+export * from './bookings.js';
+export * from './calls.js';
--- a/src/core/records.ts
+++ b/src/core/bookings/records.ts
@@ -1,11 +1,11 @@
 import { createHash } from 'node:crypto';
 import { z } from 'zod';
-import { KeyValueErrorCode } from './edges.js';
+import { KeyValueErrorCode } from '../edges/index.js';
 import type {
   CallOptions, Clock, KeyValue, KeyValueEntry, KeyValueError, Random,
-} from './edges.js';
-import type { Result } from './result.js';
-import { sleep } from './time.js';
+} from '../edges/index.js';
+import type { Result } from '../result.js';
+import { sleep } from '../time.js';
 
 /** Where a booking stands. */
 export enum BookingState {
--- a/src/core/settlements.ts
+++ b/src/core/bookings/settlements.ts
@@ -1,7 +1,7 @@
-import type { Clock, Log } from './edges.js';
+import type { Clock, Log } from '../edges/index.js';
 import { BookingState } from './records.js';
 import type { BookingRecord, BookingRecords } from './records.js';
-import { sleep } from './time.js';
+import { sleep } from '../time.js';
 
 /** Time for which the final state of a record is tried to be written while the service is down. */
 const SETTLE_MS = 60_000;
--- a/src/core/applying.ts
+++ b/src/core/configuration/applying.ts
@@ -1,10 +1,10 @@
-import { KEY_VALUE_MAX_BYTES, KeyValueErrorCode } from './edges.js';
+import { KEY_VALUE_MAX_BYTES, KeyValueErrorCode } from '../edges/index.js';
 import type {
   Clock, KeyValue, KeyValueEntry, Random,
-} from './edges.js';
+} from '../edges/index.js';
 import { decodeRecord, hashFile } from './revisions.js';
 import type { ApplyOutcome, ConfigurationRecord, Revisions } from './revisions.js';
-import { sleep } from './time.js';
+import { sleep } from '../time.js';
 
 /** Key of the fleet file in the key-value service. */
 export const CONFIGURATION_KEY = 'config';
--- a/src/core/configuration.ts
+++ b/src/core/configuration/configuration.ts
@@ -1,17 +1,15 @@
 import { CONFIGURATION_KEY, applyFile } from './applying.js';
-import { DisposableStore } from './disposables.js';
+import { DisposableStore } from '../disposables.js';
 import type {
   Clock, Disposable, KeyValue, Log, Meter, PeerClient, PeerServer, Random,
-} from './edges.js';
+} from '../edges/index.js';
 import type { Fleet } from './fleet.js';
-import type { Members } from './membership.js';
+import type { Members } from '../membership/index.js';
 import { Propagation } from './propagation.js';
-import { lowestByRendezvous } from './rendezvous.js';
+import { lowestByRendezvous } from '../rendezvous.js';
 import { Revisions, decodeRecord } from './revisions.js';
 import type { ApplyOutcome, FleetParser, InForce } from './revisions.js';
-import { sleep } from './time.js';
-
-export type { ApplyOutcome, FleetParser, InForce } from './revisions.js';
+import { sleep } from '../time.js';
 
 const WATCHERS = 3;
 
--- a/src/core/fleet.ts
+++ b/src/core/configuration/fleet.ts
@@ -1,11 +1,11 @@
 import { z } from 'zod';
-import { KEY_VALUE_MAX_BYTES } from './edges.js';
-import { parseIni, safeParseSection } from './ini.js';
-import type { IniSection } from './ini.js';
-import { IssuesError } from './issues.js';
-import type { Issue } from './issues.js';
-import { fail, ok } from './result.js';
-import type { Result } from './result.js';
+import { KEY_VALUE_MAX_BYTES } from '../edges/index.js';
+import { parseIni, safeParseSection } from '../ini.js';
+import type { IniSection } from '../ini.js';
+import { IssuesError } from '../issues.js';
+import type { Issue } from '../issues.js';
+import { fail, ok } from '../result.js';
+import type { Result } from '../result.js';
 
 /** Whether an engine refuses orders that carry an old fencing number. */
 export enum Fencing {
--- /dev/null
+++ b/src/core/configuration/index.ts
@@ -0,0 +1,5 @@
+export * from './applying.js';
+export * from './configuration.js';
+export * from './fleet.js';
+export * from './revisions.js';
+export * from './settings.js';
--- a/src/core/propagation.ts
+++ b/src/core/configuration/propagation.ts
@@ -1,11 +1,11 @@
 import { z } from 'zod';
-import { DisposableStore } from './disposables.js';
+import { DisposableStore } from '../disposables.js';
 import type {
   Clock, PeerClient, PeerError, PeerServer, Random,
-} from './edges.js';
-import type { Members } from './membership.js';
-import { fail, ok } from './result.js';
-import type { Result } from './result.js';
+} from '../edges/index.js';
+import type { Members } from '../membership/index.js';
+import { fail, ok } from '../result.js';
+import type { Result } from '../result.js';
 import { hashFile, inForceSchema } from './revisions.js';
 import type { InForce, Revisions } from './revisions.js';
 import { diffSections, joinSections, sectionsSchema } from './sections.js';
--- a/src/core/revisions.ts
+++ b/src/core/configuration/revisions.ts
@@ -2,10 +2,10 @@
 import { z } from 'zod';
 import type {
   Clock, Disposable, KeyValueEntry, Log, Meter,
-} from './edges.js';
+} from '../edges/index.js';
 import type { Fleet } from './fleet.js';
-import type { Issue } from './issues.js';
-import type { Result } from './result.js';
+import type { Issue } from '../issues.js';
+import type { Result } from '../result.js';
 
 /** Fleet file in force. */
 export interface InForce {
--- a/src/core/settings.ts
+++ b/src/core/configuration/settings.ts
@@ -1,11 +1,11 @@
 import { z } from 'zod';
 import { addressSchema, nameSchema } from './fleet.js';
-import { parseIni, safeParseSection, safeParseSections } from './ini.js';
-import { IssuesError } from './issues.js';
-import type { Issue } from './issues.js';
-import { fail, ok } from './result.js';
-import type { Result } from './result.js';
-import { countSchema, durationSchema, sizeSchema } from './units.js';
+import { parseIni, safeParseSection, safeParseSections } from '../ini.js';
+import { IssuesError } from '../issues.js';
+import type { Issue } from '../issues.js';
+import { fail, ok } from '../result.js';
+import type { Result } from '../result.js';
+import { countSchema, durationSchema, sizeSchema } from '../units.js';
 
 const SECTIONS = {
   entry: z.strictObject({
--- a/src/core/disposables.ts
+++ b/src/core/disposables.ts
@@ -1,4 +1,4 @@
-import type { Disposable } from './edges.js';
+import type { Disposable } from './edges/index.js';
 
 /** Gathers disposables and releases them together, last added first. */
 export class DisposableStore implements Disposable {
--- a/src/core/addresses.ts
+++ b/src/core/membership/addresses.ts
@@ -1,8 +1,8 @@
-import type { Random } from './edges.js';
+import type { Random } from '../edges/index.js';
 import type { Member, Members } from './members.js';
-import type { Refusal } from './refusals.js';
-import { fail, ok } from './result.js';
-import type { Result } from './result.js';
+import type { Refusal } from '../refusals.js';
+import { fail, ok } from '../result.js';
+import type { Result } from '../result.js';
 
 /** Which entry a caller should use. */
 export interface AddressAnswer {
--- a/src/core/detector.ts
+++ b/src/core/membership/detector.ts
@@ -1,6 +1,6 @@
 import type {
   Clock, Log, PeerClient, Random,
-} from './edges.js';
+} from '../edges/index.js';
 import { ask } from './exchange.js';
 import type { Member } from './members.js';
 import type { Roster } from './roster.js';
@@ -9,7 +9,7 @@
   decodeRow, encodeRow, indirectAnswerSchema, MemberState, probeSchema,
 } from './rows.js';
 import type { IndirectMessage, MemberRow, ProbeMessage } from './rows.js';
-import { sleep } from './time.js';
+import { sleep } from '../time.js';
 
 const PROBE_TIMEOUT_MS = 400;
 const INDIRECT_TIMEOUT_MS = 900;
--- a/src/core/draining.ts
+++ b/src/core/membership/draining.ts
@@ -1,7 +1,7 @@
 import { ADDRESS_KEEP_MS } from './addresses.js';
-import type { Clock, Disposable, Log } from './edges.js';
+import type { Clock, Disposable, Log } from '../edges/index.js';
 import type { Members } from './members.js';
-import { sleep, within } from './time.js';
+import { sleep, within } from '../time.js';
 
 /** Result of a planned stop. */
 export interface DrainReport {
--- a/src/core/exchange.ts
+++ b/src/core/membership/exchange.ts
@@ -1,15 +1,15 @@
 import type { z } from 'zod';
 import type {
   CallOptions, Clock, PeerClient, PeerError, Random,
-} from './edges.js';
-import { ok, fail } from './result.js';
-import type { Result } from './result.js';
+} from '../edges/index.js';
+import { ok, fail } from '../result.js';
+import type { Result } from '../result.js';
 import type { Roster } from './roster.js';
 import {
   encodeRow, exchangeAnswerSchema, exchangeSchema, MESSAGE_MAX_ROWS,
 } from './rows.js';
 import type { ExchangeAnswer, ExchangeMessage, WireRow } from './rows.js';
-import { sleep } from './time.js';
+import { sleep } from '../time.js';
 
 const EXCHANGE_TIMEOUT_MS = 2_000;
 const JOIN_RETRY_MS = 500;
--- /dev/null
+++ b/src/core/membership/index.ts
@@ -0,0 +1,5 @@
+export * from './addresses.js';
+export * from './draining.js';
+export * from './members.js';
+export * from './membership.js';
+export * from './notes.js';
--- a/src/core/members.ts
+++ b/src/core/membership/members.ts
@@ -1,4 +1,4 @@
-import type { Disposable } from './edges.js';
+import type { Disposable } from '../edges/index.js';
 
 /** One entry as the others know it. */
 export interface Member {
--- a/src/core/membership.ts
+++ b/src/core/membership/membership.ts
@@ -1,7 +1,7 @@
-import { DisposableStore } from './disposables.js';
+import { DisposableStore } from '../disposables.js';
 import type {
   Clock, Disposable, Log, PeerClient, PeerError, PeerServer, Random,
-} from './edges.js';
+} from '../edges/index.js';
 import { Detector } from './detector.js';
 import { Exchange, malformed } from './exchange.js';
 import type { RowsFrom } from './exchange.js';
@@ -9,8 +9,8 @@
 import type { LocalFacts, Member, Members } from './members.js';
 import { Notes } from './notes.js';
 import type { NoteListener } from './notes.js';
-import { invariant, ok } from './result.js';
-import type { Result } from './result.js';
+import { invariant, ok } from '../result.js';
+import type { Result } from '../result.js';
 import { Roster } from './roster.js';
 import { Rounds } from './rounds.js';
 import {
@@ -21,8 +21,6 @@
   IndirectAnswer, MemberRow, Note, ProbeMessage, WireRow,
 } from './rows.js';
 
-export type { LocalFacts, Member, Members } from './members.js';
-
 /** Settings of {@link Membership}; defaults in brackets. */
 export interface MembershipOptions {
   /** Addresses of other entries from settings; unreachable ones are tried again for ever. */
--- a/src/core/notes.ts
+++ b/src/core/membership/notes.ts
@@ -1,4 +1,4 @@
-import type { Disposable } from './edges.js';
+import type { Disposable } from '../edges/index.js';
 import { GossipQueue } from './gossip.js';
 import type { Note } from './rows.js';
 
--- a/src/core/roster.ts
+++ b/src/core/membership/roster.ts
@@ -1,4 +1,4 @@
-import type { Clock } from './edges.js';
+import type { Clock } from '../edges/index.js';
 import {
   addHashes, bucketOf, BUCKETS, identityHash, KnownMember,
 } from './known.js';
--- a/src/core/rounds.ts
+++ b/src/core/membership/rounds.ts
@@ -1,4 +1,4 @@
-import type { Random } from './edges.js';
+import type { Random } from '../edges/index.js';
 
 /** Shuffled round-robin over members, so that each one is probed once a round at an unpredictable place. */
 export class Rounds {
--- a/src/core/abandonment.ts
+++ b/src/core/orders/abandonment.ts
@@ -1,11 +1,11 @@
 import { z } from 'zod';
-import type { Authority } from './authority.js';
+import type { Authority } from '../authority/index.js';
 import type {
   Clock, Disposable, PeerClient, PeerError, PeerServer,
-} from './edges.js';
+} from '../edges/index.js';
 import type { Sender } from './intents.js';
-import { fail, ok } from './result.js';
-import type { Result } from './result.js';
+import { fail, ok } from '../result.js';
+import type { Result } from '../result.js';
 
 const ABANDON_METHOD = 'authority.abandon';
 
--- a/src/core/actions.ts
+++ b/src/core/orders/actions.ts
@@ -1,4 +1,4 @@
-import type { EngineStatus, OrderAction } from './edges.js';
+import type { EngineStatus, OrderAction } from '../edges/index.js';
 
 /** Whether an action's result can be seen in an engine's status. */
 export function inEffect(action: OrderAction, status: EngineStatus): boolean {
--- a/src/core/deliveries.ts
+++ b/src/core/orders/deliveries.ts
@@ -1,9 +1,9 @@
-import { EngineErrorCode } from './edges.js';
+import { EngineErrorCode } from '../edges/index.js';
 import type {
   Clock, EngineError, OrderState,
-} from './edges.js';
+} from '../edges/index.js';
 import type { Intent } from './intents.js';
-import type { Result } from './result.js';
+import type { Result } from '../result.js';
 
 /** One copy of an order that this process sends or has sent. */
 export interface Delivery {
--- /dev/null
+++ b/src/core/orders/index.ts
@@ -0,0 +1,2 @@
+export * from './orders.js';
+export * from './planning.js';
--- a/src/core/intents.ts
+++ b/src/core/orders/intents.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
-import { KeyValueErrorCode, Role } from './edges.js';
-import type { KeyValue, KeyValueEntry } from './edges.js';
-import { holderSchema } from './terms.js';
+import { KeyValueErrorCode, Role } from '../edges/index.js';
+import type { KeyValue, KeyValueEntry } from '../edges/index.js';
+import { holderSchema } from '../authority/index.js';
 
 /** Prefix of the intent keys; the engine's name follows. */
 export const INTENT_PREFIX = 'intents/';
--- a/src/core/orders.ts
+++ b/src/core/orders/orders.ts
@@ -1,17 +1,17 @@
 import { Abandonment } from './abandonment.js';
 import { inEffect } from './actions.js';
-import type { Authority, Tenure } from './authority.js';
+import type { Authority, Tenure } from '../authority/index.js';
 import { Deliveries } from './deliveries.js';
-import { EngineErrorCode, OrderState } from './edges.js';
+import { EngineErrorCode, OrderState } from '../edges/index.js';
 import type {
   Clock, Engine, EngineError, EngineStatus, KeyValue, Log, Meter, Order, OrderAction, PeerClient, PeerServer, Random,
   WeightStore,
-} from './edges.js';
+} from '../edges/index.js';
 import { Intents } from './intents.js';
 import type { Intent, Sender } from './intents.js';
 import { Permits } from './permits.js';
-import { assertNever } from './result.js';
-import { within } from './time.js';
+import { assertNever } from '../result.js';
+import { within } from '../time.js';
 
 const STATUS_TIMEOUT_MS = 1_000;
 
--- a/src/core/planning.ts
+++ b/src/core/orders/planning.ts
@@ -1,12 +1,12 @@
 import { takesAway } from './actions.js';
-import type { Authority, Tenure } from './authority.js';
+import type { Authority, Tenure } from '../authority/index.js';
 import type {
   Clock, Engine, EngineStatus, Log, Meter, OrderAction, Random, Role,
-} from './edges.js';
-import { DesiredRole, ServerState } from './fleet.js';
-import type { EngineSpec, Fleet } from './fleet.js';
+} from '../edges/index.js';
+import { DesiredRole, ServerState } from '../configuration/index.js';
+import type { EngineSpec, Fleet } from '../configuration/index.js';
 import type { Orders } from './orders.js';
-import { sleep } from './time.js';
+import { sleep } from '../time.js';
 
 const PASS_MS = 500;
 
--- a/src/core/rendezvous.ts
+++ b/src/core/rendezvous.ts
@@ -1,4 +1,25 @@
-import { rendezvousWeight } from './subset.js';
+/* eslint-disable no-bitwise -- hash functions work on bits */
+/** Hash of a name; 32 bits, the same at every node. */
+export function hashName(name: string): number {
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < name.length; index += 1) {
+    hash = Math.imul(hash ^ name.charCodeAt(index), 0x01000193);
+  }
+  return hash >>> 0;
+}
+
+/** Mixes the hashes of a node and of a key into the weight of the pair. */
+export function mixHashes(left: number, right: number): number {
+  let hash = Math.imul(left ^ Math.imul(right, 0x9e3779b1), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 15), 0xc2b2ae35);
+  hash = Math.imul(hash ^ (hash >>> 13), 0x27d4eb2f);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/** Rendezvous weight of a pair; 32 bits, the same at every node. */
+export function rendezvousWeight(node: string, engine: string): number {
+  return mixHashes(hashName(node), hashName(engine));
+}
 
 /** The `count` names that rank lowest for `key`; a name that joins or leaves changes at most one of them. */
 export function lowestByRendezvous(names: readonly string[], key: string, count: number): string[] {
--- a/src/core/retries.ts
+++ b/src/core/retries.ts
@@ -1,4 +1,4 @@
-import type { Clock, Random } from './edges.js';
+import type { Clock, Random } from './edges/index.js';
 
 /** Options of {@link RetryBudget}; tokens are retries. */
 export interface RetryBudgetOptions {
--- /dev/null
+++ b/src/core/roles/index.ts
@@ -0,0 +1,2 @@
+export * from './roles.js';
+export * from './split.js';
--- a/src/core/roles.ts
+++ b/src/core/roles/roles.ts
@@ -1,5 +1,5 @@
-import { Role } from './edges.js';
-import type { Demand } from './affinity.js';
+import { Role } from '../edges/index.js';
+import type { Demand } from '../routing/index.js';
 import type { RoleCounts, SplitModel } from './split.js';
 import { splitValue } from './split.js';
 
--- a/src/core/split.ts
+++ b/src/core/roles/split.ts
@@ -1,4 +1,4 @@
-import type { Demand } from './affinity.js';
+import type { Demand } from '../routing/index.js';
 
 /** Engines per role. */
 export interface RoleCounts {
--- a/src/core/affinity.ts
+++ b/src/core/routing/affinity.ts
@@ -1,6 +1,6 @@
 import type { EngineSpeed } from './load.js';
 import { SHORT_ANSWER_TOKENS } from './load.js';
-import { rendezvousWeight } from './subset.js';
+import { rendezvousWeight } from '../rendezvous.js';
 
 /** Time over which the demand is smoothed, in ms. */
 const SMOOTHING_MS = 6_000;
--- a/src/core/candidates.ts
+++ b/src/core/routing/candidates.ts
@@ -1,8 +1,7 @@
-import type { Random } from './edges.js';
-import { Role } from './edges.js';
+import type { Random } from '../edges/index.js';
+import { Role } from '../edges/index.js';
 import { sharedOrder } from './affinity.js';
-import type { EngineDirectory } from './directory.js';
-import type { EngineFacts } from './placement.js';
+import type { EngineDirectory, EngineFacts } from '../serving/index.js';
 import { homeEngines } from './subset.js';
 
 interface RolePools {
--- a/src/core/costrouter.ts
+++ b/src/core/routing/costrouter.ts
@@ -1,5 +1,5 @@
-import type { Clock } from './edges.js';
-import { Role } from './edges.js';
+import type { Clock } from '../edges/index.js';
+import { Role } from '../edges/index.js';
 import type { Demand } from './affinity.js';
 import { sumDemand, WorkAffinity } from './affinity.js';
 import type { ModelEngines } from './candidates.js';
@@ -12,7 +12,7 @@
 import { DEFAULT_ENGINE_SPEED, SHORT_ANSWER_TOKENS } from './load.js';
 import type {
   AttemptOutcome, EngineFacts, Placement, WorkItem,
-} from './placement.js';
+} from '../serving/index.js';
 import { WorkTracker } from './tracker.js';
 
 import type { Router, RouterOptions } from './routing.js';
--- a/src/core/health.ts
+++ b/src/core/routing/health.ts
@@ -1,5 +1,5 @@
-import type { Clock } from './edges.js';
-import { assertNever } from './result.js';
+import type { Clock } from '../edges/index.js';
+import { assertNever } from '../result.js';
 
 /** How much work an engine gets. */
 export enum HealthState {
--- a/src/core/prefixes.ts
+++ b/src/core/routing/prefixes.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { CacheEvent } from './edges.js';
+import type { CacheEvent } from '../edges/index.js';
 
 /** Tokens covered by one prefix block. */
 export const PREFIX_BLOCK_TOKENS = 256;
--- a/src/core/quickrouter.ts
+++ b/src/core/routing/quickrouter.ts
@@ -1,6 +1,7 @@
-import type { AttemptOutcome, Placement, WorkItem } from './placement.js';
-import { isQuickWork } from './quick.js';
-import type { QuickBounds } from './quick.js';
+import type {
+  AttemptOutcome, Placement, WorkItem, QuickBounds,
+} from '../serving/index.js';
+import { isQuickWork } from '../serving/index.js';
 import type { Router, RouterOptions } from './routing.js';
 import { LeastRequestsRouter } from './routing.js';
 
--- a/src/core/routing.ts
+++ b/src/core/routing/routing.ts
@@ -1,9 +1,9 @@
-import type { Random } from './edges.js';
-import { Role } from './edges.js';
-import type { EngineDirectory } from './directory.js';
+import type { Random } from '../edges/index.js';
+import { Role } from '../edges/index.js';
 import type {
+  EngineDirectory,
   AttemptOutcome, EngineFacts, Placement, WorkItem,
-} from './placement.js';
+} from '../serving/index.js';
 
 /** Chooses engines and learns from what happens there. All calls for one attempt pass the same placement object. */
 export interface Router {
--- a/src/core/subset.ts
+++ b/src/core/routing/subset.ts
@@ -1,4 +1,5 @@
-/* eslint-disable no-bitwise -- hash functions work on bits */
+import { hashName, mixHashes } from '../rendezvous.js';
+
 /** Engine as the subset selection sees it. */
 export interface SubsetEngine {
   readonly name: string;
@@ -17,14 +18,6 @@
 /** With 10,000 engines and 1,800 nodes a node follows about 40, whose reports fit into 4 KB/s. */
 export const DEFAULT_SUBSET_OPTIONS: SubsetOptions = { nodesPerEngine: 5, enginesPerModel: 3 };
 
-function hashName(name: string): number {
-  let hash = 0x811c9dc5;
-  for (let index = 0; index < name.length; index += 1) {
-    hash = Math.imul(hash ^ name.charCodeAt(index), 0x01000193);
-  }
-  return hash >>> 0;
-}
-
 const nodeHashes = new WeakMap<readonly string[], readonly number[]>();
 
 /** Hashes of all names of a list that does not change. */
@@ -37,24 +30,12 @@
   return hashes;
 }
 
-function mix(left: number, right: number): number {
-  let hash = Math.imul(left ^ Math.imul(right, 0x9e3779b1), 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 15), 0xc2b2ae35);
-  hash = Math.imul(hash ^ (hash >>> 13), 0x27d4eb2f);
-  return (hash ^ (hash >>> 16)) >>> 0;
-}
-
-/** Rendezvous weight of a pair; 32 bits, the same at every node. */
-export function rendezvousWeight(node: string, engine: string): number {
-  return mix(hashName(node), hashName(engine));
-}
-
 function isAmongFirst(self: number, nodes: readonly number[], engine: number, count: number): boolean {
-  const own = mix(self, engine);
+  const own = mixHashes(self, engine);
   let ahead = 0;
   // Most engines are decided after a few nodes, so a change of one member does not cost engines times nodes.
   for (const node of nodes) {
-    if (mix(node, engine) > own) {
+    if (mixHashes(node, engine) > own) {
       ahead += 1;
       if (ahead >= count) return false;
     }
@@ -77,7 +58,7 @@
   const chosen = new Set<SubsetEngine>();
   const byWeight = engines
     .map((engine) => ({ engine, hash: hashName(engine.name) }))
-    .sort((a, b) => mix(self, b.hash) - mix(self, a.hash));
+    .sort((a, b) => mixHashes(self, b.hash) - mixHashes(self, a.hash));
   for (const { engine, hash } of byWeight) {
     if (isAmongFirst(self, others, hash, opts.nodesPerEngine)) chosen.add(engine);
   }
@@ -103,7 +84,7 @@
 
 function spread(buckets: readonly string[], items: readonly string[]): Map<string, string> {
   const pairs = buckets.flatMap((bucket) => items.map((item) => ({
-    bucket, item, weight: mix(hashName(bucket), hashName(item)),
+    bucket, item, weight: mixHashes(hashName(bucket), hashName(item)),
   }))).sort((a, b) => b.weight - a.weight || (a.bucket < b.bucket ? -1 : 1));
   const result = new Map<string, string>();
   const sizes = new Map<string, number>();
--- a/src/core/tracker.ts
+++ b/src/core/routing/tracker.ts
@@ -1,7 +1,7 @@
-import type { Clock } from './edges.js';
+import type { Clock } from '../edges/index.js';
 import type { EngineSpeed, ReportedLoad } from './load.js';
 import { EngineLoad, OwnWork, SHORT_ANSWER_TOKENS } from './load.js';
-import type { Placement } from './placement.js';
+import type { Placement } from '../serving/index.js';
 
 /** Options of {@link WorkTracker}. */
 export interface WorkTrackerOptions {
--- a/src/core/leaving.ts
+++ b/src/core/serving/leaving.ts
@@ -1,17 +1,14 @@
 import type { EngineDirectory } from './directory.js';
 import type {
   CallOptions, Clock, Disposable, HostList, HostRecord, Log, Random,
-} from './edges.js';
-import { ServerState } from './fleet.js';
-import type { Fleet } from './fleet.js';
+} from '../edges/index.js';
+import { ServerState } from '../configuration/index.js';
+import type { Fleet } from '../configuration/index.js';
 import { LeavingSource, ServerLife } from './life.js';
-import type { Members } from './members.js';
-import type { NoteListener } from './notes.js';
-import { lowestByRendezvous } from './rendezvous.js';
+import type { Members, NoteListener } from '../membership/index.js';
+import { lowestByRendezvous } from '../rendezvous.js';
 import type { ServerDirectory } from './servers.js';
-import { sleep } from './time.js';
-
-export { LeavingSource } from './life.js';
+import { sleep } from '../time.js';
 
 /** Spreads small facts among the entries; implemented by `Membership`. */
 export interface NoteBoard extends Pick<Members, 'self' | 'live'> {
--- a/src/core/life.ts
+++ b/src/core/serving/life.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { HostState } from './edges.js';
+import { HostState } from '../edges/index.js';
 
 /** Where a leaving signal came from. */
 export enum LeavingSource {
--- a/src/core/placement.ts
+++ b/src/core/serving/placement.ts
@@ -1,4 +1,4 @@
-import type { Priority, Role } from './edges.js';
+import type { Priority, Role } from '../edges/index.js';
 
 /** Generation request as the policy sees it. */
 export interface WorkItem {
--- a/src/core/quick.ts
+++ b/src/core/serving/quick.ts
@@ -1,4 +1,4 @@
-import { Priority } from './edges.js';
+import { Priority } from '../edges/index.js';
 import type { WorkItem } from './placement.js';
 
 /** Longest prompt and answer of brief work, in tokens. */
--- a/src/core/servers.ts
+++ b/src/core/serving/servers.ts
@@ -1,4 +1,4 @@
-import type { Disposable, PlainService, Random } from './edges.js';
+import type { Disposable, PlainService, Random } from '../edges/index.js';
 
 /** Backend server of a plain service. */
 export interface ServerFacts {
--- a/src/core/streams.ts
+++ b/src/core/serving/streams.ts
@@ -1,8 +1,8 @@
 import { createHmac, timingSafeEqual } from 'node:crypto';
 import { z } from 'zod';
-import type { EngineEvent } from './edges.js';
-import { fail, ok } from './result.js';
-import type { Result } from './result.js';
+import type { EngineEvent } from '../edges/index.js';
+import { fail, ok } from '../result.js';
+import type { Result } from '../result.js';
 
 /** Where a running answer can be read again. */
 const ticketSchema = z.strictObject({
--- a/src/core/time.ts
+++ b/src/core/time.ts
@@ -1,4 +1,4 @@
-import type { Clock, Disposable } from './edges.js';
+import type { Clock, Disposable } from './edges/index.js';
 
 /** Waits `delayMs`, or until `signal` aborts; never rejects. */
 export function sleep(clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> {
--- a/src/daemon/api.ts
+++ b/src/daemon/api.ts
@@ -1,9 +1,9 @@
-import type { ApplyOutcome, InForce } from '../core/revisions.js';
-import type { FinishReason, Priority } from '../core/edges.js';
+import type { ApplyOutcome, InForce } from '../core/configuration/index.js';
+import type { FinishReason, Priority } from '../core/edges/index.js';
 import type { Refusal } from '../core/refusals.js';
 import type { Result } from '../core/result.js';
 
-export type { ApplyOutcome, InForce } from '../core/revisions.js';
+export type { ApplyOutcome, InForce } from '../core/configuration/index.js';
 
 /** Generation request after the caller's input has been checked. */
 export interface GenerateRequest {
--- a/src/daemon/attempt.ts
+++ b/src/daemon/attempt.ts
@@ -1,8 +1,8 @@
-import { EngineErrorCode } from '../core/edges.js';
+import { EngineErrorCode } from '../core/edges/index.js';
 import type {
   CacheHandle, Clock, Engine, EngineError, EngineEvent, GenerateCall, Random,
-} from '../core/edges.js';
-import type { Placement } from '../core/placement.js';
+} from '../core/edges/index.js';
+import type { Placement } from '../core/serving/index.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import { EngineReader } from './reader.js';
--- a/src/daemon/backends.ts
+++ b/src/daemon/backends.ts
@@ -1,11 +1,10 @@
-import type { EngineDirectory } from '../core/directory.js';
-import type { ServerDirectory } from '../core/servers.js';
-import { EngineErrorCode, Role } from '../core/edges.js';
+import type { EngineDirectory, ServerDirectory } from '../core/serving/index.js';
+import { EngineErrorCode, Role } from '../core/edges/index.js';
 import type {
   CacheEvent, Clock, Engine, EngineStatus, LoadReport, Log, Meter, PlainService, Random,
-} from '../core/edges.js';
-import { DesiredRole, ServerState } from '../core/fleet.js';
-import type { EngineSpec, Fleet, ServerSpec } from '../core/fleet.js';
+} from '../core/edges/index.js';
+import { DesiredRole, ServerState } from '../core/configuration/index.js';
+import type { EngineSpec, Fleet, ServerSpec } from '../core/configuration/index.js';
 import { sleep } from '../core/time.js';
 
 /** Opens connections to backend servers; one implementation for each protocol. */
--- a/src/daemon/demand.ts
+++ b/src/daemon/demand.ts
@@ -1,11 +1,11 @@
 import { z } from 'zod';
-import { NO_DEMAND, sumDemand } from '../core/affinity.js';
-import type { Demand } from '../core/affinity.js';
+import { NO_DEMAND, sumDemand } from '../core/routing/index.js';
+import type { Demand } from '../core/routing/index.js';
 import { DisposableStore } from '../core/disposables.js';
 import type {
   Clock, Disposable, PeerClient, PeerServer, Random,
-} from '../core/edges.js';
-import type { Member, Members } from '../core/membership.js';
+} from '../core/edges/index.js';
+import type { Member, Members } from '../core/membership/index.js';
 import { ok } from '../core/result.js';
 import { sleep } from '../core/time.js';
 
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events';
-import type { Disposable } from '../core/edges.js';
+import type { Disposable } from '../core/edges/index.js';
 import { DisposableStore } from '../core/disposables.js';
-import type { Fleet, ServiceSpec } from '../core/fleet.js';
+import type { Fleet, ServiceSpec } from '../core/configuration/index.js';
 import type { Refusal } from '../core/refusals.js';
 import { fail } from '../core/result.js';
 import type { Result } from '../core/result.js';
--- a/src/daemon/holds.ts
+++ b/src/daemon/holds.ts
@@ -2,9 +2,9 @@
 import { DisposableStore } from '../core/disposables.js';
 import type {
   Clock, Disposable, LoadReport, Log, PeerClient, PeerError, PeerServer,
-} from '../core/edges.js';
-import type { Members } from '../core/membership.js';
-import type { EngineDrain } from '../core/planning.js';
+} from '../core/edges/index.js';
+import type { Members } from '../core/membership/index.js';
+import type { EngineDrain } from '../core/orders/index.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import { sleep } from '../core/time.js';
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -1,6 +1,6 @@
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
-import type { Labels, Meter } from '../core/edges.js';
+import type { Labels, Meter } from '../core/edges/index.js';
 
 const PREFIX = 'catkinscale_';
 
--- a/src/daemon/operators.ts
+++ b/src/daemon/operators.ts
@@ -6,12 +6,12 @@
 } from './http.js';
 import type { HttpLimits, HttpListener, ListenError } from './http.js';
 import { httpRefusalAnswer, refusalAnswer } from './refusals.js';
-import type { Log } from '../core/edges.js';
-import { FLEET_MAX_BYTES } from '../core/fleet.js';
+import type { Log } from '../core/edges/index.js';
+import { FLEET_MAX_BYTES } from '../core/configuration/index.js';
 import { issueText } from '../core/issues.js';
 import { assertNever } from '../core/result.js';
 import type { Result } from '../core/result.js';
-import type { Secret } from '../core/settings.js';
+import type { Secret } from '../core/configuration/index.js';
 
 const APPLY_TIMEOUT_MS = 10_000;
 
--- a/src/daemon/parts.ts
+++ b/src/daemon/parts.ts
@@ -1,23 +1,18 @@
-import { sumDemand } from '../core/affinity.js';
-import { Addresses } from '../core/addresses.js';
-import { Authority } from '../core/authority.js';
-import { BatchingKeyValue } from '../core/batching.js';
-import { Bookings } from '../core/bookings.js';
-import { ServiceCaller } from '../core/calls.js';
-import { Configuration } from '../core/configuration.js';
-import { EngineDirectory } from '../core/directory.js';
-import { Draining } from '../core/draining.js';
+import { sumDemand } from '../core/routing/index.js';
+import {
+  Addresses, Draining, createIncarnation, Membership,
+} from '../core/membership/index.js';
+import { Authority } from '../core/authority/index.js';
+import { BatchingKeyValue, Bookings, ServiceCaller } from '../core/bookings/index.js';
+import { Configuration, safeParseFleet } from '../core/configuration/index.js';
+import {
+  EngineDirectory, LeavingServers, ServerDirectory, TicketSigner,
+} from '../core/serving/index.js';
 import type {
   Clock, HostList, KeyValue, LoadReport, Log, Meter, PeerClient, PeerServer, Random, WeightStore,
-} from '../core/edges.js';
-import { safeParseFleet } from '../core/fleet.js';
-import { LeavingServers } from '../core/leaving.js';
-import { createIncarnation, Membership } from '../core/membership.js';
-import { Orders } from '../core/orders.js';
-import { Planning } from '../core/planning.js';
+} from '../core/edges/index.js';
+import { Orders, Planning } from '../core/orders/index.js';
 import { RetryBudget, RetryPolicy, Sent } from '../core/retries.js';
-import { ServerDirectory } from '../core/servers.js';
-import { TicketSigner } from '../core/streams.js';
 import { sleep } from '../core/time.js';
 import { Backends } from './backends.js';
 import type { BackendDriver } from './backends.js';
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -11,10 +11,10 @@
 import { httpRefusalAnswer, refusalAnswer } from './refusals.js';
 import type {
   CallOptions, Disposable, Log, Meter, PeerClient, PeerError, PeerHandler, PeerServer,
-} from '../core/edges.js';
+} from '../core/edges/index.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
-import type { Secret } from '../core/settings.js';
+import type { Secret } from '../core/configuration/index.js';
 
 /** Room for a whole fleet file whose every character is escaped. */
 const MAX_MESSAGE_BYTES = 4_000_000;
--- a/src/daemon/policy.ts
+++ b/src/daemon/policy.ts
@@ -1,16 +1,14 @@
-import { NO_DEMAND } from '../core/affinity.js';
-import type { Demand } from '../core/affinity.js';
-import type { EngineDirectory } from '../core/directory.js';
-import type { Dispatcher } from '../core/dispatch.js';
+import {
+  NO_DEMAND, DEFAULT_HEALTH_OPTIONS, HealthTracker, CostRouter, PrefixIndex, QuickRouter,
+} from '../core/routing/index.js';
+import type { Demand } from '../core/routing/index.js';
+import type { EngineDirectory } from '../core/serving/index.js';
+import type { Dispatcher } from '../core/admission/index.js';
 import type {
   CacheEvent, Clock, LoadReport, Random,
-} from '../core/edges.js';
-import { DEFAULT_HEALTH_OPTIONS, HealthTracker } from '../core/health.js';
-import { PolicyDispatcher } from '../core/policy.js';
+} from '../core/edges/index.js';
+import { PolicyDispatcher } from '../core/admission/index.js';
 import type { Demands } from './demand.js';
-import { CostRouter } from '../core/costrouter.js';
-import { PrefixIndex } from '../core/prefixes.js';
-import { QuickRouter } from '../core/quickrouter.js';
 
 /** Options of {@link ServingPolicy}. */
 export interface ServingPolicyOptions {
--- a/src/daemon/roleplans.ts
+++ b/src/daemon/roleplans.ts
@@ -1,13 +1,12 @@
-import type { Demand } from '../core/affinity.js';
+import type { Demand } from '../core/routing/index.js';
 import type {
   Clock, EngineStatus, LoadReport, Log, Role,
-} from '../core/edges.js';
-import { DesiredRole, ServerState } from '../core/fleet.js';
-import type { EngineSpec, Fleet } from '../core/fleet.js';
-import type { RoleSource } from '../core/planning.js';
-import { DEFAULT_PLANNER_OPTIONS, RolePlanner } from '../core/roles.js';
-import type { PlannedEngine } from '../core/roles.js';
-import { DEFAULT_SPLIT_MODEL } from '../core/split.js';
+} from '../core/edges/index.js';
+import { DesiredRole, ServerState } from '../core/configuration/index.js';
+import type { EngineSpec, Fleet } from '../core/configuration/index.js';
+import type { RoleSource } from '../core/orders/index.js';
+import { DEFAULT_PLANNER_OPTIONS, RolePlanner, DEFAULT_SPLIT_MODEL } from '../core/roles/index.js';
+import type { PlannedEngine } from '../core/roles/index.js';
 
 /** Options of {@link RolePlans}. */
 export interface RolePlansOptions {
--- a/src/daemon/run.ts
+++ b/src/daemon/run.ts
@@ -1,17 +1,17 @@
-import { EngineErrorCode } from '../core/edges.js';
+import { EngineErrorCode } from '../core/edges/index.js';
 import type {
   CacheHandle, Engine, EngineError, EngineEvent, GenerateCall, Log, Meter,
-} from '../core/edges.js';
-import type { DispatchHandle, Dispatcher } from '../core/dispatch.js';
-import { AttemptOutcome } from '../core/placement.js';
-import type { Placement, PolicyRefusal, WorkItem } from '../core/placement.js';
-import { prefixBlocks } from '../core/prefixes.js';
+} from '../core/edges/index.js';
+import type { DispatchHandle, Dispatcher } from '../core/admission/index.js';
+import { AttemptOutcome, EventVerdict, StreamAssembler } from '../core/serving/index.js';
+import type {
+  Placement, PolicyRefusal, WorkItem, StreamTicket, TicketSigner,
+} from '../core/serving/index.js';
+import { prefixBlocks } from '../core/routing/index.js';
 import { Ran } from '../core/refusals.js';
 import type { Refusal } from '../core/refusals.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
-import { EventVerdict, StreamAssembler } from '../core/streams.js';
-import type { StreamTicket, TicketSigner } from '../core/streams.js';
 import { sleep } from '../core/time.js';
 import { estimateTokens } from '../core/tokens.js';
 import type { AnswerEvent, GenerateRequest } from './api.js';
--- a/src/emulator/clock.ts
+++ b/src/emulator/clock.ts
@@ -1,4 +1,4 @@
-import type { Clock, Disposable } from '../core/edges.js';
+import type { Clock, Disposable } from '../core/edges/index.js';
 
 interface Timer {
   readonly at: number;
--- a/src/emulator/deployment.ts
+++ b/src/emulator/deployment.ts
@@ -1,6 +1,6 @@
-import type { PeerServer } from '../core/edges.js';
-import { parseFleet } from '../core/fleet.js';
-import type { Fleet } from '../core/fleet.js';
+import type { PeerServer } from '../core/edges/index.js';
+import { parseFleet } from '../core/configuration/index.js';
+import type { Fleet } from '../core/configuration/index.js';
 import { Entry } from '../daemon/entry.js';
 import { SimulatedClock } from './clock.js';
 import type { EngineParameters } from './enginemodel.js';
--- a/src/emulator/engine.ts
+++ b/src/emulator/engine.ts
@@ -1,12 +1,12 @@
 import {
   EngineErrorCode, FinishReason, OrderState,
-} from '../core/edges.js';
+} from '../core/edges/index.js';
 import type {
   CacheEvent, CacheHandle, CallOptions, Clock, Engine, EngineError, EngineEvent, EngineStatus, GenerateCall,
   LoadedModel, LoadReport, Order, OrderOptions, ResumePosition, Role,
-} from '../core/edges.js';
-import { Fencing } from '../core/fleet.js';
-import { prefixBlocks } from '../core/prefixes.js';
+} from '../core/edges/index.js';
+import { Fencing } from '../core/configuration/index.js';
+import { prefixBlocks } from '../core/routing/index.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import { sleep } from '../core/time.js';
--- a/src/emulator/enginemodel.ts
+++ b/src/emulator/enginemodel.ts
@@ -1,6 +1,6 @@
-import { Priority, Role } from '../core/edges.js';
-import type { Clock, Disposable } from '../core/edges.js';
-import { PREFIX_BLOCK_TOKENS } from '../core/prefixes.js';
+import { Priority, Role } from '../core/edges/index.js';
+import type { Clock, Disposable } from '../core/edges/index.js';
+import { PREFIX_BLOCK_TOKENS } from '../core/routing/index.js';
 
 /** Fixed parameters of the engine fake. See docs/decisions/engine-model.md for their sources. */
 export interface EngineParameters {
--- a/src/emulator/entry.ts
+++ b/src/emulator/entry.ts
@@ -1,8 +1,8 @@
-import { EngineErrorCode } from '../core/edges.js';
+import { EngineErrorCode } from '../core/edges/index.js';
 import type {
   Clock, Engine, KeyValue, KeyValueEntry, Log, Meter, PeerClient,
-} from '../core/edges.js';
-import type { Member, Members } from '../core/membership.js';
+} from '../core/edges/index.js';
+import type { Member, Members } from '../core/membership/index.js';
 import { fail, ok } from '../core/result.js';
 import { EmulatedKeyValue } from './keyvalue.js';
 import type { KeyValueStore } from './keyvalue.js';
--- a/src/emulator/main.ts
+++ b/src/emulator/main.ts
@@ -2,7 +2,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { SystemClock } from '../adapters/system.js';
-import { parseFleet } from '../core/fleet.js';
+import { parseFleet } from '../core/configuration/index.js';
 import { createStandIns, serveStandIns } from './standins.js';
 
 const args = await yargs(hideBin(process.argv))
--- a/src/emulator/peers.ts
+++ b/src/emulator/peers.ts
@@ -1,6 +1,6 @@
 import type {
   CallOptions, Clock, Disposable, PeerClient, PeerError, PeerHandler, PeerServer,
-} from '../core/edges.js';
+} from '../core/edges/index.js';
 import { fail } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import { sleep, within } from '../core/time.js';
--- a/src/emulator/random.ts
+++ b/src/emulator/random.ts
@@ -1,5 +1,5 @@
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
-import type { Random } from '../core/edges.js';
+import type { Random } from '../core/edges/index.js';
 
 const FLOAT_STEPS = 2 ** 30;
 
--- a/src/emulator/recording.ts
+++ b/src/emulator/recording.ts
@@ -1,6 +1,6 @@
 import type {
   Labels, Log, LogFields, Meter,
-} from '../core/edges.js';
+} from '../core/edges/index.js';
 
 /** Log line of a simulated entry. */
 export interface RecordedLine {
--- a/src/emulator/standins.ts
+++ b/src/emulator/standins.ts
@@ -1,8 +1,8 @@
 import type { Server } from 'node:http';
-import { Role } from '../core/edges.js';
-import type { Clock } from '../core/edges.js';
-import { DesiredRole } from '../core/fleet.js';
-import type { EngineSpec, Fleet } from '../core/fleet.js';
+import { Role } from '../core/edges/index.js';
+import type { Clock } from '../core/edges/index.js';
+import { DesiredRole } from '../core/configuration/index.js';
+import type { EngineSpec, Fleet } from '../core/configuration/index.js';
 import { EmulatedEngine } from './engine.js';
 import type { EngineParameters } from './enginemodel.js';
 import { startEngineServer } from './engineserver.js';
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 import { Client } from 'undici';
 import type { Dispatcher } from 'undici';
-import type { Disposable } from '../core/edges.js';
+import type { Disposable } from '../core/edges/index.js';
 
 /** Time in ms to open a connection inside the deployment, where a round trip takes a few ms. */
 const CONNECT_TIMEOUT_MS = 700;
--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../core/edges.js';
+import type { Clock } from '../core/edges/index.js';
 import type { AnswerHead } from './dialect.js';
 import type { Refusal } from './outcome.js';
 import type { Upstream } from './upstream.js';
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -1,4 +1,4 @@
-import type { Member } from '../core/members.js';
+import type { Member } from '../core/membership/index.js';
 import { MAX_RECEIVERS } from './occupancy.js';
 
 /** Time in ms without a message from a gateway after which callers are not sent there; one comes each 250 ms. */
--- a/src/gateway/discovery.ts
+++ b/src/gateway/discovery.ts
@@ -1,4 +1,4 @@
-import type { Log, Meter } from '../core/edges.js';
+import type { Log, Meter } from '../core/edges/index.js';
 import type { Dialect } from './dialect.js';
 import type { RecordsListener } from './records.js';
 import type { ServerRecord, ServerRegistry } from './servers.js';
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -1,4 +1,4 @@
-import type { Clock, Disposable } from '../core/edges.js';
+import type { Clock, Disposable } from '../core/edges/index.js';
 import { ConnectionPool } from './connections.js';
 import type { Occupancy, OpenCalls } from './occupancy.js';
 import type { Candidate } from './placement.js';
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type {
   Clock, Disposable, Log, Meter, Random,
-} from '../core/edges.js';
+} from '../core/edges/index.js';
 import type { RetryBudget } from '../core/retries.js';
 import { readBytes } from '../daemon/http.js';
 import { CallKind, chooseDestination } from './configuration.js';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,11 +1,11 @@
 import { setMaxListeners } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { Authority } from '../core/authority.js';
+import { Authority } from '../core/authority/index.js';
 import { DisposableStore } from '../core/disposables.js';
 import type {
   Clock, KeyValue, Log, PeerClient, PeerServer, Random,
-} from '../core/edges.js';
-import { createIncarnation, Membership } from '../core/membership.js';
+} from '../core/edges/index.js';
+import { createIncarnation, Membership } from '../core/membership/index.js';
 import { lowestByRendezvous } from '../core/rendezvous.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
--- a/src/gateway/logs.ts
+++ b/src/gateway/logs.ts
@@ -1,6 +1,6 @@
 import type {
   Clock, Log, LogFields, Meter,
-} from '../core/edges.js';
+} from '../core/edges/index.js';
 
 const PERIOD_MS = 1_000;
 
--- a/src/gateway/occupancy.ts
+++ b/src/gateway/occupancy.ts
@@ -1,8 +1,8 @@
 import { createJSONRPCNotification } from 'json-rpc-2.0';
 import { z } from 'zod';
-import type { Clock, Disposable } from '../core/edges.js';
+import type { Clock, Disposable } from '../core/edges/index.js';
 import { safeParseJson } from '../core/json.js';
-import type { Members } from '../core/members.js';
+import type { Members } from '../core/membership/index.js';
 import { sleep } from '../core/time.js';
 
 /** Calls open at one backend server. */
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,4 +1,4 @@
-import { Role } from '../core/edges.js';
+import { Role } from '../core/edges/index.js';
 import { lowestByRendezvous } from '../core/rendezvous.js';
 import type { Generation } from './dialect.js';
 import type { ServerRecord } from './servers.js';
--- a/src/gateway/places.ts
+++ b/src/gateway/places.ts
@@ -1,5 +1,5 @@
-import type { Clock, Disposable, Random } from '../core/edges.js';
-import { Role } from '../core/edges.js';
+import type { Clock, Disposable, Random } from '../core/edges/index.js';
+import { Role } from '../core/edges/index.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import type { ForwardingService } from './configuration.js';
--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -1,8 +1,8 @@
 import { z } from 'zod';
 import type {
   Clock, KeyValueEntry, Log, Meter, PeerClient, PeerServer, Random, WatchEvent,
-} from '../core/edges.js';
-import type { Members } from '../core/members.js';
+} from '../core/edges/index.js';
+import type { Members } from '../core/membership/index.js';
 import { fail, ok } from '../core/result.js';
 import { sleep } from '../core/time.js';
 import { KeyFollower } from './follower.js';
--- a/src/gateway/report.ts
+++ b/src/gateway/report.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import type { Clock, Log, Meter } from '../core/edges.js';
+import type { Clock, Log, Meter } from '../core/edges/index.js';
 import type { Route } from './configuration.js';
 import { refusalAnswer } from './outcome.js';
 import type { Refusal } from './outcome.js';
--- a/src/gateway/rolekeeper.ts
+++ b/src/gateway/rolekeeper.ts
@@ -1,8 +1,8 @@
-import type { Authority } from '../core/authority.js';
+import type { Authority } from '../core/authority/index.js';
 import type {
   Clock, Disposable, Log, Meter,
-} from '../core/edges.js';
-import { Role } from '../core/edges.js';
+} from '../core/edges/index.js';
+import { Role } from '../core/edges/index.js';
 import { sleep } from '../core/time.js';
 import type { Dialect } from './dialect.js';
 import type { FleetUse } from './fleet.js';
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -1,4 +1,4 @@
-import type { Clock, Disposable, Role } from '../core/edges.js';
+import type { Clock, Disposable, Role } from '../core/edges/index.js';
 
 /** Model weights that an engine has loaded. */
 export interface ServedModel {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { addressSchema } from '../core/fleet.js';
+import { addressSchema } from '../core/configuration/index.js';
 import { safeParseSections } from '../core/ini.js';
 import type { Issue } from '../core/issues.js';
 import type { Result } from '../core/result.js';
--- a/src/scenario/invariants.ts
+++ b/src/scenario/invariants.ts
@@ -1,5 +1,25 @@
 import { Ran, ranOf } from '../core/refusals.js';
-import type { World } from './world.js';
+import type { Refusal } from '../core/refusals.js';
+import type { Result } from '../core/result.js';
+import type { DrainReport, ServiceOutcome } from '../daemon/api.js';
+import type { DeployedEntry, Deployment } from '../emulator/deployment.js';
+import type { ScenarioCaller } from './caller.js';
+
+/** Booking that a scenario has sent. */
+export interface ScenarioBooking {
+  readonly key: string;
+  result: Result<ServiceOutcome, Refusal> | null;
+}
+
+/** What the invariants look at. */
+export interface Observed {
+  readonly deployment: Deployment;
+  readonly callers: ReadonlyMap<string, ScenarioCaller>;
+  readonly bookings: ReadonlyMap<string, ScenarioBooking>;
+  readonly drains: ReadonlyMap<string, DrainReport | null>;
+  /** Entries that may plan the fleet now. */
+  holders(): readonly DeployedEntry[];
+}
 
 /** Checks what must hold at every moment of a scenario. */
 export class Invariants {
@@ -11,7 +31,7 @@
 
   private readonly falseRefusals = new Map<string, string>();
 
-  public constructor(private readonly world: World) {}
+  public constructor(private readonly world: Observed) {}
 
   public check(): void {
     this.checkOrders();
@@ -45,13 +65,12 @@
       if (caller.state.type === 'whole' && caller.text !== caller.expected) {
         this.breach('I4', `caller ${name} got part of its answer as whole`);
       }
-      if (caller.state.type === 'refused') this.checkRefusedAnswer(name, caller.state.refusal);
+      if (caller.state.type === 'refused') this.checkRefusedAnswer(name, caller, caller.state.refusal);
     }
   }
 
-  private checkRefusedAnswer(name: string, refusal: Parameters<typeof ranOf>[0]): void {
+  private checkRefusedAnswer(name: string, caller: ScenarioCaller, refusal: Refusal): void {
     if (ranOf(refusal) !== Ran.No || refusal.code === 'invalid_event_id') return;
-    const caller = this.world.caller(name);
     if (caller.text !== '') this.breach('I5', `caller ${name} was told "not run" after tokens`);
   }
 
--- a/src/scenario/world.ts
+++ b/src/scenario/world.ts
@@ -1,13 +1,12 @@
-import { HostState, Priority } from '../core/edges.js';
-import type { Refusal } from '../core/refusals.js';
-import type { Result } from '../core/result.js';
-import type { ApplyOutcome, DrainReport, ServiceOutcome } from '../daemon/api.js';
+import { HostState, Priority } from '../core/edges/index.js';
+import type { ApplyOutcome, DrainReport } from '../daemon/api.js';
 import { Deployment } from '../emulator/deployment.js';
 import type { DeployedEntry } from '../emulator/deployment.js';
 import { CountingMeter, RecordingLog } from '../emulator/recording.js';
 import { ScenarioCaller } from './caller.js';
 import { editFleet, scenarioFleet } from './fleets.js';
 import { Invariants } from './invariants.js';
+import type { Observed, ScenarioBooking } from './invariants.js';
 
 const ENGINES = 4;
 const SERVERS = 2;
@@ -16,14 +15,8 @@
 /** Invariants are checked at least this often while time passes. */
 const CHECK_PERIOD_MS = 100;
 
-/** Booking that a scenario has sent. */
-export interface ScenarioBooking {
-  readonly key: string;
-  result: Result<ServiceOutcome, Refusal> | null;
-}
-
 /** Everything that the steps of one scenario act on. */
-export class World {
+export class World implements Observed {
   public readonly log = new RecordingLog();
 
   public readonly meter = new CountingMeter();
--- a/test/adapters.test.ts
+++ b/test/adapters.test.ts
@@ -7,9 +7,9 @@
 import { HttpEngine } from '../src/adapters/engine.js';
 import { HttpKeyValue } from '../src/adapters/keyvalue.js';
 import { HttpService } from '../src/adapters/service.js';
-import { EngineErrorCode, Priority, Role } from '../src/core/edges.js';
-import type { Clock, EngineEvent, GenerateCall } from '../src/core/edges.js';
-import { Fencing } from '../src/core/fleet.js';
+import { EngineErrorCode, Priority, Role } from '../src/core/edges/index.js';
+import type { Clock, EngineEvent, GenerateCall } from '../src/core/edges/index.js';
+import { Fencing } from '../src/core/configuration/fleet.js';
 import { EmulatedEngine } from '../src/emulator/engine.js';
 import { ENGINE_PARAMETERS } from '../src/emulator/enginemodel.js';
 import { startEngineServer } from '../src/emulator/engineserver.js';
--- a/test/addresses.test.ts
+++ b/test/addresses.test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { Addresses } from '../src/core/addresses.js';
-import type { ObservedMembers } from '../src/core/addresses.js';
-import type { Member } from '../src/core/membership.js';
+import { Addresses } from '../src/core/membership/addresses.js';
+import type { ObservedMembers } from '../src/core/membership/addresses.js';
+import type { Member } from '../src/core/membership/members.js';
 import { SeededRandom } from '../src/emulator/random.js';
 
 function member(index: number, facts: Partial<Member> = {}): Member {
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -1,14 +1,14 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { AdmissionQueue } from '../src/core/admission.js';
-import type { Queued } from '../src/core/admission.js';
-import { EngineDirectory } from '../src/core/directory.js';
-import type { DispatchHandle } from '../src/core/dispatch.js';
-import { Priority, Role } from '../src/core/edges.js';
-import { AttemptOutcome } from '../src/core/placement.js';
-import type { WorkItem } from '../src/core/placement.js';
-import { PolicyDispatcher } from '../src/core/policy.js';
-import { LeastRequestsRouter } from '../src/core/routing.js';
+import { AdmissionQueue } from '../src/core/admission/admission.js';
+import type { Queued } from '../src/core/admission/admission.js';
+import { EngineDirectory } from '../src/core/serving/directory.js';
+import type { DispatchHandle } from '../src/core/admission/dispatch.js';
+import { Priority, Role } from '../src/core/edges/index.js';
+import { AttemptOutcome } from '../src/core/serving/placement.js';
+import type { WorkItem } from '../src/core/serving/placement.js';
+import { PolicyDispatcher } from '../src/core/admission/policy.js';
+import { LeastRequestsRouter } from '../src/core/routing/routing.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 import { SeededRandom } from '../src/emulator/random.js';
 
--- a/test/bookings.test.ts
+++ b/test/bookings.test.ts
@@ -6,14 +6,14 @@
   FAULT_ENTRIES, FAULT_SERVERS, KillMoment, randomBookingSchedule, ServerMode,
 } from '../src/bench/bookingschedule.js';
 import type { BookingSchedule } from '../src/bench/bookingschedule.js';
-import { BatchingKeyValue } from '../src/core/batching.js';
-import { Bookings } from '../src/core/bookings.js';
-import type { ServiceOutcome } from '../src/core/bookings.js';
-import { ServiceCaller } from '../src/core/calls.js';
+import { BatchingKeyValue } from '../src/core/bookings/batching.js';
+import { Bookings } from '../src/core/bookings/bookings.js';
+import type { ServiceOutcome } from '../src/core/bookings/bookings.js';
+import { ServiceCaller } from '../src/core/bookings/calls.js';
 import type { Refusal } from '../src/core/refusals.js';
 import type { Result } from '../src/core/result.js';
 import { RetryBudget, RetryPolicy } from '../src/core/retries.js';
-import { ServerDirectory } from '../src/core/servers.js';
+import { ServerDirectory } from '../src/core/serving/servers.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 import { EmulatedKeyValue, KeyValueStore } from '../src/emulator/keyvalue.js';
 import { SeededRandom } from '../src/emulator/random.js';
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -12,7 +12,7 @@
 import type { HttpListener } from '../src/daemon/http.js';
 import { listenOperators } from '../src/daemon/operators.js';
 import { fail, ok } from '../src/core/result.js';
-import { Secret } from '../src/core/settings.js';
+import { Secret } from '../src/core/configuration/settings.js';
 import { CallerBench } from './support/callers.js';
 import { quietLog } from './support/fakes.js';
 import type { FakeEntry } from './support/fakes.js';
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -1,11 +1,11 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { CONFIGURATION_KEY } from '../src/core/applying.js';
-import { Configuration } from '../src/core/configuration.js';
-import type { ApplyOutcome } from '../src/core/configuration.js';
-import { safeParseFleet } from '../src/core/fleet.js';
+import { CONFIGURATION_KEY } from '../src/core/configuration/applying.js';
+import { Configuration } from '../src/core/configuration/configuration.js';
+import type { ApplyOutcome } from '../src/core/configuration/revisions.js';
+import { safeParseFleet } from '../src/core/configuration/fleet.js';
 import { ok } from '../src/core/result.js';
-import { Revisions, decodeRecord, hashFile } from '../src/core/revisions.js';
+import { Revisions, decodeRecord, hashFile } from '../src/core/configuration/revisions.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 import { EmulatedEntry, EmulatedMembers, silent } from '../src/emulator/entry.js';
 import { KeyValueStore } from '../src/emulator/keyvalue.js';
--- a/test/embedding.test.ts
+++ b/test/embedding.test.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs';
+import { dirname, join } from 'node:path';
 import { describe, expect, it } from 'vitest';
 import { JobPool, RetryingCaller } from '../examples/embedding.js';
 import {
@@ -22,19 +23,19 @@
   const rows = page.split('\n').filter((line) => line.startsWith('| `core/')).map((line) => line.split('|'));
   return new Map(rows.flatMap((cells) => {
     const needs = [...cells.at(-2)!.matchAll(/`(\w+)`/g)].map(([, name]) => name!);
-    return [...cells[1]!.matchAll(/`(core\/\w+)\.ts`/g)].map(([, module]) => [module!, needs] as const);
+    return [...cells[1]!.matchAll(/`(core\/[\w/]+)\.ts`/g)].map(([, module]) => [module!, needs] as const);
   }));
 }
 
-/** Interfaces that a module imports from `core/edges.ts`; those of options that it extends count too. */
+/** Interfaces that a module imports from `core/edges/`; those of options that it extends count too. */
 function needsOf(module: string): string[] {
   const source = read(`src/${module}.ts`);
-  const imported = [...source.matchAll(/import (?:type )?\{([^}]*)\} from '\.\/edges\.js'/g)]
+  const imported = [...source.matchAll(/import (?:type )?\{([^}]*)\} from '\.\.?\/edges\/index\.js'/g)]
     .flatMap(([, names]) => names!.split(',').map((name) => name.trim()));
   const inherited = [...source.matchAll(/interface \w+Options extends (\w+Options)/g)]
     .flatMap(([, base]) => {
-      const from = new RegExp(`\\b${base}\\b[^}]*\\} from '\\./(\\w+)\\.js'`).exec(source)?.[1];
-      return from === undefined ? [] : needsOf(`core/${from}`);
+      const from = new RegExp(`\\b${base}\\b[^}]*\\} from '(\\.[\\w./]+)\\.js'`).exec(source)?.[1];
+      return from === undefined ? [] : needsOf(join(dirname(module), from));
     });
   return EDGE_NAMES.filter((name) => imported.includes(name) || inherited.includes(name));
 }
@@ -66,7 +67,7 @@
 
   // Guards against parts that are exported but not on the page, and against edges that a part has gained or lost.
   it('lists the modules of src/index.ts with the edges that they need', () => {
-    const modules = [...read('src/index.ts').matchAll(/'\.\/(core\/\w+)\.js'/g)].map(([, module]) => module!);
+    const modules = [...read('src/index.ts').matchAll(/^export \* from '\.\/(core\/[\w/]+)\.js'/gm)].map(([, module]) => module!);
     const expected = modules.sort().map((module) => [module, needsOf(module)]);
     const listed = [...readTable(page)].sort(([left], [right]) => (left < right ? -1 : 1));
     expect(modules.length).toBeGreaterThan(0);
--- a/test/estimates.test.ts
+++ b/test/estimates.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
-import { Priority } from '../src/core/edges.js';
-import { Estimates, LengthSketch } from '../src/core/estimates.js';
-import type { WorkItem } from '../src/core/placement.js';
+import { Priority } from '../src/core/edges/index.js';
+import { Estimates, LengthSketch } from '../src/core/admission/estimates.js';
+import type { WorkItem } from '../src/core/serving/placement.js';
 
 const item: WorkItem = {
   requestId: 'r',
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { FLEET_MAX_BYTES, parseFleet, safeParseFleet } from '../src/core/fleet.js';
+import { FLEET_MAX_BYTES, parseFleet, safeParseFleet } from '../src/core/configuration/fleet.js';
 import { issueText } from '../src/core/issues.js';
 
 const SEED = 20_261_204;
--- a/test/forwardingdecisions.test.ts
+++ b/test/forwardingdecisions.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { Role } from '../src/core/edges.js';
+import { Role } from '../src/core/edges/index.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 import { CallKind, chooseDestination, RouteTable } from '../src/gateway/configuration.js';
 import type { Route } from '../src/gateway/configuration.js';
--- a/test/health.test.ts
+++ b/test/health.test.ts
@@ -1,9 +1,9 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { DEFAULT_HEALTH_OPTIONS, HealthState, HealthTracker } from '../src/core/health.js';
+import { DEFAULT_HEALTH_OPTIONS, HealthState, HealthTracker } from '../src/core/routing/health.js';
 import {
   HedgePolicy, HedgeRace, RaceStep, Runner,
-} from '../src/core/hedging.js';
+} from '../src/core/routing/hedging.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 
 const ENGINES = Array.from({ length: 8 }, (_, index) => `e${index}`);
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { Addresses } from '../src/core/addresses.js';
-import { createIncarnation, Membership } from '../src/core/membership.js';
-import type { MembershipOptions } from '../src/core/membership.js';
+import { Addresses } from '../src/core/membership/addresses.js';
+import { createIncarnation, Membership } from '../src/core/membership/membership.js';
+import type { MembershipOptions } from '../src/core/membership/membership.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 import { EmulatedNetwork } from '../src/emulator/peers.js';
 import { EmulatedProcess } from '../src/emulator/process.js';
--- a/test/occupancy.test.ts
+++ b/test/occupancy.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import type { Member, Members } from '../src/core/members.js';
+import type { Member, Members } from '../src/core/membership/members.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 import { callerAddresses } from '../src/gateway/directory.js';
 import type { KnownGateway } from '../src/gateway/directory.js';
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -6,7 +6,7 @@
 import type { HttpListener } from '../src/daemon/http.js';
 import { Metrics } from '../src/daemon/metrics.js';
 import { listenOperators } from '../src/daemon/operators.js';
-import { Secret } from '../src/core/settings.js';
+import { Secret } from '../src/core/configuration/settings.js';
 import { FakeEntry, quietLog } from './support/fakes.js';
 
 const SEED = 20_261_204;
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -8,7 +8,7 @@
 import type { HttpListener } from '../src/daemon/http.js';
 import { PeerCaller, PeerListener } from '../src/daemon/peers.js';
 import { fail, ok } from '../src/core/result.js';
-import { Secret } from '../src/core/settings.js';
+import { Secret } from '../src/core/configuration/settings.js';
 import { quietLog, quietMeter } from './support/fakes.js';
 
 const SEED = 20_261_204;
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, it } from 'vitest';
 import { PlannerGroup } from '../src/bench/planners.js';
-import { Priority, Role } from '../src/core/edges.js';
-import type { EngineEvent, EngineStatus } from '../src/core/edges.js';
-import { DesiredRole, ServerState } from '../src/core/fleet.js';
-import type { EngineSpec } from '../src/core/fleet.js';
-import { nextAction } from '../src/core/planning.js';
-import type { EngineDrain } from '../src/core/planning.js';
+import { Priority, Role } from '../src/core/edges/index.js';
+import type { EngineEvent, EngineStatus } from '../src/core/edges/index.js';
+import { DesiredRole, ServerState } from '../src/core/configuration/fleet.js';
+import type { EngineSpec } from '../src/core/configuration/fleet.js';
+import { nextAction } from '../src/core/orders/planning.js';
+import type { EngineDrain } from '../src/core/orders/planning.js';
 import { sleep } from '../src/core/time.js';
 
 /** Drain that looks at the engines themselves, and records which ones are held. */
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -6,7 +6,7 @@
 import {
   readCall, readHead, readParts, sendHeaders,
 } from '../platform/requests.js';
-import { Role } from '../src/core/edges.js';
+import { Role } from '../src/core/edges/index.js';
 import { CallKind } from '../src/gateway/configuration.js';
 import { Execution } from '../src/gateway/dialect.js';
 import type { Call } from '../src/gateway/dialect.js';
--- a/test/platformstore.test.ts
+++ b/test/platformstore.test.ts
@@ -3,8 +3,8 @@
 } from 'vitest';
 import { PlatformStore } from '../platform/index.js';
 import { SystemClock, SystemRandom } from '../src/adapters/system.js';
-import { Authority } from '../src/core/authority.js';
-import { KeyValueErrorCode } from '../src/core/edges.js';
+import { Authority } from '../src/core/authority/authority.js';
+import { KeyValueErrorCode } from '../src/core/edges/index.js';
 import { KeyFollower } from '../src/gateway/follower.js';
 import { quietLog, quietMeter } from './support/fakes.js';
 import { StoreStandIn } from './support/platform.js';
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -1,11 +1,11 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { CostRouter } from '../src/core/costrouter.js';
-import type { CostRouterOptions } from '../src/core/costrouter.js';
-import { EngineDirectory } from '../src/core/directory.js';
-import { Priority, Role } from '../src/core/edges.js';
-import { AttemptOutcome } from '../src/core/placement.js';
-import type { Placement, WorkItem } from '../src/core/placement.js';
+import { CostRouter } from '../src/core/routing/costrouter.js';
+import type { CostRouterOptions } from '../src/core/routing/costrouter.js';
+import { EngineDirectory } from '../src/core/serving/directory.js';
+import { Priority, Role } from '../src/core/edges/index.js';
+import { AttemptOutcome } from '../src/core/serving/placement.js';
+import type { Placement, WorkItem } from '../src/core/serving/placement.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 import { SeededRandom } from '../src/emulator/random.js';
 
--- a/test/sections.test.ts
+++ b/test/sections.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { diffSections, joinSections } from '../src/core/sections.js';
+import { diffSections, joinSections } from '../src/core/configuration/sections.js';
 
 const section = fc.tuple(fc.constantFrom('a', 'b', 'c'), fc.string()).map(([name, text]) => `[${name}]\n${text}\n`);
 
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { issueText } from '../src/core/issues.js';
-import { safeParseSecrets, safeParseSettings } from '../src/core/settings.js';
+import { safeParseSecrets, safeParseSettings } from '../src/core/configuration/settings.js';
 import { safeParseDuration, safeParseSize } from '../src/core/units.js';
 
 const SEED = 20_261_204;
--- a/test/subset.test.ts
+++ b/test/subset.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { homeEngines, selectSubset } from '../src/core/subset.js';
+import { homeEngines, selectSubset } from '../src/core/routing/subset.js';
 
 const OPTIONS = { nodesPerEngine: 3, enginesPerModel: 2 };
 
--- a/test/support/loopback.ts
+++ b/test/support/loopback.ts
@@ -1,8 +1,8 @@
 import type { Server } from 'node:http';
 import { SystemClock } from '../../src/adapters/system.js';
-import type { Log } from '../../src/core/edges.js';
-import { parseFleet } from '../../src/core/fleet.js';
-import { Secret, parseSettings } from '../../src/core/settings.js';
+import type { Log } from '../../src/core/edges/index.js';
+import { parseFleet } from '../../src/core/configuration/fleet.js';
+import { Secret, parseSettings } from '../../src/core/configuration/settings.js';
 import { startEntryProcess } from '../../src/daemon/process.js';
 import type { EntryProcess } from '../../src/daemon/process.js';
 import type { EngineParameters } from '../../src/emulator/enginemodel.js';
--- a/test/support/pages.ts
+++ b/test/support/pages.ts
@@ -1,7 +1,7 @@
 import { existsSync, readdirSync, readFileSync } from 'node:fs';
 import path from 'node:path';
 import { EXPERIMENTS } from '../../src/bench/registry.js';
-import { safeParseSettings } from '../../src/core/settings.js';
+import { safeParseSettings } from '../../src/core/configuration/settings.js';
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
 const DIRECTORIES = ['docs', 'src', 'platform', 'deploy', 'test', 'examples', 'scripts', '.ci'];
--- a/test/support/platform.ts
+++ b/test/support/platform.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import { platformDialect, PlatformStore } from '../../platform/index.js';
 import { SystemClock, SystemRandom } from '../../src/adapters/system.js';
-import { Secret } from '../../src/core/settings.js';
+import { Secret } from '../../src/core/configuration/settings.js';
 import { Metrics } from '../../src/daemon/metrics.js';
 import { PeerCaller, PeerListener } from '../../src/daemon/peers.js';
 import { Gateway } from '../../src/gateway/gateway.js';
