Count calls that come back after a refusal as late, and serve them first among the late

Cause: the target of a call counts from the first try of its caller, but the line took each try for a new call.

Change: a call whose deadline is under three quarters of its route's usual one has come back; it is late from the start. Among late calls the one with the least time left goes first and is the last to be refused.

--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -14,6 +14,7 @@
 import { isLongPrompt } from './placement.js';
 import { Places } from './places.js';
 import { refuse, report } from './report.js';
+import { UsualDeadlines } from './returning.js';
 import { mayRunTwice, Sender } from './sending.js';
 import type { SenderEdges } from './sending.js';
 import type { Upstream } from './upstream.js';
@@ -60,6 +61,8 @@
 export class Forwarder implements Disposable {
   private active = 0;
 
+  private readonly deadlines = new UsualDeadlines();
+
   private readonly places: Places;
 
   private readonly sender: Sender;
@@ -137,6 +140,7 @@
         call,
         body: hasBody ? bytes : null,
         deadline: trace.arrivedAt + waitMs,
+        returning: this.deadlines.isReturning(routed.route.name, call.deadlineMs),
         trace,
         res,
         ended: ended.signal,
--- a/src/gateway/places.ts
+++ b/src/gateway/places.ts
@@ -142,14 +142,17 @@
   private async waitIn(
     line: WaitingLine,
     {
-      route, trace, deadline, ended,
+      route, trace, deadline, ended, returning,
     }: Work,
     homes: readonly string[],
     usualMs: number,
   ): Promise<Result<Placed, Refusal>> {
     const restMs = usualMs + this.opts.transitMs;
     const place = await line.wait({
-      homes, targetAt: trace.arrivedAt + route.targetMs - restMs, lastAt: deadline - restMs,
+      homes,
+      // The target counts from the first call of a caller, so one that comes back has missed it.
+      targetAt: returning ? -Infinity : trace.arrivedAt + route.targetMs - restMs,
+      lastAt: deadline - restMs,
     }, ended);
     if (!place.success) {
       return fail({ code: 'occupied', retryAfterMs: Math.max(RETRY_AFTER_MS, place.error.afterMs) });
--- a/src/gateway/waitingline.ts
+++ b/src/gateway/waitingline.ts
@@ -141,8 +141,8 @@
 
   /**
    * Entry that takes one of the places: on time before late, at home before elsewhere. The newest on time goes first:
-   * over the capacity, the oldest would each be answered just too late. Late ones go oldest first and take only what no
-   * other gateway needs for calls on time.
+   * over the capacity, the oldest would each be answered just too late. Of the late ones, that with the least time left
+   * goes first; they take only what no other gateway needs for calls on time.
    */
   private choose(places: readonly FreePlace[]): Choice | null {
     const now = this.edges.clock.monotonic();
@@ -150,13 +150,17 @@
     const idle = places.find((place) => place.idle);
     let onTimeAtHome: Choice | null = null;
     let lateAtHome: Choice | null = null;
+    let leastLastAt = Infinity;
     let away: Entry | null = null;
     for (const entry of this.entries) {
       const home = entry.homes.find((server) => free.has(server));
       const onTime = now <= entry.targetAt;
       if (home !== undefined) {
         if (onTime) onTimeAtHome = { entry, server: home };
-        else if (free.get(home)?.spare === true) lateAtHome ??= { entry, server: home };
+        else if (free.get(home)?.spare === true && entry.lastAt < leastLastAt) {
+          lateAtHome = { entry, server: home };
+          leastLastAt = entry.lastAt;
+        }
         continue;
       }
       const keptForHome = entry.homes.length > 0 && now - entry.arrivedAt < AWAY_AFTER_MS;
@@ -182,24 +186,20 @@
     return Math.max(1, late, this.placed.length * LEAST_LATE_SHARE) / RATE_WINDOW_MS;
   }
 
-  /** Refuses the late calls that the line will not reach before their time is over, the last first. */
+  /** Refuses the late calls that the line will not reach before their time is over. */
   private refuseHopeless(): void {
     const now = this.edges.clock.monotonic();
     const perMs = this.lateRate();
+    const late = this.entries.filter(({ targetAt }) => now > targetAt)
+      .sort((left, right) => left.lastAt - right.lastAt);
     let ahead = 0;
-    const kept: Entry[] = [];
-    const refused: Entry[] = [];
-    for (const entry of this.entries) {
-      const onTime = now <= entry.targetAt;
-      const reachedAt = now + ahead / perMs;
-      if (now > entry.lastAt || (!onTime && reachedAt > entry.lastAt)) refused.push(entry);
-      else {
-        kept.push(entry);
-        if (!onTime) ahead += 1;
-      }
+    const refused = new Set(this.entries.filter(({ lastAt }) => now > lastAt));
+    for (const entry of late) {
+      if (now + ahead / perMs > entry.lastAt) refused.add(entry);
+      else ahead += 1;
     }
-    if (refused.length === 0) return;
-    this.entries = kept;
+    if (refused.size === 0) return;
+    this.entries = this.entries.filter((entry) => !refused.has(entry));
     for (const entry of refused) entry.settle(fail({ afterMs: ahead / perMs }));
   }
 }
--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -23,6 +23,8 @@
   readonly service: ForwardingService;
   /** Monotonic time in ms by which the final answer is due. */
   readonly deadline: number;
+  /** Whether the caller was refused before and has come back. */
+  readonly returning: boolean;
   readonly trace: Trace;
   readonly res: ServerResponse;
   /** Aborts when the caller has left or the time is over. */
--- a/test/waitingline.test.ts
+++ b/test/waitingline.test.ts
@@ -175,6 +175,32 @@
   });
 });
 
+describe('WaitingLine for late calls', () => {
+  // Guards against a caller that comes back after a refusal and is refused once more behind others with more time.
+  it('serves the one with the least time left first', async () => {
+    const clock = new SimulatedClock();
+    const engines = new Map([['a', new Engine(clock, 10)]]);
+    const line = lineOver(clock, engines, 1);
+    engines.get('a')!.open = 1;
+    const got: string[] = [];
+    const wait = (name: string, targetAt: number, lastAt: number): void => {
+      void line.wait({ homes: ['a'], targetAt, lastAt }, new AbortController().signal)
+        .then((place) => got.push(place.success ? name : `${name} refused`));
+    };
+    wait('first', 10, LAST_MS);
+    wait('returning', -Infinity, LAST_MS / 2);
+    wait('on time', 200, LAST_MS);
+    await clock.advance(50);
+    for (let served = 0; served < 3; served += 1) {
+      engines.get('a')!.open = 0;
+      line.pump();
+      await clock.advance(1);
+    }
+    expect(got).toEqual(['on time', 'returning', 'first']);
+    line.dispose();
+  });
+});
+
 describe('WaitingLine', () => {
   function twoEngines() {
     const clock = new SimulatedClock();
