--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -27,7 +27,7 @@
 }
 
 /** Calls by which a server of the own failure domain may be busier: bytes between failure domains are dear. */
-const DISTANCE_CALLS = 2;
+const DISTANCE_CALLS = 6;
 
 function free(candidate: Candidate): boolean {
   return candidate.open < candidate.limit;
