--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,7 +6,6 @@
   Clock, KeyValue, Log, PeerClient, PeerServer, Random,
 } from '../core/edges/index.js';
 import { createIncarnation, Membership } from '../core/membership/index.js';
-import { lowestByRendezvous } from '../core/rendezvous.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import { RetryBudget } from '../core/retries.js';
@@ -16,13 +15,13 @@
 import type { Metrics } from '../daemon/metrics.js';
 import { RouteTable } from './configuration.js';
 import type { Dialect } from './dialect.js';
-import { callerAddresses } from './directory.js';
 import { Discovery } from './discovery.js';
 import { FleetUse } from './fleet.js';
 import type { KeySource } from './follower.js';
 import { Forwarder } from './forward.js';
 import { Occupancy } from './occupancy.js';
 import type { Datagrams } from './occupancy.js';
+import { OtherGateways } from './others.js';
 import { Records } from './records.js';
 import { RoleKeeper } from './rolekeeper.js';
 import { ServerRegistry } from './servers.js';
@@ -77,9 +76,6 @@
 /** Tasks and calls that wait for the end of the process at the same time. */
 const MAX_TASKS = 200;
 
-/** Least number of gateways among which the retry budget is divided; one that starts knows no others yet. */
-const LEAST_SHARERS = 6;
-
 /** One process between callers and backend servers. */
 export class Gateway {
   private readonly stop = new AbortController();
@@ -94,6 +90,8 @@
 
   private readonly occupancy: Occupancy;
 
+  private readonly others: OtherGateways;
+
   private readonly fleet: FleetUse;
 
   private readonly configuration: Records;
@@ -115,8 +113,6 @@
   /** Monotonic time in ms by which running calls are broken, once a planned stop has begun. */
   private endsAt: number | null = null;
 
-  private reportedMembers = '';
-
   public constructor(private readonly edges: GatewayEdges, private readonly settings: GatewaySettings) {
     const {
       clock, random, peerClient: client, peerServer: server,
@@ -140,10 +136,12 @@
         incarnation: this.membership.self().incarnation,
       },
       leaseMs: settings.authority.lease,
-      isCandidate: () => this.isFirstCandidate(),
+      // The others look for a free lease only if the picked one does not take it, which keeps calls few.
+      isCandidate: () => this.ready() && this.others.isPicked('authority'),
     });
     this.registry = this.disposables.add(new ServerRegistry(clock));
     this.occupancy = new Occupancy({ clock, members: this.membership, datagrams: edges.datagrams });
+    this.others = new OtherGateways({ membership: this.membership, occupancy: this.occupancy, log: edges.log });
     this.fleet = this.disposables.add(new FleetUse(this.registry, this.occupancy, clock));
     const recordEdges = {
       ...edges, source: edges.store, client, server, members: this.membership,
@@ -212,7 +210,7 @@
     if (callers.success) this.listener = callers.data;
     const { signal } = this.stop;
     setMaxListeners(MAX_TASKS, signal);
-    this.disposables.add(this.membership.onChange(() => this.reportMembers()));
+    this.disposables.add(this.others.report());
     void Promise.all([
       this.membership.run(signal),
       this.configuration.run(signal),
@@ -262,33 +260,13 @@
   }
 
   private addressBody(): string | null {
-    const addresses = this.callerAddresses();
+    const addresses = this.others.callerAddresses({
+      callerAddress: this.settings.listen.callers, ready: this.ready(), configured: this.routes !== null,
+    });
     const { keep } = this.settings.directory;
     return addresses.length === 0 ? null : this.edges.dialect.addressBody(addresses, keep);
   }
 
-  private callerAddresses(): readonly string[] {
-    const own = {
-      callerAddress: this.settings.listen.callers, ready: this.ready(), configured: this.routes !== null,
-    };
-    return callerAddresses(own, this.membership.live().map((member) => ({
-      member,
-      suspected: this.membership.suspected(member.incarnation),
-      heardMs: this.occupancy.heardMs(member.id),
-    })));
-  }
-
-  /** Logs the gateways that have come, are leaving or suspected, or are gone. */
-  private reportMembers(): void {
-    const members = this.membership.live().map(({ id, incarnation, leaving }) => {
-      const suspected = this.membership.suspected(incarnation);
-      return `${id}${leaving ? ' leaving' : ''}${suspected ? ' suspected' : ''}`;
-    }).sort().join(', ');
-    if (members === this.reportedMembers) return;
-    this.reportedMembers = members;
-    this.edges.log.info('members', { members });
-  }
-
   private configure(key: string, value: string): void {
     const { dialect, log, meter } = this.edges;
     const parsed = dialect.readConfiguration(key, value);
@@ -320,26 +298,13 @@
     return [...services].filter(({ engine }) => engine !== null).map(({ name }) => name);
   }
 
-  private sharers(): number {
-    const staying = this.membership.live().filter(({ leaving }) => !leaving);
-    return Math.max(LEAST_SHARERS, 1 + staying.length);
-  }
-
   private budget(service: string): RetryBudget {
     let budget = this.budgets.get(service);
     if (budget === undefined) {
       const { perThousand, burst } = this.settings.retries;
-      budget = new RetryBudget({ ratio: perThousand / 1_000, burst: Math.max(1, burst / this.sharers()) });
+      budget = new RetryBudget({ ratio: perThousand / 1_000, burst: Math.max(1, burst / this.others.sharers) });
       this.budgets.set(service, budget);
     }
     return budget;
   }
-
-  /** The others look for a free lease only if the first in order does not take it, which keeps calls few. */
-  private isFirstCandidate(): boolean {
-    if (this.stopping || !this.ready()) return false;
-    const staying = [this.membership.self(), ...this.membership.live()].filter(({ leaving }) => !leaving);
-    const ids = staying.map(({ id }) => id);
-    return lowestByRendezvous(ids, 'authority', 1).includes(this.settings.gateway.name);
-  }
 }
