Prefill elsewhere where calls could not go on from an engine

Change: each engine has a second count of failures in a row, for what was prefilled there and could not go on elsewhere. While it is avoided, it is nobody's home, unless half of the engines are avoided so: then the decoders are more likely at fault. A call whose handover failed is prefilled at another engine.

--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -8,22 +8,57 @@
 /** Time in ms for which a server is avoided after it was found not to answer. */
 const SILENT_MS = 1_200;
 
-/** Refusals or failures in a row after which a server is avoided. */
+/** Failures in a row after which a server is avoided. */
 const LEAST_IN_ROW = 2;
 
-/** Time in ms for which a server is avoided after its first refusals; it doubles up to {@link MAX_REFUSING_MS}. */
+/** Time in ms for which it is avoided then; each further failure doubles it up to {@link MAX_REFUSING_MS}. */
 const REFUSING_MS = 100;
 
 const MAX_REFUSING_MS = 1_600;
 
+/** Failures in a row, and for how long what fails is avoided. */
+export class Suspicion {
+  private inRow = 0;
+
+  private avoidUntil = -Infinity;
+
+  public constructor(private readonly clock: Clock) {}
+
+  /** Whether so many failures came in a row that further ones are likely. */
+  public get failing(): boolean {
+    return this.inRow >= LEAST_IN_ROW;
+  }
+
+  public get avoided(): boolean {
+    return this.failing && this.clock.monotonic() < this.avoidUntil;
+  }
+
+  public succeeded(): void {
+    this.inRow = 0;
+  }
+
+  public failed(): void {
+    this.inRow += 1;
+    const avoidMs = Math.min(MAX_REFUSING_MS, REFUSING_MS * 2 ** Math.max(0, this.inRow - LEAST_IN_ROW));
+    this.avoidUntil = Math.max(this.avoidUntil, this.clock.monotonic() + avoidMs);
+  }
+
+  /** Avoids for a longer time at once. */
+  public fell(): void {
+    this.inRow = Math.max(LEAST_IN_ROW, this.inRow + 1);
+    this.avoidUntil = this.clock.monotonic() + SILENT_MS;
+  }
+}
+
 /** One start of a backend server, as this process uses it. */
 export class ServerUse {
   /** Monotonic time in ms of the last answer of any kind. */
   public answeredAt = -Infinity;
 
-  private failuresInRow = 0;
+  /** How calls went on elsewhere from what was prefilled here. */
+  public readonly handovers: Suspicion;
 
-  private avoidUntil = -Infinity;
+  private readonly calls: Suspicion;
 
   /** Calls open that find out whether a server that was avoided takes work again. */
   private probes = 0;
@@ -31,17 +66,19 @@
   public constructor(
     public readonly pool: ConnectionPool,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.calls = new Suspicion(clock);
+    this.handovers = new Suspicion(clock);
+  }
 
   /** Whether the server should get no work now; after a while one call at a time tries it again. */
   public get suspect(): boolean {
-    if (this.failuresInRow < LEAST_IN_ROW) return false;
-    return this.clock.monotonic() < this.avoidUntil || this.probes > 0;
+    return this.calls.avoided || (this.calls.failing && this.probes > 0);
   }
 
   /** Counts a call that may find out whether the server takes work again. */
   public enter(): Disposable {
-    if (this.failuresInRow < LEAST_IN_ROW) return { dispose: () => {} };
+    if (!this.calls.failing) return { dispose: () => {} };
     this.probes += 1;
     return {
       dispose: () => {
@@ -52,21 +89,18 @@
 
   public succeeded(): void {
     this.answeredAt = this.clock.monotonic();
-    this.failuresInRow = 0;
+    this.calls.succeeded();
   }
 
   /** Notes a refusal, or an answer that broke off. */
   public refused(): void {
     this.answeredAt = this.clock.monotonic();
-    this.failuresInRow += 1;
-    const avoidMs = Math.min(MAX_REFUSING_MS, REFUSING_MS * 2 ** Math.max(0, this.failuresInRow - LEAST_IN_ROW));
-    this.avoidUntil = Math.max(this.avoidUntil, this.clock.monotonic() + avoidMs);
+    this.calls.failed();
   }
 
   /** Notes that the server can't be reached, or does not answer. */
   public silent(): void {
-    this.failuresInRow = Math.max(LEAST_IN_ROW, this.failuresInRow + 1);
-    this.avoidUntil = this.clock.monotonic() + SILENT_MS;
+    this.calls.fell();
   }
 }
 
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -4,9 +4,7 @@
 import { CallKind, chooseDestination } from './configuration.js';
 import type { ForwardingService, Route, RouteTable } from './configuration.js';
 import { deliver } from './delivery.js';
-import type {
-  AnswerHead, Call, PrefillHandle, SendPlan,
-} from './dialect.js';
+import type { AnswerHead, Call, SendPlan } from './dialect.js';
 import { isEventStream, ResumableEvents } from './events.js';
 import type { Resumed } from './events.js';
 import type { Occupancy } from './occupancy.js';
@@ -16,7 +14,7 @@
 import { refuse, report } from './report.js';
 import { UsualDeadlines } from './returning.js';
 import { mayRunTwice, Sender } from './sending.js';
-import type { SenderEdges } from './sending.js';
+import type { Prefilled, SenderEdges } from './sending.js';
 import type { Upstream } from './upstream.js';
 import { EndReason, note } from './work.js';
 import type { Delivery, Trace, Work } from './work.js';
@@ -169,20 +167,20 @@
     const {
       call, route, service, trace,
     } = work;
-    const again = tried.size > 0;
-    let handle: PrefillHandle | null = null;
+    let prefilled: Extract<Prefilled, { type: 'handle' }> | null = null;
+    const prefillers = new Set<string>();
     if (service.engine !== null && call.generation !== null && isLongPrompt(call.generation)) {
-      const prefilled = await this.sender.prefill(work, again);
-      if (prefilled.type === 'refused') return work.ended.aborted ? this.givenUp(work) : prefilled;
-      handle = prefilled.handle;
+      const result = await this.sender.prefill(work, prefillers, tried.size > 0);
+      if (result.type === 'refused') return work.ended.aborted ? this.givenUp(work) : result;
+      prefilled = result;
     }
     let last: Refusal = { code: 'not_executed', retryAfterMs: RETRY_AFTER_MS };
     for (let attempts = 0; attempts < route.maxAttempts;) {
-      const place = handle === null
+      const place = prefilled === null
         ? await this.places.whole(work, tried) : this.places.continuation(work, tried);
       if (work.ended.aborted || !place.success) {
         if (place.success) place.data.held.dispose();
-        this.sender.free(handle);
+        this.sender.free(prefilled?.handle ?? null);
         if (work.ended.aborted) return this.givenUp(work);
         return refused(tried.size > 0 || place.success ? last : place.error);
       }
@@ -192,11 +190,13 @@
       }
       const server = place.data.server.id;
       tried.add(server);
-      const what: SendPlan['work'] = handle === null ? { type: 'whole' } : { type: 'decode', handle };
+      const what: SendPlan['work'] = prefilled === null
+        ? { type: 'whole' } : { type: 'decode', handle: prefilled.handle };
       const { upstream, outcome, tookMs } = await this.sender.send(work, place.data, what);
+      if (prefilled !== null) this.sender.noteHandover(prefilled.server, outcome, work);
       if (outcome.type === 'answered') {
         const { head } = outcome;
-        if (handle !== null) this.places.observe('continuation', tookMs);
+        if (prefilled !== null) this.places.observe('continuation', tookMs);
         if (head.status < 500 || !mayRunTwice(work) || attempts + 1 >= route.maxAttempts) {
           return {
             type: 'answer', upstream, head, server,
@@ -208,18 +208,20 @@
         if (work.ended.aborted) return this.givenUp(work);
         last = { code: 'outcome_unknown', message: outcome.message };
         if (!mayRunTwice(work)) return refused(last);
-        if (handle !== null && attempts + 1 < route.maxAttempts) {
-          // The engine may have taken the handle.
-          const prefilled = await this.sender.prefill(work, true);
-          if (prefilled.type === 'refused') return work.ended.aborted ? this.givenUp(work) : refused(last);
-          handle = prefilled.handle;
+        if (prefilled !== null && attempts + 1 < route.maxAttempts) {
+          // The engine may have taken the handle, and where it could not, the next one of the same engine may fail too.
+          let result = await this.sender.prefill(work, prefillers, true);
+          const nobodyElse = result.type === 'refused' && result.refusal.code === 'no_server';
+          if (nobodyElse) result = await this.sender.prefill(work, new Set(), true);
+          if (result.type === 'refused') return work.ended.aborted ? this.givenUp(work) : refused(last);
+          prefilled = result;
         }
       }
       // A send that was not written reached nobody and is no attempt.
       if (outcome.type === 'not_sent') trace.arrivals -= 1;
       else attempts += 1;
     }
-    this.sender.free(handle);
+    this.sender.free(prefilled?.handle ?? null);
     return refused(last);
   }
 
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -67,3 +67,16 @@
 export function withRole(candidates: readonly Candidate[], role: Role): readonly Candidate[] {
   return candidates.filter(({ record }) => record.role === role || record.role === Role.Mixed || record.role === null);
 }
+
+/**
+ * Suspects the candidates from which calls could not go on elsewhere, as long as most of the candidates remain: where
+ * more fail, the cause is more likely at those that should go on.
+ */
+export function avoidLapsing(
+  candidates: readonly Candidate[],
+  lapsing: (candidate: Candidate) => boolean,
+): readonly Candidate[] {
+  const names = new Set(candidates.filter(lapsing).map(({ record }) => record.id));
+  if (names.size * 2 >= candidates.length) return candidates;
+  return candidates.map((candidate) => (names.has(candidate.record.id) ? { ...candidate, suspect: true } : candidate));
+}
--- a/src/gateway/places.ts
+++ b/src/gateway/places.ts
@@ -7,7 +7,7 @@
 import type { Occupancy, OpenCalls } from './occupancy.js';
 import type { Refusal } from './outcome.js';
 import {
-  homesOf, pickLeastOccupied, sharedPart, withRole,
+  avoidLapsing, homesOf, pickLeastOccupied, sharedPart, withRole,
 } from './placement.js';
 import type { Candidate } from './placement.js';
 import type { ServerRecord } from './servers.js';
@@ -166,7 +166,7 @@
 
   private prefillers(service: ForwardingService): readonly Candidate[] {
     const all = this.edges.fleet.candidates(service.name, ({ prefills }) => prefills, () => PREFILLS_PER_ENGINE);
-    return withRole(all, Role.Prefill);
+    return avoidLapsing(withRole(all, Role.Prefill), ({ record }) => this.edges.fleet.of(record).handovers.avoided);
   }
 
   /** Servers that take whole calls and continuations. */
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -6,6 +6,7 @@
 import type { Refusal } from './outcome.js';
 import type { Placed, Places } from './places.js';
 import { Upstream } from './upstream.js';
+import type { ServerRecord } from './servers.js';
 import type { SendOutcome } from './upstream.js';
 import { note } from './work.js';
 import type { Work } from './work.js';
@@ -40,7 +41,7 @@
 
 /** KV cache of a prefilled prompt, or why there is none. */
 export type Prefilled =
-  | { readonly type: 'handle'; readonly handle: PrefillHandle }
+  | { readonly type: 'handle'; readonly handle: PrefillHandle; readonly server: ServerRecord }
   | { readonly type: 'refused'; readonly refusal: Refusal };
 
 /** One send with the outcome up to the head of its answer. */
@@ -63,12 +64,14 @@
     private readonly opts: { readonly transitMs: number },
   ) {}
 
-  /** Prefills a prompt on an engine of that role; only the first prefill of a call is free of the budget. */
-  public async prefill(work: Work, again: boolean): Promise<Prefilled> {
+  /**
+   * Prefills a prompt on an engine of that role that is not in `tried`, and adds those that are asked; only the first
+   * prefill of a call is free of the budget.
+   */
+  public async prefill(work: Work, tried: Set<string>, again: boolean): Promise<Prefilled> {
     const { service, trace } = work;
     const { clock, budget, dialect } = this.edges;
-    const tried = new Set<string>();
-    for (;;) {
+    for (let asked = 0; ; asked += 1) {
       const place = await this.places.prefill(work, tried);
       note(trace, place.success ? 'line' : 'line:refused', clock.monotonic());
       if (!place.success) return { type: 'refused', refusal: place.error };
@@ -77,7 +80,7 @@
         held.dispose();
         return { type: 'refused', refusal: { code: 'expired', retryAfterMs: RETRY_AFTER_MS } };
       }
-      if ((again || tried.size > 0) && !budget(service.name).take()) {
+      if ((again || asked > 0) && !budget(service.name).take()) {
         held.dispose();
         note(trace, 'prefill:budget', clock.monotonic());
         return { type: 'refused', refusal: { code: 'not_executed', retryAfterMs: RETRY_AFTER_MS } };
@@ -89,7 +92,7 @@
         const handle = body === null ? null : dialect.readHandle(server, body);
         if (handle !== null) {
           this.places.observe('prefill', tookMs);
-          return { type: 'handle', handle };
+          return { type: 'handle', handle, server };
         }
         note(trace, 'handle:unreadable', clock.monotonic());
       } else if (outcome.type === 'answered') upstream.abort('no handle');
@@ -144,6 +147,13 @@
     return { upstream, outcome, tookMs: clock.monotonic() - sentAt };
   }
 
+  /** Notes whether a call could go on from what `prefiller` holds. */
+  public noteHandover(prefiller: ServerRecord, outcome: SendOutcome, { ended }: Work): void {
+    const { handovers } = this.edges.fleet.of(prefiller);
+    if (outcome.type === 'answered') handovers.succeeded();
+    else if (outcome.type !== 'not_sent' && !ended.aborted) handovers.failed();
+  }
+
   /** Frees the KV cache of a prefill that no engine will continue from. */
   public free(handle: PrefillHandle | null): void {
     const holder = handle === null ? null : this.edges.fleet.byAddress(handle.address);
--- a/test/forwardingdecisions.test.ts
+++ b/test/forwardingdecisions.test.ts
@@ -5,7 +5,9 @@
 import type { Route } from '../src/gateway/configuration.js';
 import { ConnectionPool } from '../src/gateway/connections.js';
 import { ServerUse } from '../src/gateway/fleet.js';
-import { homesOf, pickLeastOccupied, withRole } from '../src/gateway/placement.js';
+import {
+  avoidLapsing, homesOf, pickLeastOccupied, withRole,
+} from '../src/gateway/placement.js';
 import type { Candidate } from '../src/gateway/placement.js';
 import { planRoles } from '../src/gateway/rolekeeper.js';
 import { ServerRegistry } from '../src/gateway/servers.js';
@@ -104,6 +106,14 @@
     expect(new Set(before).size).toBe(4);
   });
 
+  // Guards against a fleet without any engine because those that should go on are at fault.
+  it('suspects engines that calls can not go on from, unless they are half of them', () => {
+    const all = ['a', 'b', 'c', 'd'].map((id) => candidate(id, 0));
+    const suspects = (names: string): string => avoidLapsing(all, ({ record }) => names.includes(record.id))
+      .filter(({ suspect }) => suspect).map(({ record }) => record.id).join('');
+    expect([suspects(''), suspects('b'), suspects('ab'), suspects('abcd')]).toEqual(['', 'b', '', '']);
+  });
+
   it('leaves engines of another role out', () => {
     const decoder = { ...candidate('a', 0), record: server('a', { role: Role.Decode }) };
     expect(withRole([decoder, candidate('b', 0)], Role.Prefill).map(({ record }) => record.id)).toEqual(['b']);
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -296,6 +296,30 @@
     expect(seen('p1', 'p2')).toHaveLength(2);
   });
 
+  // Guards against prompts that are prefilled again and again at an engine from which no call can go on.
+  it('is prefilled elsewhere once calls could not go on from an engine', async () => {
+    const lapsing = new ServerStandIn('p3', answer('p3'));
+    await lapsing.start();
+    store.put('servers/p3', lapsing.entry('engine', { stage: 'prefill' }));
+    await until(() => (gateway.gateway.dump().servers as { list: unknown[] }).list.length === 7);
+    act = (res, call) => {
+      if (!String(call.headers['catkinscale-kv-source']).includes('h-p3')) return false;
+      notExecuted(res);
+      return true;
+    };
+    const statuses: number[] = [];
+    for (let part = 10; part < 50; part += 1) {
+      const parts = { ...headers, 'catkinscale-prompt-prefix': `a1:2500,${part}:3500,c3:3000` };
+      statuses.push((await ask('/long/x', { method: 'POST', body: 'p', headers: parts })).status);
+    }
+    store.remove('servers/p3');
+    lapsing.stop();
+    const refusals = statuses.filter((status) => status === 503).length;
+    expect(refusals).toBeGreaterThan(0);
+    expect(refusals).toBeLessThan(6);
+    expect(statuses.filter((status) => status === 200)).toHaveLength(40 - refusals);
+  });
+
   it('is refused, and its cache freed, where no engine goes on', async () => {
     act = (res, call) => {
       if (call.method === 'DELETE' || isPrefill(call)) return false;
