--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -1,12 +1,12 @@
-import { mkdirSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { build } from 'esbuild';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { drain } from '../cli/commands.js';
 import { ExitCode } from '../cli/outcome.js';
+import { bundleProgram } from './bundle.js';
 import { Deployment } from './deployment.js';
+import { playGateways } from './gateways.js';
 import { GALINHEIRO_LOAD, HALVORSEN_LOAD, LoadClient } from './load.js';
 import { classFigures, demoFigures, figuresTable } from './report.js';
 
@@ -38,23 +38,6 @@
   });
 }
 
-/** Bundles the command line, because starting twelve processes from TypeScript takes several seconds. */
-async function bundle(): Promise<string> {
-  const outfile = join(logs, 'catkinscale.cjs');
-  mkdirSync(logs, { recursive: true });
-  await build({
-    entryPoints: [join(root, 'src/cli/main.ts')],
-    outfile,
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
-    define: { 'import.meta.url': 'importMetaUrl' },
-    banner: { js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href;" },
-  });
-  return outfile;
-}
-
 /** Kills one entry and drains another while the load runs. */
 async function disturb(deployment: Deployment): Promise<boolean> {
   await wait(KILL_AT_MS);
@@ -131,14 +114,24 @@
   return figures.cut === 0 && figures.run_twice === 0 && figures.wrong_answer === 0;
 }
 
+async function showGateways(program: string): Promise<number> {
+  const figures = await playGateways(program, logs, say);
+  process.stdout.write(`${JSON.stringify(figures)}\n`);
+  return figures.streamWhole && figures.ranTwice === 0 && figures.stoppedWith === 0 ? 0 : 1;
+}
+
 async function main(): Promise<number> {
   const args = await yargs(hideBin(process.argv)).scriptName('npm run demo --')
     .usage('Runs both users on this machine: stand-ins, twelve entries and a shifting load.')
     .option('keep', { type: 'boolean', default: false, describe: 'send no load, and leave everything running' })
+    .option('gateways', {
+      type: 'boolean', default: false, describe: "play three gateways over stand-ins of the users' platform",
+    })
     .option('seed', { type: 'number', default: 1, describe: 'seed of the load' })
     .strict()
     .parse();
-  const program = await bundle();
+  const program = await bundleProgram(root, logs);
+  if (args.gateways) return showGateways(program);
   const deployments = await Promise.all(['halvorsen', 'galinheiro'].map((user) => (
     Deployment.start(join(root, 'examples', user), program, logs)
   )));
--- /dev/null
+++ b/src/emulator/backend.ts
@@ -0,0 +1,72 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { listenAnywhere } from './listening.js';
+
+/** One call as a backend server received it. */
+export interface Received {
+  readonly method: string;
+  readonly url: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** Whether the connection was closed before the answer had ended. */
+  aborted: boolean;
+}
+
+/** Stand-in of a backend server whose answers the test writes. */
+export class ServerStandIn {
+  public address = '';
+
+  public readonly received: Received[] = [];
+
+  private readonly server: Server;
+
+  public constructor(public readonly id: string, answer: (res: ServerResponse, call: Received) => void) {
+    this.server = createServer((req, res) => {
+      void (async () => {
+        const chunks: Buffer[] = [];
+        for await (const chunk of req) chunks.push(chunk as Buffer);
+        const call = {
+          method: req.method ?? '',
+          url: req.url ?? '',
+          headers: req.headers,
+          body: Buffer.concat(chunks).toString(),
+          aborted: false,
+        };
+        res.on('close', () => {
+          call.aborted = !res.writableFinished;
+        });
+        this.received.push(call);
+        const callId = req.headers['catkinscale-request-id'];
+        if (callId !== undefined) res.setHeader('Catkinscale-Request-Id', callId);
+        answer(res, call);
+      })();
+    });
+  }
+
+  public async start(): Promise<void> {
+    this.address = await listenAnywhere(this.server);
+  }
+
+  public stop(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  public entry(service: string, changes: object = {}): string {
+    return JSON.stringify({
+      service, address: this.address, zone: 'regina', slots: 4, state: 'ready', born: 1, sequence: 1, ...changes,
+    });
+  }
+}
+
+/** Answers with the server's signature. */
+export function signed(res: ServerResponse, body: string, status = 200): void {
+  res.writeHead(status, { 'Catkinscale-Server-Signature': 's1', 'Content-Length': Buffer.byteLength(body) });
+  res.end(body);
+}
+
+/** States that the call did not run. */
+export function notExecuted(res: ServerResponse, status = 503): void {
+  res.writeHead(status, { 'Catkinscale-Not-Executed': '1', 'Content-Length': 0 });
+  res.end();
+}
--- /dev/null
+++ b/src/emulator/listening.ts
@@ -0,0 +1,11 @@
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** Opens a stand-in on a free loopback port, and gives its IP address and port. */
+export async function listenAnywhere(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { address, port } = server.address() as AddressInfo;
+  return `${address}:${port}`;
+}
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -6,10 +6,11 @@
 } from 'vitest';
 import { askAt, until } from './support/asking.js';
 import type { Answer, AskOptions } from './support/asking.js';
-import {
-  configuration, notExecuted, ServerStandIn, signed, startGateway, StoreStandIn,
-} from './support/platform.js';
-import type { Received, RunningGateway } from './support/platform.js';
+import { notExecuted, ServerStandIn, signed } from '../src/emulator/backend.js';
+import type { Received } from '../src/emulator/backend.js';
+import { StoreStandIn } from '../src/emulator/platformstore.js';
+import { configuration, startGateway } from './support/platform.js';
+import type { RunningGateway } from './support/platform.js';
 
 let store: StoreStandIn;
 let gateway: RunningGateway;
--- a/test/platformstore.test.ts
+++ b/test/platformstore.test.ts
@@ -7,7 +7,7 @@
 import { KeyValueErrorCode } from '../src/core/edges/index.js';
 import { KeyFollower } from '../src/gateway/follower.js';
 import { quietLog, quietMeter } from './support/fakes.js';
-import { StoreStandIn } from './support/platform.js';
+import { StoreStandIn } from '../src/emulator/platformstore.js';
 
 const OPTIONS = { timeoutMs: 500 };
 
--- a/test/resume.test.ts
+++ b/test/resume.test.ts
@@ -6,10 +6,11 @@
 import { EventSplitter } from '../src/gateway/events.js';
 import { askAt, until } from './support/asking.js';
 import type { Answer } from './support/asking.js';
-import {
-  configuration, ServerStandIn, startGateway, StoreStandIn,
-} from './support/platform.js';
-import type { Received, RunningGateway } from './support/platform.js';
+import { ServerStandIn } from '../src/emulator/backend.js';
+import type { Received } from '../src/emulator/backend.js';
+import { StoreStandIn } from '../src/emulator/platformstore.js';
+import { configuration, startGateway } from './support/platform.js';
+import type { RunningGateway } from './support/platform.js';
 
 const FIRST_PORT = 23_480;
 
