Leave one place more to calls on time, and count only missing or silent handovers against an engine

Cause: late calls filled an engine to its fourth place just before a call on time arrived, which then waited for a place and behind three others.

Change: late calls leave one place free wherever a server has more than one. A handover fails only where the decoder refuses it or stays silent. Calls that the line can not reach are looked for each 20 ms and at each arrival, no longer at each message of another gateway, since the search sorts the line.

--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -192,8 +192,9 @@
       tried.add(server);
       const what: SendPlan['work'] = prefilled === null
         ? { type: 'whole' } : { type: 'decode', handle: prefilled.handle };
-      const { upstream, outcome, tookMs } = await this.sender.send(work, place.data, what);
-      if (prefilled !== null) this.sender.noteHandover(prefilled.server, outcome, work);
+      const sending = await this.sender.send(work, place.data, what);
+      const { upstream, outcome, tookMs } = sending;
+      if (prefilled !== null) this.sender.noteHandover(prefilled.server, sending);
       if (outcome.type === 'answered') {
         const { head } = outcome;
         if (prefilled !== null) this.places.observe('continuation', tookMs);
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -33,6 +33,14 @@
   return candidate.open < candidate.limit;
 }
 
+/** Places at a server that late calls leave to calls on time that come next; with two, engines were idle. */
+const SPARE_PLACES = 1;
+
+/** Whether a late call may take a place, with calls on time that wait for the server at other gateways. */
+export function hasSpare({ open, limit }: Pick<Candidate, 'open' | 'limit'>, waitingElsewhere: number): boolean {
+  return limit - open > Math.min(SPARE_PLACES, limit - 1) + waitingElsewhere;
+}
+
 /** Least occupied candidate with room; `near` decides between equals, then `draw`, uniform in [0, 1). */
 export function pickLeastOccupied(
   candidates: readonly Candidate[],
--- a/src/gateway/places.ts
+++ b/src/gateway/places.ts
@@ -7,7 +7,7 @@
 import type { Occupancy, OpenCalls } from './occupancy.js';
 import type { Refusal } from './outcome.js';
 import {
-  avoidLapsing, homesOf, pickLeastOccupied, sharedPart, withRole,
+  avoidLapsing, hasSpare, homesOf, pickLeastOccupied, sharedPart, withRole,
 } from './placement.js';
 import type { Candidate } from './placement.js';
 import type { ServerRecord } from './servers.js';
@@ -207,7 +207,7 @@
       .map(({ record, open, limit }) => ({
         server: record.id,
         idle: open <= idle,
-        spare: limit - open > this.edges.occupancy.waitingElsewhere(record.id),
+        spare: hasSpare({ open, limit }, this.edges.occupancy.waitingElsewhere(record.id)),
       }));
     const line = new WaitingLine({
       clock: this.edges.clock, places, take: (server) => this.edges.occupancy.enter(server, kind),
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -49,6 +49,8 @@
   readonly upstream: Upstream;
   readonly outcome: SendOutcome;
   readonly tookMs: number;
+  /** Whether it was given up because nothing came in the usual time. */
+  readonly silent: boolean;
 }
 
 /** Whether a call may run more than once. */
@@ -124,7 +126,9 @@
     }, work.body);
     const stop = (): void => upstream.abort(String(work.ended.reason));
     work.ended.addEventListener('abort', stop, { once: true });
+    let silent = false;
     const silence = clock.after(this.silenceMs(work, what), () => {
+      silent = true;
       if (use.answeredAt < sentAt) use.silent();
       // A prefill is not a run. A server that answers others may still never answer this call.
       if (what.type === 'prefill' || mayRunTwice(work)) upstream.abort('no answer in the usual time');
@@ -144,14 +148,16 @@
       else use.refused();
     }
     note(work.trace, `${what.type}:${server.id}:${outcome.type}`, clock.monotonic());
-    return { upstream, outcome, tookMs: clock.monotonic() - sentAt };
+    return {
+      upstream, outcome, tookMs: clock.monotonic() - sentAt, silent,
+    };
   }
 
-  /** Notes whether a call could go on from what `prefiller` holds. */
-  public noteHandover(prefiller: ServerRecord, outcome: SendOutcome, { ended }: Work): void {
+  /** Notes whether a call could go on from what `prefiller` holds; a broken connection says nothing of it. */
+  public noteHandover(prefiller: ServerRecord, { outcome, silent }: Sending): void {
     const { handovers } = this.edges.fleet.of(prefiller);
     if (outcome.type === 'answered') handovers.succeeded();
-    else if (outcome.type !== 'not_sent' && !ended.aborted) handovers.failed();
+    else if (outcome.type === 'not_executed' || silent) handovers.failed();
   }
 
   /** Frees the KV cache of a prefill that no engine will continue from. */
--- a/src/gateway/waitingline.ts
+++ b/src/gateway/waitingline.ts
@@ -112,6 +112,7 @@
       signal.addEventListener('abort', entry.leave, { once: true });
       this.entries.push(entry);
       this.pump();
+      this.refuseHopeless();
     });
   }
 
@@ -125,7 +126,6 @@
       this.notePlaced(chosen.entry);
       chosen.entry.settle(ok({ server: chosen.server, held: this.edges.take(chosen.server) }));
     }
-    this.refuseHopeless();
     if (this.entries.length > 0) this.timer ??= this.edges.clock.after(SWEEP_MS, () => this.sweep());
   }
 
@@ -137,6 +137,7 @@
   private sweep(): void {
     this.timer = null;
     this.pump();
+    this.refuseHopeless();
   }
 
   /**
