Log when a backend server begins to be avoided, with the failures that decided it

An avoided server changed where calls go without a line; only the dump showed it. One line when it begins, none for the calls that were already under way. A test counts the lines.

--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -1,4 +1,4 @@
-import type { Clock, Disposable } from '../core/edges/index.js';
+import type { Clock, Disposable, Log } from '../core/edges/index.js';
 import { ConnectionPool } from './connections.js';
 import type { Occupancy, OpenCalls } from './occupancy.js';
 import type { Candidate } from './placement.js';
@@ -16,13 +16,16 @@
 
 const MAX_REFUSING_MS = 1_600;
 
+/** Called when something begins to be avoided, with the failures in a row and the time in ms. */
+export type AvoidedListener = (inRow: number, forMs: number) => void;
+
 /** Failures in a row, and for how long what fails is avoided. */
 export class Suspicion {
   private inRow = 0;
 
   private avoidUntil = -Infinity;
 
-  public constructor(private readonly clock: Clock) {}
+  public constructor(private readonly clock: Clock, private readonly onAvoided: AvoidedListener) {}
 
   /** Whether so many failures came in a row that further ones are likely. */
   public get failing(): boolean {
@@ -39,14 +42,20 @@
 
   public failed(): void {
     this.inRow += 1;
-    const avoidMs = Math.min(MAX_REFUSING_MS, REFUSING_MS * 2 ** Math.max(0, this.inRow - LEAST_IN_ROW));
-    this.avoidUntil = Math.max(this.avoidUntil, this.clock.monotonic() + avoidMs);
+    this.avoid(Math.min(MAX_REFUSING_MS, REFUSING_MS * 2 ** Math.max(0, this.inRow - LEAST_IN_ROW)));
   }
 
   /** Avoids for a longer time at once. */
   public fell(): void {
     this.inRow = Math.max(LEAST_IN_ROW, this.inRow + 1);
-    this.avoidUntil = this.clock.monotonic() + SILENT_MS;
+    this.avoid(SILENT_MS);
+  }
+
+  private avoid(forMs: number): void {
+    const now = this.clock.monotonic();
+    // Calls that were under way when it began to be avoided fail too, and say nothing new.
+    if (this.failing && now >= this.avoidUntil) this.onAvoided(this.inRow, forMs);
+    this.avoidUntil = Math.max(this.avoidUntil, now + forMs);
   }
 }
 
@@ -66,9 +75,10 @@
   public constructor(
     public readonly pool: ConnectionPool,
     private readonly clock: Clock,
+    onAvoided: (what: 'calls' | 'handovers', ...details: Parameters<AvoidedListener>) => void = () => {},
   ) {
-    this.calls = new Suspicion(clock);
-    this.handovers = new Suspicion(clock);
+    this.calls = new Suspicion(clock, (...details) => onAvoided('calls', ...details));
+    this.handovers = new Suspicion(clock, (...details) => onAvoided('handovers', ...details));
   }
 
   /** Whether the server should get no work now; after a while one call at a time tries it again. */
@@ -114,6 +124,7 @@
     private readonly registry: ServerRegistry,
     private readonly occupancy: Occupancy,
     private readonly clock: Clock,
+    private readonly log: Log,
   ) {
     this.subscription = registry.onChange((id) => this.follow(id));
   }
@@ -137,7 +148,11 @@
     const known = this.uses.get(record.id);
     if (known?.incarnation === incarnation) return known.use;
     known?.use.pool.dispose();
-    const use = new ServerUse(new ConnectionPool(record.address), this.clock);
+    const use = new ServerUse(new ConnectionPool(record.address), this.clock, (what, inRow, forMs) => {
+      this.log.warn('server_avoided', {
+        server: record.id, service: record.service, what, failures: inRow, for_ms: forMs,
+      });
+    });
     this.uses.set(record.id, { incarnation, use });
     return use;
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -142,7 +142,7 @@
     this.registry = this.disposables.add(new ServerRegistry(clock));
     this.occupancy = new Occupancy({ clock, members: this.membership, datagrams: edges.datagrams });
     this.others = new OtherGateways({ membership: this.membership, occupancy: this.occupancy, log: edges.log });
-    this.fleet = this.disposables.add(new FleetUse(this.registry, this.occupancy, clock));
+    this.fleet = this.disposables.add(new FleetUse(this.registry, this.occupancy, clock, edges.log));
     const recordEdges = {
       ...edges, source: edges.store, client, server, members: this.membership,
     };
--- a/test/forwardingdecisions.test.ts
+++ b/test/forwardingdecisions.test.ts
@@ -180,6 +180,19 @@
     expect(engine.suspect).toBe(false);
   });
 
+  // Guards against a server that is left out without a line that says so, or with a line for each call.
+  it('tells once when it begins to be avoided, and for what', async () => {
+    const clock = new SimulatedClock();
+    const told: unknown[] = [];
+    const engine = new ServerUse(new ConnectionPool('127.0.0.1:1'), clock, (...details) => told.push(details));
+    for (let failures = 0; failures < 3; failures += 1) engine.refused();
+    for (let failures = 0; failures < 2; failures += 1) engine.handovers.failed();
+    expect(told).toEqual([['calls', 2, 100], ['handovers', 2, 100]]);
+    await clock.advance(2_000);
+    engine.silent();
+    expect(told.at(-1)).toEqual(['calls', 4, 1_200]);
+  });
+
   it('is avoided at once when it is silent', () => {
     const { use: engine } = use();
     engine.silent();
