--- a/src/daemon/http.ts
+++ b/src/daemon/http.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import { httpRefusalAnswer } from './refusals.js';
@@ -150,6 +151,16 @@
   });
 }
 
+/**
+ * Settles after the sockets were read once more. A caller that left while its request waited unread has sent its close
+ * right behind it, and the close is read one turn of the event loop later.
+ */
+export async function socketsRead(): Promise<void> {
+  // The first one still runs in the turn in which the request was read.
+  await nextTurn();
+  await nextTurn();
+}
+
 /** Reads a body of at most the listener's limit as UTF-8 text. */
 export async function readBody(req: IncomingMessage): Promise<Result<string, BodyError>> {
   const body = await readBytes(req);
--- a/src/emulator/backend.ts
+++ b/src/emulator/backend.ts
@@ -16,12 +16,16 @@
 export class ServerStandIn {
   public address = '';
 
+  /** Calls whose head has arrived. */
+  public arrived = 0;
+
   public readonly received: Received[] = [];
 
   private readonly server: Server;
 
   public constructor(public readonly id: string, answer: (res: ServerResponse, call: Received) => void) {
     this.server = createServer((req, res) => {
+      this.arrived += 1;
       void (async () => {
         const chunks: Buffer[] = [];
         for await (const chunk of req) chunks.push(chunk as Buffer);
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -41,21 +41,22 @@
   }
 
   public failed(): void {
+    const { avoided } = this;
     this.inRow += 1;
-    this.avoid(Math.min(MAX_REFUSING_MS, REFUSING_MS * 2 ** Math.max(0, this.inRow - LEAST_IN_ROW)));
+    this.avoid(avoided, Math.min(MAX_REFUSING_MS, REFUSING_MS * 2 ** Math.max(0, this.inRow - LEAST_IN_ROW)));
   }
 
   /** Avoids for a longer time at once. */
   public fell(): void {
+    const { avoided } = this;
     this.inRow = Math.max(LEAST_IN_ROW, this.inRow + 1);
-    this.avoid(SILENT_MS);
+    this.avoid(avoided, SILENT_MS);
   }
 
-  private avoid(forMs: number): void {
-    const now = this.clock.monotonic();
+  private avoid(already: boolean, forMs: number): void {
+    this.avoidUntil = Math.max(this.avoidUntil, this.clock.monotonic() + forMs);
     // Calls that were under way when it began to be avoided fail too, and say nothing new.
-    if (this.failing && now >= this.avoidUntil) this.onAvoided(this.inRow, forMs);
-    this.avoidUntil = Math.max(this.avoidUntil, now + forMs);
+    if (!already && this.avoided) this.onAvoided(this.inRow, forMs);
   }
 }
 
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Disposable, Meter, Random } from '../core/edges/index.js';
-import { readBytes } from '../daemon/http.js';
+import { readBytes, socketsRead } from '../daemon/http.js';
 import { CallKind, chooseDestination } from './configuration.js';
 import type { ForwardingService, Route, RouteTable } from './configuration.js';
 import { deliver } from './delivery.js';
@@ -129,23 +129,28 @@
     const leave = (): void => {
       if (!res.writableFinished) ended.abort(EndReason.CallerLeft);
     };
+    const { socket } = res;
     res.once('close', leave);
+    socket?.once('end', leave);
     const timer = this.edges.clock.after(Math.max(0, waitMs), () => ended.abort(EndReason.Timeout));
     const hasBody = bytes.length > 0 || (call.method !== 'GET' && call.method !== 'HEAD');
+    const work: Work = {
+      ...routed,
+      call,
+      body: hasBody ? bytes : null,
+      deadline: trace.arrivedAt + waitMs,
+      returning: this.deadlines.isReturning(routed.route.name, call.deadlineMs),
+      trace,
+      res,
+      ended: ended.signal,
+    };
     try {
-      return await this.attempt({
-        ...routed,
-        call,
-        body: hasBody ? bytes : null,
-        deadline: trace.arrivedAt + waitMs,
-        returning: this.deadlines.isReturning(routed.route.name, call.deadlineMs),
-        trace,
-        res,
-        ended: ended.signal,
-      });
+      await socketsRead();
+      return ended.signal.aborted ? this.givenUp(work) : await this.attempt(work);
     } finally {
       timer.dispose();
       res.off('close', leave);
+      socket?.off('end', leave);
     }
   }
 
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -107,6 +107,29 @@
   });
 });
 
+describe('a call whose caller has left before it was read', () => {
+  // Guards against work for callers that have gone while their calls waited in a busy process.
+  it('reaches no server', async () => {
+    // Opens connections to both servers, on which a call would be written at once.
+    await Promise.all([ask('/safe/x'), ask('/safe/x')]);
+    const before = first.arrived + second.arrived;
+    const [host, port] = gateway.callers.split(':');
+    for (const path of ['/safe/x', '/order/x']) {
+      const socket = connect(Number(port), host);
+      await new Promise((resolve) => {
+        socket.once('connect', resolve);
+      });
+      // Both are in the kernel before the gateway, which shares this process, reads anything.
+      socket.write(`POST ${path} HTTP/1.1\r\nHost: shop.example\r\nCatkinscale-Request-Id: gone\r\nContent-Length: 1\r\n\r\nx`);
+      socket.destroy();
+    }
+    await new Promise((resolve) => {
+      setTimeout(resolve, 200);
+    });
+    expect(first.arrived + second.arrived).toBe(before);
+  });
+});
+
 describe('a call that may run once', () => {
   // Guards against bookings that run twice.
   it('is not sent again after its connection broke, and its answer promises nothing', async () => {
