--- a/test/gatewaysettings.test.ts
+++ b/test/gatewaysettings.test.ts
@@ -20,6 +20,7 @@
   'platform.address': '10.200.1.7:8142',
   'bounds.grace-s': '8',
   'bounds.lease-ms': '3000',
+  'bounds.budget-slack': '52',
 };
 
 function filled(values: Readonly<Record<string, string>>): string {
@@ -35,7 +36,9 @@
         gateway: { name: 'front-regina-1', failureDomain: 'regina' },
         listen: { metrics: '10.1.0.35:7675', exchange: '10.1.0.35:7660' },
         peers: { seeds: ['10.1.0.35:8146', '10.2.0.28:8146'] },
+        directory: { keep: 1_000 },
         drain: { grace: 8_000 },
+        retries: { perThousand: 100, burst: 52 },
         authority: { lease: 3_000 },
       },
     });
