--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -32,6 +32,7 @@
     return this.inRow >= LEAST_IN_ROW;
   }
 
+  /** Whether it should be left alone now. */
   public get avoided(): boolean {
     return this.failing && this.clock.monotonic() < this.avoidUntil;
   }
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -112,6 +112,7 @@
     return false;
   }
 
+  /** Sends a call once and waits for the head of the answer; the place is released when the answer has ended. */
   public async send(work: Work, { server, held }: Placed, what: SendPlan['work']): Promise<Sending> {
     const { clock, dialect, fleet } = this.edges;
     const use = fleet.of(server);
