--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -170,7 +170,8 @@
 
   private readonly all = new Set<Connection>();
 
-  private disposed = false;
+  /** Set once the server is gone or has started anew. */
+  public disposed = false;
 
   public constructor(private readonly address: string) {}
 
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -12,9 +12,10 @@
 /** Whether an answer is a stream of events that ends with more than the close of its connection. */
 export function isEventStream({ status, headers, endsWithConnection }: AnswerHead): boolean {
   if (status !== 200 || endsWithConnection) return false;
-  return headers.some((name, index) => (
-    index % 2 === 0 && name === 'content-type' && (headers[index + 1] ?? '').startsWith(EVENT_STREAM)
-  )) && !headers.some((name, index) => index % 2 === 0 && name === 'content-length');
+  const valueOf = (wanted: string): string | undefined => (
+    headers.find((_value, index) => index % 2 === 1 && headers[index - 1] === wanted)
+  );
+  return valueOf('content-type')?.startsWith(EVENT_STREAM) === true && valueOf('content-length') === undefined;
 }
 
 /** Length of the part of `bytes` that ends with the end of an event, an empty line; 0 where there is none. */
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -2,7 +2,6 @@
 import { ConnectionPool } from './connections.js';
 import type { Occupancy, OpenCalls } from './occupancy.js';
 import type { Candidate } from './placement.js';
-import { incarnationOf } from './servers.js';
 import type { ServerRecord, ServerRegistry } from './servers.js';
 
 /** Time in ms for which a server is avoided after it was found not to answer. */
@@ -47,8 +46,8 @@
     this.avoid(avoided, Math.min(MAX_REFUSING_MS, REFUSING_MS * 2 ** Math.max(0, this.inRow - LEAST_IN_ROW)));
   }
 
-  /** Avoids for a longer time at once. */
-  public fell(): void {
+  /** Avoids at once and for a longer time what gave no answer. */
+  public fellSilent(): void {
     const { avoided } = this;
     this.inRow = Math.max(LEAST_IN_ROW, this.inRow + 1);
     this.avoid(avoided, SILENT_MS);
@@ -112,13 +111,13 @@
 
   /** Notes that the server can't be reached, or does not answer. */
   public silent(): void {
-    this.calls.fell();
+    this.calls.fellSilent();
   }
 }
 
 /** Connections and open calls of this process at each backend server that is registered. */
 export class FleetUse implements Disposable {
-  private readonly uses = new Map<string, { readonly incarnation: string; readonly use: ServerUse }>();
+  private readonly uses = new Map<string, { readonly bornAt: number; readonly use: ServerUse }>();
 
   private readonly subscription: Disposable;
 
@@ -146,16 +145,15 @@
   }
 
   public of(record: ServerRecord): ServerUse {
-    const incarnation = incarnationOf(record);
     const known = this.uses.get(record.id);
-    if (known?.incarnation === incarnation) return known.use;
+    if (known?.bornAt === record.bornAt) return known.use;
     known?.use.pool.dispose();
     const use = new ServerUse(new ConnectionPool(record.address), this.clock, (what, inRow, forMs) => {
       this.log.warn('server_avoided', {
         server: record.id, service: record.service, what, failures: inRow, for_ms: forMs,
       });
     });
-    this.uses.set(record.id, { incarnation, use });
+    this.uses.set(record.id, { bornAt: record.bornAt, use });
     return use;
   }
 
@@ -164,12 +162,6 @@
     return this.registry.get(id);
   }
 
-  /** Use of the server that is registered at an address, or `null`. */
-  public byAddress(address: string): ServerUse | null {
-    const record = this.registry.all().find((candidate) => candidate.address === address);
-    return record === undefined ? null : this.of(record);
-  }
-
   public dump(): readonly Record<string, unknown>[] {
     return this.registry.all().map((record) => {
       const use = this.of(record);
@@ -189,7 +181,7 @@
     const record = this.registry.get(id);
     const known = this.uses.get(id);
     if (known === undefined) return;
-    if (record !== null && incarnationOf(record) === known.incarnation) return;
+    if (record?.bornAt === known.bornAt) return;
     known.use.pool.dispose();
     this.uses.delete(id);
   }
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -14,7 +14,7 @@
 import { refuse, report } from './report.js';
 import { UsualDeadlines } from './returning.js';
 import { mayRunTwice, Sender } from './sending.js';
-import type { Prefilled, SenderEdges } from './sending.js';
+import type { PrefilledPrompt, SenderEdges } from './sending.js';
 import type { Upstream } from './upstream.js';
 import { EndReason, note } from './work.js';
 import type { Delivery, Trace, Work } from './work.js';
@@ -172,7 +172,7 @@
     const {
       call, route, service, trace,
     } = work;
-    let prefilled: Extract<Prefilled, { type: 'handle' }> | null = null;
+    let prefilled: PrefilledPrompt | null = null;
     const prefillers = new Set<string>();
     if (service.engine !== null && call.generation !== null && isLongPrompt(call.generation)) {
       const result = await this.sender.prefill(work, prefillers, tried.size > 0);
@@ -185,7 +185,7 @@
         ? await this.places.whole(work, tried) : this.places.continuation(work, tried);
       if (work.ended.aborted || !place.success) {
         if (place.success) place.data.held.dispose();
-        this.sender.free(prefilled?.handle ?? null);
+        if (prefilled !== null) this.sender.free(prefilled);
         if (work.ended.aborted) return this.givenUp(work);
         return refused(tried.size > 0 || place.success ? last : place.error);
       }
@@ -199,7 +199,7 @@
         ? { type: 'whole' } : { type: 'decode', handle: prefilled.handle };
       const sending = await this.sender.send(work, place.data, what);
       const { upstream, outcome, tookMs } = sending;
-      if (prefilled !== null) this.sender.noteHandover(prefilled.server, sending);
+      if (prefilled !== null) this.sender.noteHandover(prefilled.holder, sending);
       if (outcome.type === 'answered') {
         const { head } = outcome;
         if (prefilled !== null) this.places.observe('continuation', tookMs);
@@ -227,7 +227,7 @@
       if (outcome.type === 'not_sent') trace.arrivals -= 1;
       else attempts += 1;
     }
-    this.sender.free(prefilled?.handle ?? null);
+    if (prefilled !== null) this.sender.free(prefilled);
     return refused(last);
   }
 
--- a/src/gateway/rolekeeper.ts
+++ b/src/gateway/rolekeeper.ts
@@ -70,7 +70,7 @@
   readonly registry: ServerRegistry;
   readonly fleet: FleetUse;
   readonly occupancy: Occupancy;
-  /** Services whose servers are engines, or `null` before the first configuration. */
+  /** Services whose servers are engines; none before the first configuration. */
   readonly engineServices: () => readonly string[];
 }
 
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -2,11 +2,10 @@
 import type { RetryBudget } from '../core/retries.js';
 import { CallKind } from './configuration.js';
 import type { Dialect, PrefillHandle, SendPlan } from './dialect.js';
-import type { FleetUse } from './fleet.js';
+import type { FleetUse, ServerUse } from './fleet.js';
 import type { Refusal } from './outcome.js';
 import type { Placed, Places } from './places.js';
 import { Upstream } from './upstream.js';
-import type { ServerRecord } from './servers.js';
 import type { SendOutcome } from './upstream.js';
 import { note } from './work.js';
 import type { Work } from './work.js';
@@ -39,13 +38,21 @@
 
 const RETRY_AFTER_MS = 250;
 
-/** KV cache of a prefilled prompt, or why there is none. */
+/** KV cache of a prefilled prompt, and the engine that holds it. */
+export interface PrefilledPrompt {
+  readonly type: 'handle';
+  readonly handle: PrefillHandle;
+  readonly holder: ServerUse;
+}
+
+/** What became of a prefill. */
 export type Prefilled =
-  | { readonly type: 'handle'; readonly handle: PrefillHandle; readonly server: ServerRecord }
+  | PrefilledPrompt
   | { readonly type: 'refused'; readonly refusal: Refusal };
 
 /** One send with the outcome up to the head of its answer. */
 export interface Sending {
+  readonly use: ServerUse;
   readonly upstream: Upstream;
   readonly outcome: SendOutcome;
   readonly tookMs: number;
@@ -88,13 +95,15 @@
         return { type: 'refused', refusal: { code: 'not_executed', retryAfterMs: RETRY_AFTER_MS } };
       }
       tried.add(server.id);
-      const { upstream, outcome, tookMs } = await this.send(work, place.data, { type: 'prefill' });
+      const {
+        use, upstream, outcome, tookMs,
+      } = await this.send(work, place.data, { type: 'prefill' });
       if (outcome.type === 'answered' && outcome.head.status === 200) {
         const body = await upstream.collect(MAX_HANDLE_BYTES);
         const handle = body === null ? null : dialect.readHandle(server, body);
         if (handle !== null) {
           this.places.observe('prefill', tookMs);
-          return { type: 'handle', handle, server };
+          return { type: 'handle', handle, holder: use };
         }
         note(trace, 'handle:unreadable', clock.monotonic());
       } else if (outcome.type === 'answered') upstream.abort('no handle');
@@ -150,21 +159,19 @@
     }
     note(work.trace, `${what.type}:${server.id}:${outcome.type}`, clock.monotonic());
     return {
-      upstream, outcome, tookMs: clock.monotonic() - sentAt, silent,
+      use, upstream, outcome, tookMs: clock.monotonic() - sentAt, silent,
     };
   }
 
-  /** Notes whether a call could go on from what `prefiller` holds; a broken connection says nothing of it. */
-  public noteHandover(prefiller: ServerRecord, { outcome, silent }: Sending): void {
-    const { handovers } = this.edges.fleet.of(prefiller);
+  /** Notes whether a call could go on from what `holder` has; a broken connection says nothing of it. */
+  public noteHandover({ handovers }: ServerUse, { outcome, silent }: Sending): void {
     if (outcome.type === 'answered') handovers.succeeded();
     else if (outcome.type === 'not_executed' || silent) handovers.failed();
   }
 
   /** Frees the KV cache of a prefill that no engine will continue from. */
-  public free(handle: PrefillHandle | null): void {
-    const holder = handle === null ? null : this.edges.fleet.byAddress(handle.address);
-    if (handle === null || holder === null) return;
+  public free({ handle, holder }: PrefilledPrompt): void {
+    if (holder.pool.disposed) return;
     const failed = (message: string): void => {
       this.edges.log.warn('handle_not_freed', { address: handle.address, message });
     };
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -25,11 +25,6 @@
 /** Time in ms after an outage of discovery within which a live server registers again. */
 const RETURN_GRACE_MS = 2_200;
 
-/** Identity of one start of a backend server. */
-export function incarnationOf(record: ServerRecord): string {
-  return `${record.id}@${record.bornAt}`;
-}
-
 /**
  * Backend servers that may be sent work. A removal that is seen around an outage of discovery takes effect only once
  * the server had time to register again.
