Ask gateways in one way in the demo and the tests, and wait with the library

The demo had written the caller of the tests again; both now use the one in the emulator. Three copies of a wait are the timer of node:timers/promises. No assertion changes.

--- a/src/bench/streams.ts
+++ b/src/bench/streams.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
 import { CALLER_PORT, Child } from './children.js';
 import type { Experiment, RunOptions, Verdict } from './experiment.js';
 import { prepareEntry } from './overhead.js';
@@ -27,12 +28,6 @@
   refused: boolean;
 }
 
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
-
 /** Streams that were refused at first are opened again, as callers do, until this time has passed. */
 const OPENING_MS = 20_000;
 
--- a/src/demo/gateways.ts
+++ b/src/demo/gateways.ts
@@ -1,9 +1,11 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { mkdirSync, openSync, writeFileSync } from 'node:fs';
-import { request as httpRequest } from 'node:http';
 import type { ServerResponse } from 'node:http';
 import { join } from 'node:path';
+import { setTimeout as wait } from 'node:timers/promises';
+import { askAt } from '../emulator/asking.js';
+import type { Answer } from '../emulator/asking.js';
 import { notExecuted, ServerStandIn, signed } from '../emulator/backend.js';
 import type { Received } from '../emulator/backend.js';
 import { StoreStandIn } from '../emulator/platformstore.js';
@@ -49,12 +51,6 @@
   readonly exited: Promise<number | null>;
 }
 
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
-
 function configuration(): string {
   const route = {
     host: 'shop.example', 'timeout-ms': 3_000, 'target-latency-ms': 200, priority: 0, 'max-attempts': 2,
@@ -113,27 +109,8 @@
   };
 }
 
-interface Answer {
-  readonly status: number;
-  readonly body: string;
-  readonly whole: boolean;
-}
-
 function ask(ip: string, path: string, headers: Readonly<Record<string, string>>): Promise<Answer> {
-  return new Promise((resolve) => {
-    const failed = (): void => resolve({ status: 0, body: '', whole: false });
-    httpRequest({
-      host: ip, port: PORTS.callers, path, method: 'POST', headers: { host: 'shop.example', ...headers },
-    }, (res) => {
-      let body = '';
-      res.setEncoding('utf8');
-      res.on('data', (chunk: string) => {
-        body += chunk;
-      });
-      res.on('error', () => {});
-      res.on('close', () => resolve({ status: res.statusCode ?? 0, body, whole: res.complete }));
-    }).on('error', failed).end('{}');
-  });
+  return askAt(`${ip}:${PORTS.callers}`, path, { method: 'POST', headers, body: '{}' });
 }
 
 async function isReady(ip: string): Promise<boolean> {
@@ -217,7 +194,7 @@
     say(`stopped ${first?.id} in the middle of a stream`);
     const streamed = await talk;
     const ids = [...streamed.body.matchAll(/^id: (\d+)/gm)].map(([, id]) => Number(id));
-    say(`the stream came ${streamed.whole ? 'whole' : 'in part'}, from ${ofTalk().length} engines`);
+    say(`the stream came ${streamed.broken ? 'in part' : 'whole'}, from ${ofTalk().length} engines`);
 
     const long = await ask(GATEWAYS[1]!, '/talk/long', {
       'catkinscale-request-id': 'long',
@@ -243,7 +220,7 @@
       orders: answers.length,
       byStatus,
       ranTwice: runs.length - new Set(runs).size,
-      streamWhole: streamed.whole && ids.join() === Array.from({ length: EVENTS }, (_, index) => index + 1).join(),
+      streamWhole: !streamed.broken && ids.join() === Array.from({ length: EVENTS }, (_, index) => index + 1).join(),
       streamEngines: ofTalk().length,
       longPromptStatus: long.status,
       stoppedWith,
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -1,5 +1,6 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { setTimeout as wait } from 'node:timers/promises';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { drain } from '../cli/commands.js';
@@ -32,12 +33,6 @@
   process.stdout.write(`${((performance.now() - started) / 1_000).toFixed(1).padStart(5)} s  ${text}\n`);
 }
 
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
-
 /** Kills one entry and drains another while the load runs. */
 async function disturb(deployment: Deployment): Promise<boolean> {
   await wait(KILL_AT_MS);
--- a/test/support/asking.ts
+++ b/src/emulator/asking.ts
@@ -1,6 +1,5 @@
 import { Agent, request as httpRequest } from 'node:http';
 import type { IncomingHttpHeaders } from 'node:http';
-import { expect } from 'vitest';
 
 /** Answer as a caller sees it. */
 export interface Answer {
@@ -19,17 +18,6 @@
   readonly body?: string;
 }
 
-/** Waits up to 4 s for a condition. */
-export async function until(condition: () => boolean | Promise<boolean>): Promise<void> {
-  for (let tries = 0; tries < 400; tries += 1) {
-    if (await condition()) return;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 10);
-    });
-  }
-  expect(await condition()).toBe(true);
-}
-
 const agent = new Agent({ keepAlive: true });
 
 let ids = 0;
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -4,13 +4,14 @@
 import {
   afterAll, beforeAll, beforeEach, describe, expect, it,
 } from 'vitest';
-import { askAt, until } from './support/asking.js';
-import type { Answer, AskOptions } from './support/asking.js';
+import { askAt } from '../src/emulator/asking.js';
+import type { Answer, AskOptions } from '../src/emulator/asking.js';
 import { notExecuted, ServerStandIn, signed } from '../src/emulator/backend.js';
 import type { Received } from '../src/emulator/backend.js';
 import { StoreStandIn } from '../src/emulator/platformstore.js';
 import { configuration, startGateway } from './support/platform.js';
 import type { RunningGateway } from './support/platform.js';
+import { until } from './support/until.js';
 
 let store: StoreStandIn;
 let gateway: RunningGateway;
--- a/test/resume.test.ts
+++ b/test/resume.test.ts
@@ -4,13 +4,14 @@
   afterAll, beforeAll, beforeEach, describe, expect, it,
 } from 'vitest';
 import { EventSplitter } from '../src/gateway/events.js';
-import { askAt, until } from './support/asking.js';
-import type { Answer } from './support/asking.js';
+import { askAt } from '../src/emulator/asking.js';
+import type { Answer } from '../src/emulator/asking.js';
 import { ServerStandIn } from '../src/emulator/backend.js';
 import type { Received } from '../src/emulator/backend.js';
 import { StoreStandIn } from '../src/emulator/platformstore.js';
 import { configuration, startGateway } from './support/platform.js';
 import type { RunningGateway } from './support/platform.js';
+import { until } from './support/until.js';
 
 const FIRST_PORT = 23_480;
 
--- /dev/null
+++ b/test/support/until.ts
@@ -0,0 +1,12 @@
+import { expect } from 'vitest';
+
+/** Waits up to 4 s for a condition. */
+export async function until(condition: () => boolean | Promise<boolean>): Promise<void> {
+  for (let tries = 0; tries < 400; tries += 1) {
+    if (await condition()) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+  expect(await condition()).toBe(true);
+}
