Log by which revision a backend server changed, and how long a send waited to be written

A removal that is held back says for how long, and has a line when it takes effect. A call's line has, for each send, the revision by which its server was chosen and the time from the choice to the write.

--- a/src/gateway/discovery.ts
+++ b/src/gateway/discovery.ts
@@ -1,6 +1,6 @@
-import type { Log, Meter } from '../core/edges/index.js';
+import type { KeyValueEntry, Log, Meter } from '../core/edges/index.js';
 import type { Dialect } from './dialect.js';
-import type { RecordsListener } from './records.js';
+import type { RecordsListener, RecordSource } from './records.js';
 import type { ServerRecord, ServerRegistry } from './servers.js';
 
 /** Longest part of a key or of a problem in a log line, in characters. */
@@ -13,29 +13,18 @@
     private readonly edges: { readonly dialect: Dialect; readonly log: Log; readonly meter: Meter },
   ) {}
 
-  public replaced(entries: Parameters<RecordsListener['replaced']>[0]): void {
-    this.registry.replace(entries.flatMap(({ key, value }) => this.read(key, value) ?? []));
+  public replaced(entries: readonly KeyValueEntry[], source: RecordSource): void {
+    this.registry.replace(entries.flatMap(({ key, value }) => this.read(key, value) ?? []), source);
   }
 
-  public put({ key, value }: Parameters<RecordsListener['put']>[0]): void {
+  public put({ key, value }: KeyValueEntry, source: RecordSource): void {
     const record = this.read(key, value);
-    if (record === null) {
-      this.registry.remove(this.edges.dialect.serverId(key));
-      return;
-    }
-    const known = this.registry.get(record.id);
-    this.registry.put(record);
-    if (known?.draining !== record.draining || known.role !== record.role || known.bornAt !== record.bornAt) {
-      this.edges.log.info('server', {
-        server: record.id, service: record.service, draining: record.draining, role: record.role, born: record.bornAt,
-      });
-    }
+    if (record === null) this.registry.remove(this.edges.dialect.serverId(key), source);
+    else this.registry.put(record, source);
   }
 
-  public removed(key: string): void {
-    const id = this.edges.dialect.serverId(key);
-    this.registry.remove(id);
-    this.edges.log.info('server_removed', { server: id, at_once: this.registry.get(id) === null });
+  public removed(key: string, source: RecordSource): void {
+    this.registry.remove(this.edges.dialect.serverId(key), source);
   }
 
   private read(key: string, value: string): ServerRecord | null {
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -162,11 +162,20 @@
     return this.registry.get(id);
   }
 
+  /** Revision of the store at which a server's record was learned, or `null`. */
+  public revision(id: string): number | null {
+    return this.registry.revision(id);
+  }
+
   public dump(): readonly Record<string, unknown>[] {
     return this.registry.all().map((record) => {
       const use = this.of(record);
       return {
-        ...record, open: this.occupancy.total(record.id), connections: use.pool.size, suspect: use.suspect,
+        ...record,
+        revision: this.registry.revision(record.id),
+        open: this.occupancy.total(record.id),
+        connections: use.pool.size,
+        suspect: use.suspect,
       };
     });
   }
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -82,7 +82,7 @@
   /** Serves one call up to the end of its answer. */
   public async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const trace: Trace = {
-      arrivedAt: this.edges.clock.monotonic(), arrivals: 0, steps: [], firstMs: null, pauseMs: 0,
+      arrivedAt: this.edges.clock.monotonic(), arrivals: 0, steps: [], sends: [], firstMs: null, pauseMs: 0,
     };
     this.active += 1;
     try {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -139,7 +139,7 @@
       // The others look for a free lease only if the picked one does not take it, which keeps calls few.
       isCandidate: () => this.ready() && this.others.isPicked('authority'),
     });
-    this.registry = this.disposables.add(new ServerRegistry(clock));
+    this.registry = this.disposables.add(new ServerRegistry(edges));
     this.occupancy = new Occupancy({ clock, members: this.membership, datagrams: edges.datagrams });
     this.others = new OtherGateways({ membership: this.membership, occupancy: this.occupancy, log: edges.log });
     this.fleet = this.disposables.add(new FleetUse(this.registry, this.occupancy, clock, edges.log));
--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -27,12 +27,26 @@
   entries: z.array(z.object({ key: z.string(), value: z.string(), version: z.number() })),
 }).nullable();
 
+/** From whom records were learned. */
+export enum RecordOrigin {
+  Change = 'change',
+  Snapshot = 'snapshot',
+  Gateway = 'gateway',
+}
+
+/** How records were learned. */
+export interface RecordSource {
+  readonly origin: RecordOrigin;
+  /** The store's revision of the change, or of the whole view. */
+  readonly revision: number;
+}
+
 /** Receives the records below one prefix. */
 export interface RecordsListener {
   /** All records, in place of those before. */
-  replaced(entries: readonly KeyValueEntry[]): void;
-  put(entry: KeyValueEntry): void;
-  removed(key: string): void;
+  replaced(entries: readonly KeyValueEntry[], source: RecordSource): void;
+  put(entry: KeyValueEntry, source: RecordSource): void;
+  removed(key: string, source: RecordSource): void;
 }
 
 /** Options of {@link Records}; times in ms. */
@@ -74,7 +88,7 @@
     private readonly opts: RecordsOptions,
   ) {
     this.follower = new KeyFollower(edges.source, edges, {
-      replaced: (entries, revision) => this.replace(entries, revision),
+      replaced: (entries, revision) => this.replace(entries, { origin: RecordOrigin.Snapshot, revision }),
       changed: (events, revision) => this.change(events, revision),
     }, opts);
   }
@@ -144,16 +158,17 @@
     if (!offer.success || offer.data === null || offer.data.revision <= this.revision) return;
     log.info('records_from_peer', { prefix: this.opts.prefix, peer, revision: offer.data.revision });
     this.adopted = { at: clock.monotonic(), ageMs: 0 };
-    this.replace(offer.data.entries, offer.data.revision);
+    this.replace(offer.data.entries, { origin: RecordOrigin.Gateway, revision: offer.data.revision });
   }
 
-  private replace(entries: readonly KeyValueEntry[], revision: number): void {
+  private replace(entries: readonly KeyValueEntry[], source: RecordSource): void {
+    const { revision } = source;
     // What a peer handed on may be newer than the store's answer that was on its way.
     if (revision < this.revision) return;
     this.revision = revision;
     this.entries.clear();
     for (const entry of entries) this.entries.set(entry.key, entry);
-    this.listener.replaced(entries);
+    this.listener.replaced(entries, source);
   }
 
   private change(events: readonly WatchEvent[], revision: number): void {
@@ -166,12 +181,13 @@
     const version = event.type === 'put' ? event.entry.version : event.version;
     const known = this.entries.get(key);
     if (known !== undefined && known.version > version) return;
+    const source = { origin: RecordOrigin.Change, revision: version };
     if (event.type === 'put') {
       this.entries.set(key, event.entry);
-      this.listener.put(event.entry);
+      this.listener.put(event.entry, source);
     } else if (known !== undefined) {
       this.entries.delete(key);
-      this.listener.removed(key);
+      this.listener.removed(key, source);
     }
   }
 }
--- a/src/gateway/report.ts
+++ b/src/gateway/report.ts
@@ -58,6 +58,8 @@
     version: context.version,
     servers_age_ms: Math.round(context.knowledgeAgeMs),
     steps: trace.steps.join(' '),
+    revisions: trace.sends.map(({ revision }) => revision ?? 'gone').join(' '),
+    written_ms: trace.sends.map(({ writtenMs }) => writtenMs ?? '-').join(' '),
     first_ms: trace.firstMs === null ? undefined : Math.round(trace.firstMs),
     pause_ms: trace.pauseMs === 0 ? undefined : Math.round(trace.pauseMs),
     took_ms: Math.round(tookMs),
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -8,7 +8,7 @@
 import { Upstream } from './upstream.js';
 import type { SendOutcome } from './upstream.js';
 import { note } from './work.js';
-import type { Work } from './work.js';
+import type { SendTrace, Work } from './work.js';
 
 /** Edges of {@link Sender}. */
 export interface SenderEdges {
@@ -127,13 +127,17 @@
     const use = fleet.of(server);
     const probe = use.enter();
     const sentAt = clock.monotonic();
+    const trace: SendTrace = { revision: fleet.revision(server.id), writtenMs: null };
+    work.trace.sends.push(trace);
     const upstream = new Upstream(work.call, dialect, use.pool, {
       server,
       deadlineMs: Math.max(LEAST_SEND_MS, work.deadline - sentAt - this.opts.transitMs),
       // Ranks would let long prompts preempt answers that have run for seconds.
       priority: null,
       work: what,
-    }, work.body);
+    }, work.body, () => {
+      trace.writtenMs = Math.round(clock.monotonic() - sentAt);
+    });
     const stop = (): void => upstream.abort(String(work.ended.reason));
     work.ended.addEventListener('abort', stop, { once: true });
     let silent = false;
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -1,4 +1,7 @@
-import type { Clock, Disposable, Role } from '../core/edges/index.js';
+import type {
+  Clock, Disposable, Log, Role,
+} from '../core/edges/index.js';
+import type { RecordSource } from './records.js';
 
 /** Model weights that an engine has loaded. */
 export interface ServedModel {
@@ -11,6 +14,8 @@
   readonly id: string;
   /** Unix time of the server's start in ms; a server that starts again under its id holds nothing of before. */
   readonly bornAt: number;
+  /** Number of the record among those that its server has written since its start; `null` where it states none. */
+  readonly sequence: number | null;
   readonly service: string;
   /** IP address and port. */
   readonly address: string;
@@ -22,6 +27,18 @@
   readonly models: readonly ServedModel[];
 }
 
+/** Record of a backend server with how it was learned. */
+interface KnownServer {
+  readonly record: ServerRecord;
+  readonly source: RecordSource;
+}
+
+/** Edges of {@link ServerRegistry}. */
+export interface ServerRegistryEdges {
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
 /** Time in ms after an outage of discovery within which a live server registers again. */
 const RETURN_GRACE_MS = 2_200;
 
@@ -30,7 +47,7 @@
  * the server had time to register again.
  */
 export class ServerRegistry implements Disposable {
-  private readonly records = new Map<string, ServerRecord>();
+  private readonly servers = new Map<string, KnownServer>();
 
   private readonly removals = new Map<string, Disposable>();
 
@@ -40,13 +57,13 @@
 
   private graceUntil = -Infinity;
 
-  public constructor(private readonly clock: Clock) {}
+  public constructor(private readonly edges: ServerRegistryEdges) {}
 
   /** Servers of a service that are not draining, in order of their ids. */
   public available(service: string): readonly ServerRecord[] {
     let records = this.byService.get(service);
     if (records === undefined) {
-      records = [...this.records.values()]
+      records = this.all()
         .filter((record) => record.service === service && !record.draining)
         .sort((left, right) => (left.id < right.id ? -1 : 1));
       this.byService.set(service, records);
@@ -55,11 +72,16 @@
   }
 
   public get(id: string): ServerRecord | null {
-    return this.records.get(id) ?? null;
+    return this.servers.get(id)?.record ?? null;
+  }
+
+  /** Revision of the store at which a server's record was learned, or `null` for an unknown one. */
+  public revision(id: string): number | null {
+    return this.servers.get(id)?.source.revision ?? null;
   }
 
   public all(): readonly ServerRecord[] {
-    return [...this.records.values()];
+    return [...this.servers.values()].map(({ record }) => record);
   }
 
   /** Calls `listener` with the id of each server that was added, changed or removed. */
@@ -70,28 +92,46 @@
 
   /** Notes that discovery answers again after an outage. */
   public discoveryReturned(): void {
-    this.graceUntil = this.clock.monotonic() + RETURN_GRACE_MS;
+    this.graceUntil = this.edges.clock.monotonic() + RETURN_GRACE_MS;
   }
 
-  public put(record: ServerRecord): void {
+  public put(record: ServerRecord, source: RecordSource): void {
+    const known = this.get(record.id);
     this.cancelRemoval(record.id);
-    this.records.set(record.id, record);
+    this.servers.set(record.id, { record, source });
     this.changed(record.id);
+    if (known?.draining === record.draining && known.role === record.role && known.bornAt === record.bornAt) return;
+    this.edges.log.info('server', {
+      server: record.id,
+      service: record.service,
+      draining: record.draining,
+      role: record.role,
+      born: record.bornAt,
+      sequence: record.sequence,
+      ...source,
+    });
   }
 
   /** Takes a server out, at once or after the grace that follows an outage of discovery. */
-  public remove(id: string): void {
-    if (!this.records.has(id) || this.removals.has(id)) return;
-    const delayMs = this.graceUntil - this.clock.monotonic();
-    if (delayMs <= 0) this.drop(id);
-    else this.removals.set(id, this.clock.after(delayMs, () => this.drop(id)));
+  public remove(id: string, source: RecordSource): void {
+    if (!this.servers.has(id) || this.removals.has(id)) return;
+    const { clock, log } = this.edges;
+    const heldMs = Math.max(0, this.graceUntil - clock.monotonic());
+    log.info('server_removed', { server: id, held_ms: Math.round(heldMs), ...source });
+    if (heldMs === 0) this.drop(id);
+    else {
+      this.removals.set(id, clock.after(heldMs, () => {
+        log.info('server_removal_due', { server: id, ...source });
+        this.drop(id);
+      }));
+    }
   }
 
   /** Takes over a complete list. */
-  public replace(records: readonly ServerRecord[]): void {
+  public replace(records: readonly ServerRecord[], source: RecordSource): void {
     const present = new Set(records.map(({ id }) => id));
-    for (const id of [...this.records.keys()]) if (!present.has(id)) this.remove(id);
-    for (const record of records) this.put(record);
+    for (const id of [...this.servers.keys()]) if (!present.has(id)) this.remove(id, source);
+    for (const record of records) this.put(record, source);
   }
 
   public dispose(): void {
@@ -101,7 +141,7 @@
 
   private drop(id: string): void {
     this.cancelRemoval(id);
-    this.records.delete(id);
+    this.servers.delete(id);
     this.changed(id);
   }
 
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -53,6 +53,7 @@
     pool: ConnectionPool,
     plan: SendPlan,
     body: Buffer | null,
+    private readonly onWritten: () => void = () => {},
   ) {
     this.outcome = new Promise((resolve) => {
       this.settle = resolve;
@@ -106,6 +107,7 @@
 
   public sent(): void {
     this.written = true;
+    this.onWritten();
   }
 
   public head(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -3,12 +3,21 @@
 import type { Call } from './dialect.js';
 import type { Refusal } from './outcome.js';
 
+/** What one send to a backend server was based on. */
+export interface SendTrace {
+  /** Revision of the server's record by which it was chosen; `null` where it has gone meanwhile. */
+  readonly revision: number | null;
+  /** Time in ms from the choice of the server to the write of the request; `null` while it is not written. */
+  writtenMs: number | null;
+}
+
 /** Counts and findings of one call, for its log line; times in ms. */
 export interface Trace {
   readonly arrivedAt: number;
   /** Sends that count against the retry budget once there is more than one. */
   arrivals: number;
   readonly steps: string[];
+  readonly sends: SendTrace[];
   /** Time from the arrival to the first bytes of the answer's body. */
   firstMs: number | null;
   /** Longest time between two pieces of the answer's body. */
--- a/test/forwardingdecisions.test.ts
+++ b/test/forwardingdecisions.test.ts
@@ -9,9 +9,12 @@
   avoidLapsing, hasSpare, homesOf, pickLeastOccupied, withRole,
 } from '../src/gateway/placement.js';
 import type { Candidate } from '../src/gateway/placement.js';
+import { RecordOrigin } from '../src/gateway/records.js';
+import type { RecordSource } from '../src/gateway/records.js';
 import { planRoles } from '../src/gateway/rolekeeper.js';
 import { ServerRegistry } from '../src/gateway/servers.js';
 import type { ServerRecord } from '../src/gateway/servers.js';
+import { silentLog } from './support/loopback.js';
 
 function route(name: string, pathPrefix: string, destinations = [{ service: 'ledger', weight: 1 }]): Route {
   return {
@@ -32,6 +35,7 @@
   return {
     id,
     bornAt: 1,
+    sequence: 1,
     service: 'ledger',
     address: '127.0.0.1:1',
     failureDomain: 'regina',
@@ -43,6 +47,10 @@
   };
 }
 
+function changeAt(revision: number): RecordSource {
+  return { origin: RecordOrigin.Change, revision };
+}
+
 function candidate(id: string, open: number, changes: Partial<Candidate> = {}): Candidate {
   return {
     record: server(id), open, limit: 10, suspect: false, ...changes,
@@ -204,22 +212,22 @@
   // Guards against a store outage that takes every server out, although all of them register again.
   it('keeps what is missing after an outage of discovery until it had time to return', async () => {
     const clock = new SimulatedClock();
-    const registry = new ServerRegistry(clock);
-    registry.replace([server('a'), server('b')]);
+    const registry = new ServerRegistry({ clock, log: silentLog });
+    registry.replace([server('a'), server('b')], changeAt(1));
     registry.discoveryReturned();
-    registry.replace([]);
+    registry.replace([], changeAt(2));
     expect(registry.available('ledger')).toHaveLength(2);
     await clock.advance(1_000);
-    registry.put(server('a'));
+    registry.put(server('a'), changeAt(3));
     await clock.advance(1_500);
     expect(registry.available('ledger').map(({ id }) => id)).toEqual(['a']);
   });
 
   it('takes draining and removed servers out at once otherwise', () => {
-    const registry = new ServerRegistry(new SimulatedClock());
-    registry.replace([server('a'), server('b')]);
-    registry.put(server('a', { draining: true }));
-    registry.remove('b');
+    const registry = new ServerRegistry({ clock: new SimulatedClock(), log: silentLog });
+    registry.replace([server('a'), server('b')], changeAt(1));
+    registry.put(server('a', { draining: true }), changeAt(2));
+    registry.remove('b', changeAt(3));
     expect(registry.available('ledger')).toEqual([]);
   });
 });
