--- a/src/emulator/listening.ts
+++ b/src/emulator/listening.ts
@@ -1,5 +1,4 @@
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
 
 /** Opens a stand-in on a free loopback port, and gives its IP address and port. */
 export async function listenAnywhere(server: Server): Promise<string> {
--- /dev/null
+++ b/test/records.test.ts
@@ -0,0 +1,114 @@
+import { describe, expect, it } from 'vitest';
+import type { KeyValueEntry } from '../src/core/edges/index.js';
+import { fail, ok } from '../src/core/result.js';
+import { SimulatedClock } from '../src/emulator/clock.js';
+import type { KeyChanges, KeySource } from '../src/gateway/follower.js';
+import { Records } from '../src/gateway/records.js';
+import { SystemRandom } from '../src/adapters/system.js';
+import { Metrics } from '../src/daemon/metrics.js';
+import type { Members } from '../src/core/membership/index.js';
+import { silentLog } from './support/loopback.js';
+
+const PREFIX = 'servers/';
+
+function entry(id: string, version: number): KeyValueEntry {
+  return { key: `${PREFIX}${id}`, value: `${id}@${version}`, version };
+}
+
+interface Script {
+  readonly snapshot: { readonly entries: readonly KeyValueEntry[]; readonly revision: number };
+  /** Answers to the calls for changes in order; the store is silent for good after them. */
+  readonly changes: KeyChanges[];
+  /** Answer of the other gateway, or null. */
+  readonly offer: unknown;
+}
+
+/** Records over a scripted store and one other gateway, on a clock that the test moves. */
+function start({ snapshot, changes, offer }: Script) {
+  const clock = new SimulatedClock();
+  const keys = new Map<string, string>();
+  const history: string[] = [];
+  const source: KeySource = {
+    snapshot: async () => ok(snapshot),
+    changes: async (_prefix, _revision, _waitMs, { signal }) => {
+      const next = changes.shift();
+      if (next !== undefined) return ok(next);
+      await new Promise((resolve) => {
+        signal?.addEventListener('abort', resolve, { once: true });
+        clock.after(2_300, () => resolve(null));
+      });
+      return fail({ code: 'unavailable' as never, message: 'silent' });
+    },
+  };
+  const members = {
+    self: () => ({ address: 'own' }), live: () => [{ address: 'other' }],
+  } as unknown as Members;
+  const records = new Records({
+    clock,
+    random: new SystemRandom(),
+    log: silentLog,
+    meter: new Metrics(),
+    source,
+    client: { call: async () => ok(offer) },
+    server: { register: () => ({ dispose: () => {} }) },
+    members,
+  }, {
+    replaced: (entries) => {
+      keys.clear();
+      for (const { key, value } of entries) keys.set(key, value);
+      history.push(`all:${[...keys.values()].join(',')}`);
+    },
+    put: ({ key, value }) => {
+      keys.set(key, value);
+      history.push(`put:${value}`);
+    },
+    removed: (key) => {
+      keys.delete(key);
+      history.push(`removed:${key}`);
+    },
+  }, {
+    prefix: PREFIX, waitMs: 1_400, periodMs: 0, seeds: [],
+  });
+  const stop = new AbortController();
+  void records.run(stop.signal);
+  return {
+    clock, records, keys, history, stop,
+  };
+}
+
+describe('Records', () => {
+  // Guards against a server that has left and gets calls again, because its record is older than its removal.
+  it('does not take over a record that was removed before the view was taken', async () => {
+    const changes: KeyChanges[] = [];
+    const running = start({
+      snapshot: { entries: [entry('a', 5)], revision: 10 },
+      changes,
+      offer: { revision: 20, entries: [entry('a', 5)] },
+    });
+    // The store is silent, so the view of the other gateway is taken, in which `b` has come and gone.
+    await running.clock.advance(3_000);
+    changes.push({ events: [{ type: 'put', entry: entry('b', 15) }], revision: 16 });
+    await running.clock.advance(2_000);
+    expect([...running.keys.keys()]).toEqual(['servers/a']);
+    running.stop.abort();
+  });
+
+  // Guards against a server that has come and gone within one answer and gets calls until its removal is applied.
+  it('tells only the last state of a record that changes twice in one answer', async () => {
+    const running = start({
+      snapshot: { entries: [entry('a', 5)], revision: 10 },
+      changes: [{
+        events: [
+          { type: 'put', entry: entry('b', 11) },
+          { type: 'delete', key: 'servers/b', version: 12 },
+          { type: 'put', entry: entry('a', 13) },
+        ],
+        revision: 13,
+      }],
+      offer: null,
+    });
+    await running.clock.advance(100);
+    expect(running.history).toEqual(['all:a@5', 'put:a@13']);
+    running.stop.abort();
+  });
+});
--- a/test/support/platform.ts
+++ b/test/support/platform.ts
@@ -3,7 +3,6 @@
 import { Secret } from '../../src/core/configuration/settings.js';
 import { Metrics } from '../../src/daemon/metrics.js';
 import { PeerCaller, PeerListener } from '../../src/daemon/peers.js';
-import type { StoreStandIn } from '../../src/emulator/platformstore.js';
 import { Gateway } from '../../src/gateway/gateway.js';
 import { safeParseGatewaySettings } from '../../src/gateway/settings.js';
 import { silentLog } from './loopback.js';
@@ -57,7 +56,7 @@
 
 /** Starts a gateway whose five ports begin at `firstPort`. */
 export async function startGateway(
-  store: StoreStandIn,
+  store: { readonly address: string },
   firstPort: number,
   seeds: readonly string[] = [],
 ): Promise<RunningGateway> {
