Hold removals back only where the store itself was away

Callers' requests reached a server for up to 2,470 ms after the store had acknowledged that it leaves (bound 2,000).

Cause: a gateway took each end of its own silence for the end of an outage of the store, and held every removal back for 2,200 ms from then on. Where only its path was cut, nothing can have lapsed, and the store removes servers all the while; held from 14.2 to 16.4 s, a removal of 14.0 s takes effect after the bound of 16.0 s. Class of fault: what one process could not see is taken for what did not happen.

Change: gateways keep the span over which the store is known to have answered, and tell it with each answer to another gateway. An outage is a gap that no gateway can close. The grace counts from the earliest return that any of them saw, and ends when one knows of no outage. A view taken from another gateway keeps the age that it had there; it counted as new before.

--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -3,6 +3,7 @@
 } from '../core/edges/index.js';
 import type { Result } from '../core/result.js';
 import { sleep } from '../core/time.js';
+import type { StoreContact } from './contact.js';
 
 /** All keys below a prefix, and the store's revision at which following changes begin. */
 export interface KeySnapshot {
@@ -54,8 +55,13 @@
 
 const MAX_RETRY_MS = 400;
 
-/** Time in ms without an answer after which registrations may have lapsed in the meantime. */
-const OUTAGE_MS = 1_500;
+/** Edges of {@link KeyFollower}. */
+export interface KeyFollowerEdges {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly contact: StoreContact;
+}
 
 /** Follows the keys below a prefix: a snapshot first, then changes, and a snapshot again where history is missing. */
 export class KeyFollower {
@@ -67,9 +73,9 @@
 
   public constructor(
     private readonly source: KeySource,
-    private readonly edges: { readonly clock: Clock; readonly random: Random; readonly log: Log },
+    private readonly edges: KeyFollowerEdges,
     private readonly listener: KeyListener,
-    private readonly opts: KeyFollowerOptions & { readonly returned?: () => void },
+    private readonly opts: KeyFollowerOptions,
   ) {
     this.answeredAt = edges.clock.monotonic();
   }
@@ -79,6 +85,11 @@
     return this.edges.clock.monotonic() - this.answeredAt;
   }
 
+  /** Whether the last call failed. */
+  public get isLost(): boolean {
+    return this.lost;
+  }
+
   public get synchronized(): boolean {
     return this.revision !== null;
   }
@@ -88,7 +99,7 @@
     let failures = 0;
     while (!signal.aborted) {
       const startedAt = clock.monotonic();
-      const answered = await this.step(signal);
+      const answered = await this.step(startedAt, signal);
       if (signal.aborted) return;
       failures = answered ? 0 : failures + 1;
       const backoffMs = answered ? 0 : Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** failures) * (0.5 + 0.5 * random.float());
@@ -97,12 +108,12 @@
     }
   }
 
-  private async step(signal: AbortSignal): Promise<boolean> {
+  private async step(startedAt: number, signal: AbortSignal): Promise<boolean> {
     const { prefix, waitMs } = this.opts;
     if (this.revision === null) {
       const snapshot = await this.source.snapshot(prefix, { timeoutMs: CALL_TIMEOUT_MS, signal });
       if (!snapshot.success) return this.failed(snapshot.error.code);
-      this.answered();
+      this.answered(startedAt);
       this.revision = snapshot.data.revision;
       this.listener.replaced(snapshot.data.entries, snapshot.data.revision);
       return true;
@@ -112,12 +123,13 @@
     if (!changes.success) {
       if (changes.error.code === 'history_lost') {
         this.edges.log.info('history_lost', { prefix, revision: this.revision });
+        this.answered(startedAt);
         this.revision = null;
         return true;
       }
       return this.failed(changes.error.code);
     }
-    this.answered();
+    this.answered(startedAt);
     // A store that lost its memory of revisions would otherwise stop the flow of changes for good.
     if (changes.data.revision < this.revision) this.revision = null;
     else {
@@ -133,11 +145,11 @@
     return false;
   }
 
-  private answered(): void {
+  private answered(startedAt: number): void {
     const ageMs = this.ageMs();
     this.answeredAt = this.edges.clock.monotonic();
+    this.edges.contact.answered(startedAt);
     if (this.lost) this.edges.log.info('store_regained', { prefix: this.opts.prefix, away_ms: Math.round(ageMs) });
-    if (this.lost && ageMs > OUTAGE_MS) this.opts.returned?.();
     this.lost = false;
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import type { HttpListener, ListenError } from '../daemon/http.js';
 import type { Metrics } from '../daemon/metrics.js';
 import { RouteTable } from './configuration.js';
+import { StoreContact } from './contact.js';
 import type { Dialect } from './dialect.js';
 import { Discovery } from './discovery.js';
 import { FleetUse } from './fleet.js';
@@ -127,6 +128,7 @@
       revision: 0,
       load: 0,
     }, { ...edges, client, server }, { seeds: settings.peers.seeds });
+    const contact = new StoreContact(clock);
     this.authority = new Authority({
       ...edges,
       keyValue: edges.store,
@@ -139,12 +141,12 @@
       // The others look for a free lease only if the picked one does not take it, which keeps calls few.
       isCandidate: () => this.ready() && this.others.isPicked('authority'),
     });
-    this.registry = this.disposables.add(new ServerRegistry(edges));
+    this.registry = this.disposables.add(new ServerRegistry({ clock, log: edges.log, contact }));
     this.occupancy = new Occupancy({ clock, members: this.membership, datagrams: edges.datagrams });
     this.others = new OtherGateways({ membership: this.membership, occupancy: this.occupancy, log: edges.log });
     this.fleet = this.disposables.add(new FleetUse(this.registry, this.occupancy, clock, edges.log));
     const recordEdges = {
-      ...edges, source: edges.store, client, server, members: this.membership,
+      ...edges, source: edges.store, client, server, members: this.membership, contact,
     };
     const { seeds } = settings.peers;
     this.configuration = new Records(recordEdges, {
@@ -159,7 +161,6 @@
       waitMs: WATCH_WAIT_MS,
       periodMs: SERVERS_PERIOD_MS,
       seeds,
-      returned: () => this.registry.discoveryReturned(),
     });
     this.forwarder = this.disposables.add(new Forwarder({
       ...edges,
--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -5,6 +5,7 @@
 import type { Members } from '../core/membership/index.js';
 import { fail, ok } from '../core/result.js';
 import { sleep } from '../core/time.js';
+import type { StoreContact } from './contact.js';
 import { KeyFollower } from './follower.js';
 import type { KeySource } from './follower.js';
 
@@ -16,6 +17,9 @@
 
 const ASK_PERIOD_MS = 400;
 
+/** Time in ms after an outage for which peers are asked whether the store was away for them too. */
+const DOUBT_MS = 3_000;
+
 const ASK_TIMEOUT_MS = 350;
 
 const METHOD = 'records';
@@ -24,8 +28,15 @@
 
 const offerSchema = z.object({
   revision: z.number(),
-  entries: z.array(z.object({ key: z.string(), value: z.string(), version: z.number() })),
-}).nullable();
+  /** Age of the view in ms. */
+  age: z.number().nonnegative(),
+  /** Ages in ms of the begin and the end of the time over which the store is known to have answered. */
+  contact: z.object({ since: z.number(), until: z.number() }),
+  /** `null` where the view is not newer than the asking one. */
+  entries: z.array(z.object({ key: z.string(), value: z.string(), version: z.number() })).nullable(),
+});
+
+type Offer = z.infer<typeof offerSchema>;
 
 /** From whom records were learned. */
 export enum RecordOrigin {
@@ -55,8 +66,6 @@
   readonly waitMs: number;
   readonly periodMs: number;
   readonly seeds: readonly string[];
-  /** Called when the store answers again after an outage. */
-  readonly returned?: () => void;
 }
 
 /** Edges of {@link Records}. */
@@ -69,6 +78,7 @@
   readonly client: PeerClient;
   readonly server: PeerServer;
   readonly members: Members;
+  readonly contact: StoreContact;
 }
 
 /** Records below one prefix of the store, from the store itself or, while it does not answer, from other gateways. */
@@ -121,20 +131,24 @@
   private offer(params: unknown) {
     const ask = askSchema.safeParse(params);
     if (!ask.success) return fail({ code: 'rejected' as const, message: 'malformed' });
-    const ageMs = this.follower.ageMs();
-    if (this.revision <= ask.data.revision || ageMs > OFFER_MAX_AGE_MS) return ok(null);
-    return ok({
+    const age = this.follower.ageMs();
+    const newer = this.revision > ask.data.revision && age <= OFFER_MAX_AGE_MS;
+    const now = this.edges.clock.monotonic();
+    const { since, until } = this.edges.contact.span;
+    const offer: Offer = {
       revision: this.revision,
-      entries: [...this.entries.values()].map(({ key, value, version }) => ({ key, value, version })),
-    });
+      age,
+      contact: { since: now - since, until: now - until },
+      entries: newer ? [...this.entries.values()].map(({ key, value, version }) => ({ key, value, version })) : null,
+    };
+    return ok(offer);
   }
 
   private async askPeers(method: string, signal: AbortSignal): Promise<void> {
     const { clock, random, members } = this.edges;
     while (!signal.aborted) {
       await sleep(clock, ASK_PERIOD_MS, signal);
-      const current = this.complete && this.follower.ageMs() < STALE_MS + this.opts.waitMs;
-      if (signal.aborted || current) continue;
+      if (signal.aborted || !this.needsPeers()) continue;
       const own = members.self().address;
       const peers = [...new Set([...members.live().map(({ address }) => address), ...this.opts.seeds])]
         .filter((address) => address !== own);
@@ -143,22 +157,41 @@
     }
   }
 
+  /** Whether the store may have changes that are not known here, or may have been away. */
+  private needsPeers(): boolean {
+    const { contact, clock } = this.edges;
+    const current = this.complete && !this.follower.isLost && this.follower.ageMs() < STALE_MS + this.opts.waitMs;
+    return !current || clock.monotonic() - contact.returnedAt < DOUBT_MS;
+  }
+
   private async ask(peer: string, method: string, signal: AbortSignal): Promise<void> {
     const {
-      client, log, clock, meter,
+      client, log, clock, meter, contact,
     } = this.edges;
     const params = { prefix: this.opts.prefix, revision: this.revision };
+    const askedAt = clock.monotonic();
     const answer = await client.call(peer, method, params, { timeoutMs: ASK_TIMEOUT_MS, signal });
     if (!answer.success) {
       meter.count('records_asked', 1, { outcome: answer.error.code });
       return;
     }
     const offer = offerSchema.safeParse(answer.data);
-    meter.count('records_asked', 1, { outcome: offer.success && offer.data !== null ? 'adopted' : 'nothing' });
-    if (!offer.success || offer.data === null || offer.data.revision <= this.revision) return;
-    log.info('records_from_peer', { prefix: this.opts.prefix, peer, revision: offer.data.revision });
-    this.adopted = { at: clock.monotonic(), ageMs: 0 };
-    this.replace(offer.data.entries, { origin: RecordOrigin.Gateway, revision: offer.data.revision });
+    const useful = offer.success && offer.data.entries !== null && offer.data.revision > this.revision;
+    meter.count('records_asked', 1, { outcome: useful ? 'adopted' : 'nothing' });
+    if (!offer.success) {
+      log.warn('records_unreadable', { prefix: this.opts.prefix, peer, problem: z.prettifyError(offer.error) });
+      return;
+    }
+    const { revision, age, entries } = offer.data;
+    // Ages that have grown on the way make the span shorter, never longer.
+    contact.add({ since: clock.monotonic() - offer.data.contact.since, until: askedAt - offer.data.contact.until });
+    if (revision < this.revision) return;
+    this.adopted = { at: askedAt, ageMs: age };
+    if (entries === null || revision === this.revision) return;
+    log.info('records_from_peer', {
+      prefix: this.opts.prefix, peer, revision, age_ms: Math.round(age),
+    });
+    this.replace(entries, { origin: RecordOrigin.Gateway, revision });
   }
 
   private replace(entries: readonly KeyValueEntry[], source: RecordSource): void {
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -1,6 +1,7 @@
 import type {
   Clock, Disposable, Log, Role,
 } from '../core/edges/index.js';
+import type { StoreContact } from './contact.js';
 import type { RecordSource } from './records.js';
 
 /** Model weights that an engine has loaded. */
@@ -37,27 +38,38 @@
 export interface ServerRegistryEdges {
   readonly clock: Clock;
   readonly log: Log;
+  readonly contact: StoreContact;
 }
 
-/** Time in ms after an outage of discovery within which a live server registers again. */
+/** Removal that takes effect once its server had time to register again. */
+interface HeldRemoval {
+  readonly source: RecordSource;
+  /** Monotonic time in ms. */
+  readonly dueAt: number;
+  readonly timer: Disposable;
+}
+
+/** Time in ms after an outage of the store within which a live server registers again. */
 const RETURN_GRACE_MS = 2_200;
 
 /**
- * Backend servers that may be sent work. A removal that is seen around an outage of discovery takes effect only once
- * the server had time to register again.
+ * Backend servers that may be sent work. A removal that is seen after an outage of the store takes effect only once the
+ * server had time to register again.
  */
 export class ServerRegistry implements Disposable {
   private readonly servers = new Map<string, KnownServer>();
 
-  private readonly removals = new Map<string, Disposable>();
+  private readonly removals = new Map<string, HeldRemoval>();
 
   private readonly listeners = new Set<(id: string) => void>();
 
   private byService = new Map<string, readonly ServerRecord[]>();
 
-  private graceUntil = -Infinity;
+  private readonly subscription: Disposable;
 
-  public constructor(private readonly edges: ServerRegistryEdges) {}
+  public constructor(private readonly edges: ServerRegistryEdges) {
+    this.subscription = edges.contact.onChange(() => this.reviewRemovals());
+  }
 
   /** Servers of a service that are not draining, in order of their ids. */
   public available(service: string): readonly ServerRecord[] {
@@ -90,11 +102,6 @@
     return { dispose: () => this.listeners.delete(listener) };
   }
 
-  /** Notes that discovery answers again after an outage. */
-  public discoveryReturned(): void {
-    this.graceUntil = this.edges.clock.monotonic() + RETURN_GRACE_MS;
-  }
-
   public put(record: ServerRecord, source: RecordSource): void {
     const known = this.get(record.id);
     this.cancelRemoval(record.id);
@@ -112,19 +119,13 @@
     });
   }
 
-  /** Takes a server out, at once or after the grace that follows an outage of discovery. */
+  /** Takes a server out, at once or after the grace that follows an outage of the store. */
   public remove(id: string, source: RecordSource): void {
     if (!this.servers.has(id) || this.removals.has(id)) return;
-    const { clock, log } = this.edges;
-    const heldMs = Math.max(0, this.graceUntil - clock.monotonic());
-    log.info('server_removed', { server: id, held_ms: Math.round(heldMs), ...source });
+    const heldMs = this.graceLeftMs();
+    this.edges.log.info('server_removed', { server: id, held_ms: Math.round(heldMs), ...source });
     if (heldMs === 0) this.drop(id);
-    else {
-      this.removals.set(id, clock.after(heldMs, () => {
-        log.info('server_removal_due', { server: id, ...source });
-        this.drop(id);
-      }));
-    }
+    else this.hold(id, source, heldMs);
   }
 
   /** Takes over a complete list. */
@@ -135,10 +136,36 @@
   }
 
   public dispose(): void {
-    for (const removal of this.removals.values()) removal.dispose();
+    this.subscription.dispose();
+    for (const { timer } of this.removals.values()) timer.dispose();
     this.removals.clear();
   }
 
+  /** Time in ms for which removals are still held back. */
+  private graceLeftMs(): number {
+    return Math.max(0, this.edges.contact.returnedAt + RETURN_GRACE_MS - this.edges.clock.monotonic());
+  }
+
+  private hold(id: string, source: RecordSource, heldMs: number): void {
+    const { clock, log } = this.edges;
+    const timer = clock.after(heldMs, () => {
+      log.info('server_removal_due', { server: id, ...source });
+      this.drop(id);
+    });
+    this.removals.set(id, { source, dueAt: clock.monotonic() + heldMs, timer });
+  }
+
+  /** Brings held removals forward where the store turns out to have returned earlier, or never to have been away. */
+  private reviewRemovals(): void {
+    const heldMs = this.graceLeftMs();
+    const now = this.edges.clock.monotonic();
+    for (const [id, { source, dueAt, timer }] of [...this.removals]) {
+      if (now + heldMs >= dueAt) continue;
+      timer.dispose();
+      this.hold(id, source, heldMs);
+    }
+  }
+
   private drop(id: string): void {
     this.cancelRemoval(id);
     this.servers.delete(id);
@@ -146,7 +173,7 @@
   }
 
   private cancelRemoval(id: string): void {
-    this.removals.get(id)?.dispose();
+    this.removals.get(id)?.timer.dispose();
     this.removals.delete(id);
   }
 
