Reach the store again within half a second of its path's return

Change: after a failed call the follower tries every 300 ms on average until the store answers, without waiting for the tries before. Both kinds of connection are opened by one function with an exact timer; that of the client library is coarse. Ruled out: shorter calls (a store 50 times slower answers in 200 ms and must count as reached), a shorter grace (servers return within about two seconds).

--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -1,6 +1,7 @@
 import { DecoratorHandler, Pool } from 'undici';
 import type { Dispatcher } from 'undici';
 import { fail, ok } from '../core/result.js';
+import { openSocket } from './sockets.js';
 import type { Result } from '../core/result.js';
 
 /** Failure of an HTTP call; `sent: false` only where no byte of the request was written. */
@@ -61,15 +62,27 @@
 const KEEP_ALIVE_MS = 30_000;
 const CONNECT_TIMEOUT_MS = 2_000;
 
+/** Options of {@link HttpConnection}. */
+export interface HttpConnectionOptions {
+  /** Most connections; unlimited by default. */
+  readonly connections?: number | null;
+  readonly connectTimeoutMs?: number;
+}
+
 /** Connections to one address; knows of each call whether it was written. */
 export class HttpConnection {
   private readonly pool: Pool;
 
-  public constructor(address: string, connections: number | null = null) {
+  public constructor(
+    address: string,
+    { connections = null, connectTimeoutMs = CONNECT_TIMEOUT_MS }: HttpConnectionOptions = {},
+  ) {
     this.pool = new Pool(`http://${address}`, {
       connections,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: (opts, callback) => {
+        openSocket(opts.hostname, Number(opts.port), connectTimeoutMs, callback);
+      },
       bodyTimeout: 0,
     });
   }
--- a/src/adapters/platform.ts
+++ b/src/adapters/platform.ts
@@ -32,7 +32,7 @@
   private readonly connection: HttpConnection;
 
   public constructor(address: string) {
-    this.connection = new HttpConnection(address, 1);
+    this.connection = new HttpConnection(address, { connections: 1 });
   }
 
   public list(opts: CallOptions): Promise<Result<readonly HostRecord[], EdgeError>> {
@@ -49,7 +49,7 @@
   private readonly connection: HttpConnection;
 
   public constructor(address: string) {
-    this.connection = new HttpConnection(address, 1);
+    this.connection = new HttpConnection(address, { connections: 1 });
   }
 
   public describe(
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -1,7 +1,7 @@
-import { connect as connectSocket } from 'node:net';
-import type { Socket } from 'node:net';
 import { Client } from 'undici';
 import type { Dispatcher } from 'undici';
+import { openSocket } from '../adapters/sockets.js';
+import type { SocketCallback } from '../adapters/sockets.js';
 import type { Disposable } from '../core/edges/index.js';
 
 /** Time in ms to open a connection inside the deployment, where a round trip takes a few ms. */
@@ -66,29 +66,14 @@
     this.client.on('disconnect', () => this.closed(this));
   }
 
-  private open(host: string, port: number, callback: (...args: [Error, null] | [null, Socket]) => void): void {
-    const socket = connectSocket({ host, port, noDelay: true });
-    let settled = false;
-    let timer: NodeJS.Timeout | null = null;
-    const settle = (err: Error | null): void => {
-      if (settled) return;
-      settled = true;
-      if (timer !== null) clearTimeout(timer);
-      if (err === null) callback(null, socket);
-      else {
-        socket.destroy();
-        callback(err, null);
-      }
-    };
-    timer = setTimeout(() => settle(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
-    socket.once('connect', () => settle(null));
+  private open(host: string, port: number, callback: SocketCallback): void {
+    const socket = openSocket(host, port, CONNECT_TIMEOUT_MS, callback);
     // These listeners come before those of the client library, which then finds the facts noted.
     socket.once('end', () => {
       this.wasClosed = true;
     });
-    socket.on('error', (err) => {
+    socket.on('error', () => {
       this.wasReset = true;
-      settle(err);
     });
   }
 }
--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -50,10 +50,10 @@
 /** Time in ms that a call may take beyond its wait. */
 const CALL_TIMEOUT_MS = 900;
 
-/** First wait after a failed call; it doubles up to {@link MAX_RETRY_MS}. */
-const RETRY_MS = 60;
+/** Mean time in ms from a failed call to the first try to reach the store again, and between two tries. */
+const FIRST_RETRY_MS = 80;
 
-const MAX_RETRY_MS = 400;
+const RETRY_MS = 300;
 
 /** Edges of {@link KeyFollower}. */
 export interface KeyFollowerEdges {
@@ -95,19 +95,38 @@
   }
 
   public async run(signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.edges;
-    let failures = 0;
+    const { clock } = this.edges;
     while (!signal.aborted) {
       const startedAt = clock.monotonic();
-      const answered = await this.step(startedAt, signal);
-      if (signal.aborted) return;
-      failures = answered ? 0 : failures + 1;
-      const backoffMs = answered ? 0 : Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** failures) * (0.5 + 0.5 * random.float());
+      if (!await this.step(startedAt, signal)) await this.regain(signal);
       const restMs = this.opts.periodMs - (clock.monotonic() - startedAt);
-      if (Math.max(backoffMs, restMs) > 0) await sleep(clock, Math.max(backoffMs, restMs), signal);
+      if (restMs > 0) await sleep(clock, restMs, signal);
     }
   }
 
+  /** Tries until the store answers; no try waits for the one before, whose connection may stay silent for good. */
+  private async regain(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.edges;
+    const answered = new AbortController();
+    const ended = AbortSignal.any([signal, answered.signal]);
+    let meanMs = FIRST_RETRY_MS;
+    while (!ended.aborted) {
+      await sleep(clock, meanMs * (0.5 + random.float()), ended);
+      meanMs = RETRY_MS;
+      if (ended.aborted) return;
+      void this.reaches(ended).then((reached) => {
+        if (reached) answered.abort();
+      });
+    }
+  }
+
+  private async reaches(signal: AbortSignal): Promise<boolean> {
+    const opts = { timeoutMs: CALL_TIMEOUT_MS, signal };
+    if (this.revision === null) return (await this.source.snapshot(this.opts.prefix, opts)).success;
+    const changes = await this.source.changes(this.opts.prefix, this.revision, 0, opts);
+    return changes.success || changes.error.code === 'history_lost';
+  }
+
   private async step(startedAt: number, signal: AbortSignal): Promise<boolean> {
     const { prefix, waitMs } = this.opts;
     if (this.revision === null) {
