Apply no change that a view of the records already contains

Change: changes at or below the view's revision are left out, and of several changes of a record in one answer only the last is told.

--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -204,16 +204,18 @@
     this.listener.replaced(entries, source);
   }
 
+  /** Applies changes in one step, so that nothing acts on a state between them. */
   private change(events: readonly WatchEvent[], revision: number): void {
-    for (const event of events) this.apply(event);
+    const last = new Map(events.map((event) => [event.type === 'put' ? event.entry.key : event.key, event]));
+    for (const [key, event] of last) this.apply(key, event);
     this.revision = Math.max(this.revision, revision);
   }
 
-  private apply(event: WatchEvent): void {
-    const key = event.type === 'put' ? event.entry.key : event.key;
+  private apply(key: string, event: WatchEvent): void {
     const version = event.type === 'put' ? event.entry.version : event.version;
     const known = this.entries.get(key);
-    if (known !== undefined && known.version > version) return;
+    // A snapshot of several pages has records that are newer than its revision.
+    if (version <= this.revision || (known !== undefined && known.version >= version)) return;
     const source = { origin: RecordOrigin.Change, revision: version };
     if (event.type === 'put') {
       this.entries.set(key, event.entry);
