Leave out what a server wrote before what is known of it

The store orders writes by their arrival. A server's own write can arrive seconds late, after a later one ('answers lost', done late), and then a server that drains counts as ready again. Its records carry a number and the time of its start; writes are now compared by these within one life. A record that has become unreadable names no server to use; its removal could be held back after an outage, and now never is.

The tests failed before ('ab' available where 'b' is expected).

--- a/src/gateway/discovery.ts
+++ b/src/gateway/discovery.ts
@@ -14,12 +14,14 @@
   ) {}
 
   public replaced(entries: readonly KeyValueEntry[], source: RecordSource): void {
-    this.registry.replace(entries.flatMap(({ key, value }) => this.read(key, value) ?? []), source);
+    const records = entries.map(({ key, value }) => this.read(key, value) ?? this.edges.dialect.serverId(key));
+    for (const record of records) if (typeof record === 'string') this.registry.withdraw(record, source);
+    this.registry.replace(records.filter((record) => typeof record !== 'string'), source);
   }
 
   public put({ key, value }: KeyValueEntry, source: RecordSource): void {
     const record = this.read(key, value);
-    if (record === null) this.registry.remove(this.edges.dialect.serverId(key), source);
+    if (record === null) this.registry.withdraw(this.edges.dialect.serverId(key), source);
     else this.registry.put(record, source);
   }
 
--- a/src/gateway/servers.ts
+++ b/src/gateway/servers.ts
@@ -49,6 +49,15 @@
   readonly timer: Disposable;
 }
 
+/** Removed servers whose last own write is remembered, so that an older one does not bring them back. */
+const MAX_REMEMBERED = 1_000;
+
+/** Whether a server wrote `record` before `known`, in the same life. */
+function isOlder(record: ServerRecord, known: ServerRecord): boolean {
+  return record.bornAt !== 0 && record.bornAt === known.bornAt
+    && record.sequence !== null && known.sequence !== null && record.sequence < known.sequence;
+}
+
 /** Time in ms after an outage of the store within which a live server registers again. */
 const RETURN_GRACE_MS = 2_200;
 
@@ -61,6 +70,8 @@
 
   private readonly removals = new Map<string, HeldRemoval>();
 
+  private readonly removed = new Map<string, ServerRecord>();
+
   private readonly listeners = new Set<(id: string) => void>();
 
   private byService = new Map<string, readonly ServerRecord[]>();
@@ -102,9 +113,18 @@
     return { dispose: () => this.listeners.delete(listener) };
   }
 
+  /** Takes over what a server wrote, unless it wrote that before what is known of it. */
   public put(record: ServerRecord, source: RecordSource): void {
     const known = this.get(record.id);
+    const last = known ?? this.removed.get(record.id);
+    if (last !== undefined && isOlder(record, last)) {
+      this.edges.log.warn('server_record_older', {
+        server: record.id, draining: record.draining, sequence: record.sequence, known: last.sequence, ...source,
+      });
+      return;
+    }
     this.cancelRemoval(record.id);
+    this.removed.delete(record.id);
     this.servers.set(record.id, { record, source });
     this.changed(record.id);
     if (known?.draining === record.draining && known.role === record.role && known.bornAt === record.bornAt) return;
@@ -128,6 +148,13 @@
     else this.hold(id, source, heldMs);
   }
 
+  /** Takes a server out at once, whose record names none that could be used. */
+  public withdraw(id: string, source: RecordSource): void {
+    if (!this.servers.has(id)) return;
+    this.edges.log.info('server_removed', { server: id, held_ms: 0, ...source });
+    this.drop(id);
+  }
+
   /** Takes over a complete list. */
   public replace(records: readonly ServerRecord[], source: RecordSource): void {
     const present = new Set(records.map(({ id }) => id));
@@ -168,6 +195,10 @@
 
   private drop(id: string): void {
     this.cancelRemoval(id);
+    const record = this.get(id);
+    if (record !== null) this.removed.set(id, record);
+    const [oldest] = this.removed.keys();
+    if (this.removed.size > MAX_REMEMBERED && oldest !== undefined) this.removed.delete(oldest);
     this.servers.delete(id);
     this.changed(id);
   }
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -117,6 +117,35 @@
     expect(available()).toBe('b');
   });
 
+  // Guards against a server that drains, or has left, and gets calls because an older write of its own arrives late.
+  it('leaves out what a server wrote before what is known of it', () => {
+    registry.put(server('a', { draining: true, sequence: 9 }), changeAt(6));
+    registry.put(server('a', { sequence: 8 }), changeAt(7));
+    expect(available()).toBe('b');
+    registry.remove('a', changeAt(8));
+    registry.put(server('a', { sequence: 8 }), changeAt(9));
+    expect(available()).toBe('b');
+    registry.put(server('a', { sequence: 10 }), changeAt(10));
+    expect(available()).toBe('ab');
+  });
+
+  // Guards against a server that is left out for good after it has started again, or because it numbers no writes.
+  it('compares writes only within one life of a server that numbers them', () => {
+    registry.put(server('a', { sequence: 9 }), changeAt(6));
+    registry.put(server('a', { bornAt: 2, sequence: 1, draining: true }), changeAt(7));
+    expect(available()).toBe('b');
+    registry.put(server('b', { bornAt: 0, sequence: 9 }), changeAt(8));
+    registry.put(server('b', { bornAt: 0, sequence: 1, draining: true }), changeAt(9));
+    expect(available()).toBe('');
+  });
+
+  // Guards against calls to a server whose record has turned unreadable shortly after an outage.
+  it('takes out at once a server whose record names none, also after an outage', async () => {
+    await storeWasAway(5_000);
+    registry.withdraw('a', changeAt(6));
+    expect(available()).toBe('b');
+  });
+
   it('takes draining and removed servers out at once otherwise', () => {
     registry.put(server('a', { draining: true, sequence: 2 }), changeAt(6));
     registry.remove('b', changeAt(7));
