--- a/src/cli/gateway.ts
+++ b/src/cli/gateway.ts
@@ -19,14 +19,14 @@
   const settings = safeParseGatewaySettings(text.data, file);
   if (!settings.success) return invalid(ExitCode.Usage, settings.error);
   const {
-    gateway: { name }, log: { linesPerSecond }, store: { address }, listen,
+    gateway: { name }, log: { linesPerSecond }, store: { address }, peers: { group }, listen,
   } = settings.data;
   const clock = new SystemClock();
   const meter = new Metrics();
   const log = new BoundedLog(await openLog({ gateway: name }), clock, meter, linesPerSecond);
   const store = new PlatformStore(address);
-  // Nobody outside reaches the peer address; the token only keeps two deployments apart that share a network.
-  const peerOptions = { token: new Secret(`gateways of ${address}`), log, meter };
+  // Nobody outside reaches the peer address.
+  const peerOptions = { token: new Secret(`gateways of ${group}`), log, meter };
   const peerServer = new PeerListener(peerOptions);
   const peerClient = new PeerCaller(peerOptions);
   const peers = await peerServer.listen(listen.peers);
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -25,6 +25,8 @@
   peers: z.strictObject({
     /** Peer addresses of gateways that a starting one asks first. */
     seeds: z.array(addressSchema).default([]),
+    /** Gateways of one deployment have the same; it keeps two deployments apart that share a network. */
+    group: labelSchema.default('gateways'),
   }),
   store: z.strictObject({
     address: addressSchema,
--- a/test/gatewaysettings.test.ts
+++ b/test/gatewaysettings.test.ts
@@ -35,7 +35,7 @@
       data: {
         gateway: { name: 'front-regina-1', failureDomain: 'regina' },
         listen: { metrics: '10.1.0.35:7675', exchange: '10.1.0.35:7660' },
-        peers: { seeds: ['10.1.0.35:8146', '10.2.0.28:8146'] },
+        peers: { seeds: ['10.1.0.35:8146', '10.2.0.28:8146'], group: '10.200.1.7:8142' },
         directory: { keep: 1_000 },
         drain: { grace: 8_000 },
         retries: { perThousand: 100, burst: 52 },
