Name at most 64 gateways in an answer of the directory, another part each time

Callers take no longer answer; with more gateways they would all use the same ones, or none. The tests of the sample are new; without it an answer of 200 gateways has 200 addresses.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import { RouteTable } from './configuration.js';
 import { StoreContact } from './contact.js';
 import type { Dialect } from './dialect.js';
+import { MAX_ADDRESSES, sampleAddresses } from './directory.js';
 import { Discovery } from './discovery.js';
 import { FleetUse } from './fleet.js';
 import type { KeySource } from './follower.js';
@@ -261,9 +262,10 @@
   }
 
   private addressBody(): string | null {
-    const addresses = this.others.callerAddresses({
+    const named = this.others.callerAddresses({
       callerAddress: this.settings.listen.callers, ready: this.ready(), configured: this.routes !== null,
     });
+    const addresses = sampleAddresses(named, MAX_ADDRESSES, this.edges.random);
     const { keep } = this.settings.directory;
     return addresses.length === 0 ? null : this.edges.dialect.addressBody(addresses, keep);
   }
--- a/test/occupancy.test.ts
+++ b/test/occupancy.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import type { Member, Members } from '../src/core/membership/members.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
-import { callerAddresses } from '../src/gateway/directory.js';
+import { SeededRandom } from '../src/emulator/random.js';
+import { callerAddresses, MAX_ADDRESSES, sampleAddresses } from '../src/gateway/directory.js';
 import type { KnownGateway } from '../src/gateway/directory.js';
 import { Occupancy } from '../src/gateway/occupancy.js';
 import type { Datagrams } from '../src/gateway/occupancy.js';
@@ -144,3 +145,19 @@
     expect(callerAddresses(stopping, [])).toEqual(['own:80']);
   });
 });
+
+describe('sampleAddresses', () => {
+  const all = Array.from({ length: 200 }, (_, index) => `a${index}`);
+
+  // Guards against an answer that is too long for callers, and a large fleet of which they use only the first gateways.
+  it('names no more than callers take, and over some answers every gateway', () => {
+    const random = new SeededRandom(7);
+    const answers = Array.from({ length: 40 }, () => sampleAddresses(all, MAX_ADDRESSES, random));
+    expect(answers.map((answer) => new Set(answer).size)).toEqual(answers.map(() => 64));
+    expect(new Set(answers.flat()).size).toBe(200);
+  });
+
+  it('names all of a small fleet once', () => {
+    expect([...sampleAddresses(['a', 'b', 'c'], MAX_ADDRESSES, new SeededRandom(7))].sort()).toEqual(['a', 'b', 'c']);
+  });
+});
