--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -86,6 +86,12 @@
     }
   }
 
+  /** Services whose backend servers are engines. */
+  public get engineServices(): readonly string[] {
+    const services = [...this.configuration.services.values()];
+    return services.filter(({ engine }) => engine !== null).map(({ name }) => name);
+  }
+
   /** The route of a `Host` header and a request target, or `null`. */
   public find(host: string, target: string): Route | null {
     const name = host.replace(/:\d+$/, '').toLowerCase();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,11 +8,11 @@
 import { createIncarnation, Membership } from '../core/membership/index.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
-import { RetryBudget } from '../core/retries.js';
 import { sleep, within } from '../core/time.js';
 import { listenHttp } from '../daemon/http.js';
 import type { HttpListener, ListenError } from '../daemon/http.js';
 import type { Metrics } from '../daemon/metrics.js';
+import { RetryBudgets } from './budgets.js';
 import { RouteTable } from './configuration.js';
 import { StoreContact } from './contact.js';
 import type { Dialect } from './dialect.js';
@@ -104,8 +104,6 @@
 
   private readonly roles: RoleKeeper;
 
-  private readonly budgets = new Map<string, RetryBudget>();
-
   private routes: RouteTable | null = null;
 
   private listener: HttpListener | null = null;
@@ -163,11 +161,12 @@
       periodMs: SERVERS_PERIOD_MS,
       seeds,
     });
+    const budgets = new RetryBudgets(settings.retries, () => this.others.sharers);
     this.forwarder = this.disposables.add(new Forwarder({
       ...edges,
       fleet: this.fleet,
       routes: () => this.routes,
-      budget: (service) => this.budget(service),
+      budget: (service) => budgets.of(service),
       occupancy: this.occupancy,
       endsAt: () => this.endsAt,
       knowledgeAgeMs: () => this.servers.ageMs(),
@@ -178,7 +177,7 @@
       registry: this.registry,
       fleet: this.fleet,
       occupancy: this.occupancy,
-      engineServices: () => this.engineServices(),
+      engineServices: () => this.routes?.engineServices ?? [],
     }, settings.gateway.name);
   }
 
@@ -295,19 +294,4 @@
       age_ms: Math.round(this.configuration.ageMs()),
     });
   }
-
-  private engineServices(): readonly string[] {
-    const services = this.routes?.configuration.services.values() ?? [];
-    return [...services].filter(({ engine }) => engine !== null).map(({ name }) => name);
-  }
-
-  private budget(service: string): RetryBudget {
-    let budget = this.budgets.get(service);
-    if (budget === undefined) {
-      const { perThousand, burst } = this.settings.retries;
-      budget = new RetryBudget({ ratio: perThousand / 1_000, burst: Math.max(1, burst / this.others.sharers) });
-      this.budgets.set(service, budget);
-    }
-    return budget;
-  }
 }
