--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -186,7 +186,7 @@
     // Ages that have grown on the way make the span shorter, never longer.
     contact.add({ since: clock.monotonic() - offer.data.contact.since, until: askedAt - offer.data.contact.until });
     if (revision < this.revision) return;
-    this.adopted = { at: askedAt, ageMs: age };
+    if (age + clock.monotonic() - askedAt < this.ageMs()) this.adopted = { at: askedAt, ageMs: age };
     if (entries === null || revision === this.revision) return;
     log.info('records_from_peer', {
       prefix: this.opts.prefix, peer, revision, age_ms: Math.round(age),
--- a/test/records.test.ts
+++ b/test/records.test.ts
@@ -32,7 +32,7 @@
 }
 
 /** Records over a scripted store and one other gateway, on a clock that the test moves. */
-function start({ snapshot, changes, offer: answer }: Script) {
+function start({ snapshot, changes, offer: answer }: Script, nextOffer: () => unknown = () => answer) {
   const clock = new SimulatedClock();
   const keys = new Map<string, string>();
   const history: string[] = [];
@@ -57,7 +57,7 @@
     log: silentLog,
     meter: new Metrics(),
     source,
-    client: { call: async () => ok(answer) },
+    client: { call: async () => ok(nextOffer()) },
     server: { register: () => ({ dispose: () => {} }) },
     members,
     contact: new StoreContact(clock),
@@ -135,6 +135,16 @@
     running.stop.abort();
   });
 
+  // Guards against a list that counts as old because a gateway that was cut off too answered last.
+  it('keeps the newest knowledge of its age, whoever answers last', async () => {
+    const script: Script = { snapshot: { entries: [entry('a', 5)], revision: 10 }, changes: [], offer: null };
+    const answers = [offer(10, 0, null)];
+    const running = start(script, () => answers.shift() ?? offer(10, 60_000, null));
+    await running.clock.advance(3_500);
+    expect(running.records.ageMs()).toBeLessThan(1_500);
+    running.stop.abort();
+  });
+
   it('knows that its view is current where another gateway has none that is newer', async () => {
     const running = start({
       snapshot: { entries: [entry('a', 5)], revision: 10 }, changes: [], offer: offer(10, 0, null),
