Split the checks of the soak, and share the tests' server record

One function for each promise in place of one of 70 lines, the soak's configuration in a file of its own, and one factory of server records for two test files. Behaviour is unchanged: each check's planted violation is still found.

--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -95,82 +95,132 @@
   return Array.from({ length: EVENTS }, (_, index) => `id: ${index + 1}\ndata: ${id} ${index + 1}\n\n`).join('');
 }
 
+/** Characters of a wrong answer that a report shows. */
+const SHOWN_CHARACTERS = 200;
+
 const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 function touches(spans: readonly Span[], from: number, to: number): boolean {
   return spans.some((span) => span.from <= to && span.to >= from);
 }
 
-/** Promises that a run broke. */
-export function findViolations(history: History, bounds: Bounds): readonly Violation[] {
-  const {
-    calls, arrivals, leftAt, goneAt, routedAt, storeDisturbed, stops, calmFrom,
-  } = history;
-  const byId = new Map(calls.map((call) => [call.id, call]));
-  const violations: Violation[] = [];
-  const stopsOf = (gateway: string): readonly Span[] => stops.filter((stop) => stop.gateway === gateway)
-    .map(({ at, tookMs }) => ({ from: at, to: at + tookMs }));
-  const disturbedOf = (gateway: string): readonly Span[] => history.disturbed.get(gateway) ?? [];
-  const inTouch = (gateway: string, from: number, to: number): boolean => (
-    !touches([...disturbedOf(gateway), ...stopsOf(gateway)], from - bounds.contactMs, to)
-  );
-  const storeCalm = (from: number, to: number): boolean => !touches(storeDisturbed, from - bounds.contactMs, to);
-  const serversOf = new Map<string, Arrival[]>();
-  for (const arrival of arrivals) serversOf.set(arrival.call, [...serversOf.get(arrival.call) ?? [], arrival]);
-
-  for (const {
-    call, server, at, lagMs,
-  } of arrivals) {
-    const left = leftAt.get(server);
-    const caller = byId.get(call);
-    if (left === undefined || caller === undefined) continue;
-    const late = at - lagMs - left > bounds.drainMs;
-    if (late && storeCalm(left, left) && inTouch(caller.gateway, at, at)) {
-      violations.push({
-        code: 'leaving_server_used', call, server, afterMs: Math.round(at - left),
-      });
+/** What the checks ask of a run. */
+class Findings {
+  private readonly arrivalsOf = new Map<string, Arrival[]>();
+
+  public constructor(public readonly history: History, public readonly bounds: Bounds) {
+    for (const arrival of history.arrivals) {
+      this.arrivalsOf.set(arrival.call, [...this.arrivalsOf.get(arrival.call) ?? [], arrival]);
     }
   }
-  for (const call of calls) {
-    const seen = serversOf.get(call.id) ?? [];
-    const runs = seen.filter(({ ran }) => ran);
-    if (call.type === CallType.Order && runs.length > 1) {
-      violations.push({ code: 'ran_twice', call: call.id, servers: runs.map(({ server }) => server) });
-    }
-    if (call.type === CallType.Order && PROMISING_STATUSES.has(call.status) && runs.length > 0) {
-      violations.push({ code: 'refused_but_ran', call: call.id, status: call.status });
-    }
-    if (call.status === 200 && call.whole && call.body !== expectedBody(call.type, call.id)) {
-      violations.push({ code: 'wrong_answer', call: call.id, body: call.body.slice(0, 200) });
-    }
-    const serverGone = seen.some(({ server }) => {
-      const gone = goneAt.get(server);
-      return gone !== undefined && gone <= call.endedAt;
-    });
-    const stopped = touches(stopsOf(call.gateway), call.sentAt, call.endedAt);
-    const disturbed = touches(disturbedOf(call.gateway), call.sentAt - bounds.contactMs, call.endedAt);
-    const ended = call.gaveUp || call.whole;
-    if (!ended && stopped && !disturbed && !serverGone && seen.length > 0) {
-      violations.push({ code: 'cut_by_planned_stop', call: call.id, gateway: call.gateway });
-    }
-    const routed = routedAt.get(call.path);
-    if (call.status === 404 && routed !== undefined && call.sentAt - routed > bounds.applyMs
-      && inTouch(call.gateway, routed, call.sentAt) && storeCalm(routed, call.sentAt)) {
-      violations.push({ code: 'route_missing', call: call.id, afterMs: Math.round(call.sentAt - routed) });
-    }
-    if (call.sentAt > calmFrom + bounds.contactMs && call.status !== 200) {
-      violations.push({ code: 'not_served_in_calm', call: call.id, status: call.status });
-    }
+
+  public arrivals(call: string): readonly Arrival[] {
+    return this.arrivalsOf.get(call) ?? [];
   }
-  for (const {
-    gateway, at, tookMs, exitCode,
-  } of stops) {
-    const disturbed = touches(disturbedOf(gateway), at, at + tookMs);
-    if (!disturbed && (exitCode !== 0 || tookMs > bounds.graceMs)) {
-      violations.push({
-        code: 'stop_failed', gateway, exitCode, tookMs: Math.round(tookMs),
-      });
-    }
+
+  public stops(gateway: string): readonly Span[] {
+    return this.history.stops.filter((stop) => stop.gateway === gateway)
+      .map(({ at, tookMs }) => ({ from: at, to: at + tookMs }));
+  }
+
+  public disturbed(gateway: string): readonly Span[] {
+    return this.history.disturbed.get(gateway) ?? [];
+  }
+
+  /** Whether a gateway was undisturbed for so long before `from`, and until `to`, that the bounds hold for it. */
+  public inTouch(gateway: string, from: number, to: number): boolean {
+    return !touches([...this.disturbed(gateway), ...this.stops(gateway)], from - this.bounds.contactMs, to);
+  }
+
+  public storeCalm(from: number, to: number): boolean {
+    return !touches(this.history.storeDisturbed, from - this.bounds.contactMs, to);
+  }
+}
+
+function leavingServersUsed(found: Findings): readonly Violation[] {
+  const { history: { calls, arrivals, leftAt }, bounds } = found;
+  const gateways = new Map(calls.map(({ id, gateway }) => [id, gateway]));
+  return arrivals.flatMap(({
+    call, server, at, lagMs,
+  }) => {
+    const left = leftAt.get(server);
+    const gateway = gateways.get(call);
+    if (left === undefined || gateway === undefined || at - lagMs - left <= bounds.drainMs) return [];
+    if (!found.storeCalm(left, left) || !found.inTouch(gateway, at, at)) return [];
+    return [{
+      code: 'leaving_server_used', call, server, afterMs: Math.round(at - left),
+    }];
+  });
+}
+
+function wrongRuns(call: CallRecord, found: Findings): readonly Violation[] {
+  const runs = found.arrivals(call.id).filter(({ ran }) => ran);
+  if (call.type !== CallType.Order) return [];
+  const violations: Violation[] = [];
+  if (runs.length > 1) violations.push({ code: 'ran_twice', call: call.id, servers: runs.map(({ server }) => server) });
+  if (PROMISING_STATUSES.has(call.status) && runs.length > 0) {
+    violations.push({ code: 'refused_but_ran', call: call.id, status: call.status });
   }
   return violations;
 }
+
+function wrongAnswer({
+  id, type, status, whole, body,
+}: CallRecord): readonly Violation[] {
+  if (status !== 200 || !whole || body === expectedBody(type, id)) return [];
+  return [{ code: 'wrong_answer', call: id, body: body.slice(0, SHOWN_CHARACTERS) }];
+}
+
+function cutByStop(call: CallRecord, found: Findings): readonly Violation[] {
+  const { history: { goneAt }, bounds } = found;
+  const arrivals = found.arrivals(call.id);
+  if (call.gaveUp || call.whole || arrivals.length === 0) return [];
+  const serverGone = arrivals.some(({ server }) => (goneAt.get(server) ?? Infinity) <= call.endedAt);
+  const stopped = touches(found.stops(call.gateway), call.sentAt, call.endedAt);
+  const disturbed = touches(found.disturbed(call.gateway), call.sentAt - bounds.contactMs, call.endedAt);
+  return stopped && !disturbed && !serverGone
+    ? [{ code: 'cut_by_planned_stop', call: call.id, gateway: call.gateway }] : [];
+}
+
+function routeMissing(call: CallRecord, found: Findings): readonly Violation[] {
+  const { history: { routedAt }, bounds } = found;
+  const routed = routedAt.get(call.path);
+  if (call.status !== 404 || routed === undefined || call.sentAt - routed <= bounds.applyMs) return [];
+  if (!found.inTouch(call.gateway, routed, call.sentAt) || !found.storeCalm(routed, call.sentAt)) return [];
+  return [{ code: 'route_missing', call: call.id, afterMs: Math.round(call.sentAt - routed) }];
+}
+
+function notServedInCalm({ id, sentAt, status }: CallRecord, found: Findings): readonly Violation[] {
+  const { history: { calmFrom }, bounds } = found;
+  return sentAt > calmFrom + bounds.contactMs && status !== 200
+    ? [{ code: 'not_served_in_calm', call: id, status }] : [];
+}
+
+function failedStops(found: Findings): readonly Violation[] {
+  const { history: { stops }, bounds } = found;
+  return stops.flatMap(({
+    gateway, at, tookMs, exitCode,
+  }) => {
+    const kept = exitCode === 0 && tookMs <= bounds.graceMs;
+    if (kept || touches(found.disturbed(gateway), at, at + tookMs)) return [];
+    return [{
+      code: 'stop_failed', gateway, exitCode, tookMs: Math.round(tookMs),
+    }];
+  });
+}
+
+/** Promises that a run broke. */
+export function findViolations(history: History, bounds: Bounds): readonly Violation[] {
+  const found = new Findings(history, bounds);
+  return [
+    ...leavingServersUsed(found),
+    ...history.calls.flatMap((call) => [
+      ...wrongRuns(call, found),
+      ...wrongAnswer(call),
+      ...cutByStop(call, found),
+      ...routeMissing(call, found),
+      ...notServedInCalm(call, found),
+    ]),
+    ...failedStops(found),
+  ];
+}
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -9,6 +9,7 @@
 import type {
   Arrival, Bounds, CallRecord, History, Span, StopRecord, Violation,
 } from './checks.js';
+import { configuration } from './configuration.js';
 import { DisturbanceKind, planDisturbances } from './plan.js';
 import type { Disturbance } from './plan.js';
 import { GatewayProcess, GRACE_MS } from './processes.js';
@@ -55,37 +56,6 @@
   readonly violations: readonly Violation[];
 }
 
-function route(name: string, kind: string, changes: object = {}): object {
-  return {
-    name,
-    host: 'shop.example',
-    'path-prefix': `/${name}/`,
-    kind,
-    service: 'shop',
-    'timeout-ms': 2_500,
-    'target-latency-ms': 200,
-    priority: 0,
-    'max-attempts': 2,
-    ...changes,
-  };
-}
-
-function configuration(version: number, added: readonly string[]): string {
-  return JSON.stringify({
-    version,
-    routes: [
-      route('order', 'non_idempotent'),
-      route('look', 'idempotent'),
-      route('talk', 'streaming', { resumable: true }),
-      ...added.map((name) => route(name, 'idempotent')),
-    ],
-    services: [{ name: 'shop', 'max-connections': 90 }],
-    limits: {
-      'max-header-bytes': 16_384, 'max-body-bytes': 65_536, 'header-timeout-ms': 3_000, 'idle-timeout-ms': 15_000,
-    },
-  });
-}
-
 /** One run: gateways as processes, callers, backend servers and a store, disturbed by the plan of its seed. */
 class Soak {
   private readonly store = new StoreStandIn();
--- a/test/discovery.test.ts
+++ b/test/discovery.test.ts
@@ -7,7 +7,7 @@
 import { RecordOrigin } from '../src/gateway/records.js';
 import type { RecordSource } from '../src/gateway/records.js';
 import { ServerRegistry } from '../src/gateway/servers.js';
-import type { ServerRecord } from '../src/gateway/servers.js';
+import { server } from './support/serverrecords.js';
 
 interface Line extends LogFields { readonly event: string }
 
@@ -16,22 +16,6 @@
 let lines: Line[];
 let registry: ServerRegistry;
 
-function server(id: string, changes: Partial<ServerRecord> = {}): ServerRecord {
-  return {
-    id,
-    bornAt: 1,
-    sequence: 1,
-    service: 'ledger',
-    address: '127.0.0.1:1',
-    failureDomain: 'regina',
-    slots: 6,
-    draining: false,
-    role: null,
-    models: [],
-    ...changes,
-  };
-}
-
 function changeAt(revision: number): RecordSource {
   return { origin: RecordOrigin.Change, revision };
 }
--- a/test/forwardingdecisions.test.ts
+++ b/test/forwardingdecisions.test.ts
@@ -11,6 +11,7 @@
 import type { Candidate } from '../src/gateway/placement.js';
 import { planRoles } from '../src/gateway/rolekeeper.js';
 import type { ServerRecord } from '../src/gateway/servers.js';
+import { server } from './support/serverrecords.js';
 
 function route(name: string, pathPrefix: string, destinations = [{ service: 'ledger', weight: 1 }]): Route {
   return {
@@ -27,22 +28,6 @@
   };
 }
 
-function server(id: string, changes: Partial<ServerRecord> = {}): ServerRecord {
-  return {
-    id,
-    bornAt: 1,
-    sequence: 1,
-    service: 'ledger',
-    address: '127.0.0.1:1',
-    failureDomain: 'regina',
-    slots: 6,
-    draining: false,
-    role: null,
-    models: [],
-    ...changes,
-  };
-}
-
 function candidate(id: string, open: number, changes: Partial<Candidate> = {}): Candidate {
   return {
     record: server(id), open, limit: 10, suspect: false, ...changes,
--- /dev/null
+++ b/test/support/serverrecords.ts
@@ -0,0 +1,18 @@
+import type { ServerRecord } from '../../src/gateway/servers.js';
+
+/** Record of a plain server that takes work. */
+export function server(id: string, changes: Partial<ServerRecord> = {}): ServerRecord {
+  return {
+    id,
+    bornAt: 1,
+    sequence: 1,
+    service: 'ledger',
+    address: '127.0.0.1:1',
+    failureDomain: 'regina',
+    slots: 6,
+    draining: false,
+    role: null,
+    models: [],
+    ...changes,
+  };
+}
