Write a server's entry in one place in the stand-ins, and wait with the library

Found in the last read: the endless server had a copy of the entry that the other stand-in writes, and two test files a copy each of the library's wait.

--- a/src/emulator/backend.ts
+++ b/src/emulator/backend.ts
@@ -12,6 +12,13 @@
   aborted: boolean;
 }
 
+/** Entry of a backend server in the store. */
+export function registration(address: string, service: string, changes: object = {}): string {
+  return JSON.stringify({
+    service, address, zone: 'regina', slots: 4, state: 'ready', born: 1, sequence: 1, ...changes,
+  });
+}
+
 /** Stand-in of a backend server whose answers the test writes. */
 export class ServerStandIn {
   public address = '';
@@ -57,9 +64,7 @@
   }
 
   public entry(service: string, changes: object = {}): string {
-    return JSON.stringify({
-      service, address: this.address, zone: 'regina', slots: 4, state: 'ready', born: 1, sequence: 1, ...changes,
-    });
+    return registration(this.address, service, changes);
   }
 }
 
--- a/src/emulator/endless.ts
+++ b/src/emulator/endless.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
+import { registration } from './backend.js';
 import { listenAnywhere } from './listening.js';
 
 const PIECE_BYTES = 16_384;
@@ -62,9 +63,7 @@
 
   /** Entry of the server in the store. */
   public entry(service: string, changes: object = {}): string {
-    return JSON.stringify({
-      service, address: this.address, zone: 'regina', slots: 4, state: 'ready', born: 1, sequence: 1, ...changes,
-    });
+    return registration(this.address, service, changes);
   }
 
   private answer(socket: Socket, begin: string, bytes: Buffer): void {
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import {
   afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
@@ -62,12 +63,6 @@
   return list.find((server) => server.id === id)?.connections ?? 0;
 }
 
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 beforeEach(async () => {
   running = [];
   store = new StoreStandIn();
--- a/test/leavingservers.test.ts
+++ b/test/leavingservers.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import {
   afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
@@ -30,12 +31,6 @@
 let path: LinkProxy;
 let gateways: RunningGateway[];
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 function known(gateway: RunningGateway): ReadonlySet<string> {
   const { list } = gateway.gateway.dump().servers as { list: readonly { id: string }[] };
   return new Set(list.map(({ id }) => id));
