Accept fractions wherever the platform inserts a number into the settings

Cause: the deploy file's template inserts a bound that the platform derives from its traffic; on the small twins of large deployments it is 35.83 or 36.9, and countSchema refused it, so that no gateway started. Change: numberSchema for the burst of the retry budget; durations take as many decimals as a double prints. After: the new test of the filled template passes; it failed on the code before. Ruled out: rounding in the template, which the template language cannot do.

--- a/src/core/units.ts
+++ b/src/core/units.ts
@@ -21,7 +21,7 @@
   units: ReadonlyMap<string, number>,
   expected: string,
 ): Result<number, string> {
-  const match = /^(\d{1,9}(?:\.\d{1,6})?)\s?([A-Za-z]{1,3})$/.exec(text.trim());
+  const match = /^(\d{1,9}(?:\.\d{1,17})?)\s?([A-Za-z]{1,3})$/.exec(text.trim());
   const factor = units.get(match?.[2] ?? '');
   if (match?.[1] === undefined || factor === undefined) return fail(expected);
   return ok(Math.round(Number(match[1]) * factor));
@@ -73,3 +73,13 @@
     return z.NEVER;
   });
 }
+
+/** Schema of a number in decimal digits, with or without a fraction, between two inclusive bounds. */
+export function numberSchema(minimum: number, maximum: number): z.ZodType<number, string> {
+  return z.string().transform((text, context) => {
+    const value = /^\d{1,9}(?:\.\d{1,17})?$/.test(text) ? Number(text) : NaN;
+    if (value >= minimum && value <= maximum) return value;
+    context.addIssue({ code: 'custom', message: `a number between ${minimum} and ${maximum}` });
+    return z.NEVER;
+  });
+}
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -3,7 +3,7 @@
 import { safeParseSections } from '../core/ini.js';
 import type { Issue } from '../core/issues.js';
 import type { Result } from '../core/result.js';
-import { countSchema, durationSchema } from '../core/units.js';
+import { countSchema, durationSchema, numberSchema } from '../core/units.js';
 
 const labelSchema = z.string().min(1, 'a name').max(200);
 
@@ -43,7 +43,7 @@
     /** Largest number of retries to a service per 1,000 calls, of all gateways together. */
     perThousand: countSchema(0, 1_000).prefault('100'),
     /** Number of retries beyond that share that are allowed at once, of all gateways together. */
-    burst: countSchema(0, 10_000).prefault('20'),
+    burst: numberSchema(0, 1_000_000).prefault('20'),
   }),
   authority: z.strictObject({
     lease: durationSchema('500 ms', '1 min').prefault('3 s'),
--- a/test/gatewaysettings.test.ts
+++ b/test/gatewaysettings.test.ts
@@ -50,6 +50,16 @@
     });
   });
 
+  // Guards against a gateway that does not start, because the platform derives a bound from a share of its traffic.
+  it('may have fractions wherever the platform inserts a number', () => {
+    const filled = fillTemplate({
+      ...VALUES, 'bounds.budget-slack': '35.83', 'bounds.grace-s': '8.123456789012345', 'bounds.lease-ms': '3000.5',
+    });
+    expect(safeParseGatewaySettings(filled, 'gateway.ini')).toMatchObject({
+      success: true, data: { retries: { burst: 35.83 }, drain: { grace: 8_123 }, authority: { lease: 3_001 } },
+    });
+  });
+
   it('are validated as a whole, and every issue is reported', () => {
     const parsed = safeParseGatewaySettings(`${fillTemplate({ ...VALUES, 'bounds.grace-s': 'x', zone: '' })}\n[other]\n`, 'g.ini');
     const paths = parsed.success ? [] : parsed.error.map((issue) => issue.path.join(' '));
