Learn prefill times of engines instead of assuming those of one kind

A prompt of 17,000 tokens takes over 300 ms there without any wait, so sound prefills were aborted, never entered the average, and ran again elsewhere. The same class: 20 ms until a prompt may leave the engine that caches its parts, and 1,000 tokens for a long prompt. Change: gateway/engineestimates.ts, one estimate per service and one per engine incarnation. Silence: mean and deviation of the time per token, times the tokens of the prompt and of those before it, at most half of the remaining time, at least twice the route's target; a timeout lengthens only its own engine's next one. Other engine: once waiting costs more than prefilling the shared parts again. Long prompt: where the cached shared parts save more than the handover takes, or the prefill would hold up a decoder for half of the route's target. The prompts of gateway.test.ts, endless.test.ts and the demo have larger shared parts, because stand-ins that answer at once otherwise make them short by the new rule; their checks are unchanged.

--- a/src/demo/gateways.ts
+++ b/src/demo/gateways.ts
@@ -202,8 +202,8 @@
 
     const long = await callGateway(GATEWAY_ADDRESSES[1]!, '/talk/long', {
       'catkinscale-request-id': 'long',
-      'catkinscale-token-count': '9000,2',
-      'catkinscale-prompt-prefix': 'a1:2500,b2:3500,c3:3000',
+      'catkinscale-token-count': '60300,2',
+      'catkinscale-prompt-prefix': 'a1:25000,b2:35000,c3:300',
     });
 
     let stopped: GatewayProcess | null = null;
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -1,5 +1,6 @@
 import type { Clock, Disposable, Log } from '../core/interfaces/index.js';
 import { ConnectionPool } from './connections.js';
+import { EngineTimes } from './engineestimates.js';
 import type { Occupancy, OpenCalls } from './occupancy.js';
 import type { Candidate } from './placement.js';
 import type { ServerRecord, ServerRegistry } from './serverregistry.js';
@@ -71,6 +72,9 @@
   /** Monotonic time in ms of the last answer of any kind; `-Infinity` where there was none. */
   public answeredAt = -Infinity;
 
+  /** Times of this engine; unused at a plain service. */
+  public readonly times = new EngineTimes();
+
   /** Failures of calls to continue at another engine from a prefill of this one. */
   public readonly handovers: AvoidanceTracker;
 
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -9,7 +9,7 @@
 import type { ResumedStream } from './events.js';
 import type { Occupancy } from './occupancy.js';
 import type { Refusal } from './outcome.js';
-import { isLongPrompt } from './placement.js';
+import { promptSize } from './placement.js';
 import { SlotAllocator } from './slotallocator.js';
 import { sendRefusal, recordCall } from './report.js';
 import { RetriedCallDetector } from './retriedcalls.js';
@@ -170,12 +170,10 @@
 
   /** Sends a call to one server after another until one answers or the call must not be sent again. */
   private async obtainAnswer(context: CallContext, tried: Set<string>): Promise<ObtainedAnswer> {
-    const {
-      call, route, service, trace,
-    } = context;
+    const { route, service, trace } = context;
     let prefilled: PrefilledPrompt | null = null;
     const prefillers = new Set<string>();
-    if (service.engine !== null && call.generation !== null && isLongPrompt(call.generation)) {
+    if (this.needsPrefill(context)) {
       const result = await this.sender.prefill(context, prefillers, tried.size > 0);
       if (result.type === 'refused') return context.ended.aborted ? this.endResult(context) : result;
       prefilled = result;
@@ -204,7 +202,7 @@
       if (prefilled !== null) this.sender.recordHandover(prefilled.holder, sending);
       if (outcome.type === 'answered') {
         const { head } = outcome;
-        if (prefilled !== null) this.slotAllocator.recordDuration('continuation', tookMs);
+        if (prefilled !== null) this.deps.estimates.forService(service.name).recordContinuation(tookMs);
         if (head.status < 500 || !mayRunTwice(context) || attempts + 1 >= route.maxAttempts) {
           return {
             type: 'answer', upstream, head, server,
@@ -234,6 +232,12 @@
     return refused(lastRefusal);
   }
 
+  /** Whether another engine prefills the prompt of a call before a decoder continues from it. */
+  private needsPrefill({ call: { generation }, route, service }: CallContext): boolean {
+    return service.engine !== null && generation !== null
+      && this.deps.estimates.forService(service.name).isLongPrompt(promptSize(generation), route.targetMs);
+  }
+
   /** Continues a stream after the last event that its caller has received, at a server other than the failed one. */
   private async resume(
     context: CallContext,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import type { Codec } from './codec.js';
 import { MAX_ADDRESSES, sampleAddresses } from './directory.js';
 import { Discovery } from './discovery.js';
+import { Estimates } from './engineestimates.js';
 import { BackendFleet } from './fleet.js';
 import type { KeySource } from './follower.js';
 import { Forwarder } from './forward.js';
@@ -109,6 +110,8 @@
 
   private readonly roles: RoleBalancer;
 
+  private readonly estimates = new Estimates();
+
   private routes: RouteTable | null = null;
 
   private listener: HttpListener | null = null;
@@ -173,6 +176,7 @@
       routes: () => this.routes,
       budget: (service) => budgets.forService(service),
       occupancy: this.occupancy,
+      estimates: this.estimates,
       endsAt: () => this.endsAt,
       recordsAgeMs: () => this.servers.ageMs(),
     }, { failureDomain: settings.gateway.failureDomain, transitMs: TRANSIT_MS }));
@@ -262,6 +266,7 @@
       membership: this.membership.dump(),
       authority: this.authority.dump(),
       occupancy: this.occupancy.dump(),
+      estimates: this.estimates.dump(),
     };
   }
 
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,6 +1,7 @@
 import { Role } from '../core/interfaces/index.js';
 import { lowestByRendezvous } from '../core/rendezvous.js';
 import type { Generation } from './codec.js';
+import type { PromptSize } from './engineestimates.js';
 import type { ServerRecord } from './serverregistry.js';
 
 /** Backend server that may be chosen for a call, with its load and its limit. */
@@ -14,12 +15,9 @@
   readonly suspect: boolean;
 }
 
-/** Prompts with at least this many tokens are prefilled on engines with the prefill role. */
-export const LONG_PROMPT_TOKENS = 1_000;
-
-/** Whether a prompt is so long that its prefill on a decoding engine would delay the tokens of other answers. */
-export function isLongPrompt(generation: Generation): boolean {
-  return generation.promptTokens >= LONG_PROMPT_TOKENS;
+/** Sizes of a prompt in tokens; one without parts has nothing that other requests share. */
+export function promptSize({ promptTokens, parts }: Generation): PromptSize {
+  return { promptTokens, ownTokens: Math.min(promptTokens, parts.at(-1)?.tokens ?? promptTokens) };
 }
 
 /**
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -1,10 +1,13 @@
 import type { Clock, Log } from '../core/interfaces/index.js';
+import { assertNever } from '../core/result.js';
 import type { RetryBudget } from '../core/retries.js';
 import { CallKind } from './configuration.js';
 import { sendControlRequest } from './control.js';
 import type { Codec, PrefillHandle, SendPlan } from './codec.js';
+import type { Estimates, PrefillWork } from './engineestimates.js';
 import type { BackendFleet, BackendServer } from './fleet.js';
 import type { Refusal } from './outcome.js';
+import { promptSize } from './placement.js';
 import type { ReservedServer, SlotAllocator } from './slotallocator.js';
 import { Upstream } from './upstream.js';
 import type { SendOutcome } from './upstream.js';
@@ -17,20 +20,17 @@
   readonly log: Log;
   readonly codec: Codec;
   readonly fleet: BackendFleet;
+  readonly estimates: Estimates;
   /** This process's share of the retry budget of a service. */
   readonly budget: (service: string) => RetryBudget;
 }
 
-/** Shortest time in ms without an answer after which an engine may count as unreachable. */
-const MIN_SILENCE_MS = 350;
-
-/** Time without an answer after which an engine may count as unreachable, as a multiple of the usual time. */
-const SILENCE_FACTOR = 1.5;
-
-/** Shortest such time in ms for plain services, whose calls now and then take several times their target time. */
+/** Shortest time in ms without an answer after which a plain service may count as unreachable; its calls now and then
+ * take several times their target time.
+ */
 const MIN_PLAIN_SILENCE_MS = 700;
 
-/** Such a time for plain services, as a multiple of the route's target time. */
+/** Such a time as a multiple of the route's target time. */
 const PLAIN_SILENCE_FACTOR = 2.5;
 
 /** Largest body in bytes of the answer to a prefill. */
@@ -72,6 +72,11 @@
   return route.kind === CallKind.Idempotent || (route.kind === CallKind.Stream && route.resumable);
 }
 
+function prefillWork({ call: { generation } }: CallContext, { prefillsAhead }: ReservedServer): PrefillWork {
+  const { promptTokens, ownTokens } = generation === null ? { promptTokens: 0, ownTokens: 0 } : promptSize(generation);
+  return { promptTokens, ownTokens, ahead: prefillsAhead };
+}
+
 /** Sends calls to backend servers within the retry budget. */
 export class Sender {
   public constructor(
@@ -103,13 +108,16 @@
       }
       tried.add(server.id);
       const {
-        backend, upstream, outcome, tookMs,
+        backend, upstream, outcome, tookMs, timedOut,
       } = await this.send(context, reserved.data, { type: 'prefill' });
+      const estimates = this.deps.estimates.forService(service.name);
+      const work = prefillWork(context, reserved.data);
+      if (timedOut) estimates.recordSilence(backend.times, work, tookMs);
       if (outcome.type === 'answered' && outcome.head.status === 200) {
         const body = await upstream.collect(MAX_HANDLE_BYTES);
         const handle = body === null ? null : platformCodec.readHandle(server, body);
         if (handle !== null) {
-          this.slotAllocator.recordDuration('prefill', tookMs);
+          estimates.recordPrefill(backend.times, work, tookMs);
           return { type: 'handle', handle, holder: backend };
         }
         addStep(trace, 'handle:unreadable', clock.monotonic());
@@ -131,9 +139,10 @@
   /** Sends a call once and waits for the head of the answer; the slot is released when the answer has ended. */
   public async send(
     context: CallContext,
-    { server, reservation }: ReservedServer,
+    reserved: ReservedServer,
     work: SendPlan['work'],
   ): Promise<SendResult> {
+    const { server, reservation } = reserved;
     const { clock, codec: platformCodec, fleet } = this.deps;
     const backend = fleet.serverFor(server);
     const probe = backend.countProbe();
@@ -152,7 +161,7 @@
     const abortSend = (): void => upstream.abort(String(context.ended.reason));
     context.ended.addEventListener('abort', abortSend, { once: true });
     let timedOut = false;
-    const silence = clock.after(this.silenceTimeoutMs(context, work), () => {
+    const silence = clock.after(this.silenceTimeoutMs(context, reserved, backend, work), () => {
       timedOut = true;
       if (backend.answeredAt < sentAt) backend.wasUnreachable();
       // A prefill may be repeated, because it does not execute the call. It is aborted even if the server answers other
@@ -202,9 +211,23 @@
   }
 
   /** Time in ms without an answer to a send after which the server may count as unreachable. */
-  private silenceTimeoutMs({ route, service }: CallContext, work: SendPlan['work']): number {
-    if (service.engine === null) return Math.max(MIN_PLAIN_SILENCE_MS, PLAIN_SILENCE_FACTOR * route.targetMs);
-    const usualMs = SILENCE_FACTOR * this.slotAllocator.usualFirstEventMs;
-    return Math.max(work.type === 'whole' ? route.targetMs : 0, MIN_SILENCE_MS, usualMs);
+  private silenceTimeoutMs(
+    context: CallContext,
+    reserved: ReservedServer,
+    { times }: BackendServer,
+    work: SendPlan['work'],
+  ): number {
+    const { route: { targetMs }, service, deadline } = context;
+    if (service.engine === null) return Math.max(MIN_PLAIN_SILENCE_MS, PLAIN_SILENCE_FACTOR * targetMs);
+    const estimates = this.deps.estimates.forService(service.name);
+    switch (work.type) {
+      case 'prefill': {
+        const leftMs = deadline - this.deps.clock.monotonic();
+        return estimates.prefillSilenceMs(times, prefillWork(context, reserved), targetMs, leftMs);
+      }
+      case 'decode':
+      case 'whole': return estimates.answerSilenceMs(targetMs);
+      default: return assertNever(work);
+    }
   }
 }
--- a/src/gateway/slotallocator.ts
+++ b/src/gateway/slotallocator.ts
@@ -3,16 +3,18 @@
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import type { ForwardingService } from './configuration.js';
+import type { Estimates, PromptSize } from './engineestimates.js';
 import type { BackendFleet } from './fleet.js';
 import type { Occupancy, OpenCalls } from './occupancy.js';
 import type { Refusal } from './outcome.js';
 import {
-  suspectFailedHandovers, mayTakeLateCall, selectPreferredEngines, pickLeastOccupied, sharedPartId, withRole,
+  suspectFailedHandovers, mayTakeLateCall, selectPreferredEngines, pickLeastOccupied, promptSize, sharedPartId,
+  withRole,
 } from './placement.js';
 import type { Candidate } from './placement.js';
 import type { ServerRecord } from './serverregistry.js';
 import { SlotQueue } from './slotqueue.js';
-import type { FreeSlot } from './slotqueue.js';
+import type { FreeSlot, QueuedCall } from './slotqueue.js';
 import type { CallContext } from './callcontext.js';
 
 /** Number of engines that should cache one shared prompt part. */
@@ -21,6 +23,9 @@
 /** Largest number of prefills open at one engine, all gateways together; a few keep it busy while answers travel. */
 const MAX_PREFILLS_PER_ENGINE = 4;
 
+/** Share of a route's target time for which a call waits for its preferred engine before anything was measured. */
+const INITIAL_WAIT_SHARE = 1 / 8;
+
 /** An engine with at most this many prefills has time to prefill shared parts that another engine has cached. */
 const MAX_PREFILLS_WHEN_IDLE = 1;
 
@@ -30,30 +35,32 @@
 /** Slots of a decoder that whole calls, which last for seconds, leave free for the short continuations. */
 const SLOTS_KEPT_FOR_CONTINUATIONS = 2;
 
-/** Weight of the newest measured time in the smoothed one. */
-const SMOOTHING_FACTOR = 0.1;
-
-/** Time in ms of a prefill that is assumed before one was measured. */
-const INITIAL_PREFILL_MS = 30;
-
-/** Time in ms from a finished prefill to the first event that is assumed before one was measured. */
-const INITIAL_CONTINUATION_MS = 15;
-
 const RETRY_AFTER_MS = 250;
 
 /** Server at which a slot was reserved. */
 export interface ReservedServer {
   readonly server: ServerRecord;
+  /** Number of prefills that were open at the server before. */
+  readonly prefillsAhead: number;
   /** Releases the slot when it is disposed. */
   readonly reservation: Disposable;
 }
 
+const NO_PROMPT: PromptSize = { promptTokens: 0, ownTokens: 0 };
+
+/** What a call in a queue waits for; times in ms. */
+interface QueueRequest extends Omit<QueuedCall, 'targetAt' | 'expiresAt'> {
+  /** Expected time from the slot to the first event of the answer. */
+  readonly expectedMs: number;
+}
+
 /** Dependencies of {@link SlotAllocator}. */
 export interface SlotAllocatorDependencies {
   readonly clock: Clock;
   readonly random: Random;
   readonly fleet: BackendFleet;
   readonly occupancy: Occupancy;
+  readonly estimates: Estimates;
 }
 
 /** Chooses the server of a call and reserves a slot there; calls to engines wait in a queue while none is free. */
@@ -64,12 +71,6 @@
 
   private readonly subscription: Disposable;
 
-  /** Smoothed time in ms from sending a prefill to receiving its handle. */
-  private prefillMs = INITIAL_PREFILL_MS;
-
-  /** Smoothed time in ms from sending a continuation to receiving the head of its answer. */
-  private continuationMs = INITIAL_CONTINUATION_MS;
-
   public constructor(
     private readonly deps: SlotAllocatorDependencies,
     private readonly opts: { readonly failureDomain: string; readonly transitMs: number },
@@ -78,17 +79,6 @@
     deps.occupancy.setDemandSource(() => this.demand());
   }
 
-  /** Usual time in ms from sending a long prompt to the first event of its answer. */
-  public get usualFirstEventMs(): number {
-    return this.prefillMs + this.continuationMs;
-  }
-
-  /** Adds the measured time in ms of a step to its smoothed time. */
-  public recordDuration(step: 'prefill' | 'continuation', tookMs: number): void {
-    if (step === 'prefill') this.prefillMs += SMOOTHING_FACTOR * (tookMs - this.prefillMs);
-    else this.continuationMs += SMOOTHING_FACTOR * (tookMs - this.continuationMs);
-  }
-
   /** Gives free slots to waiting calls; to be called whenever a slot may have become free. */
   public assignFreeSlots(): void {
     for (const all of [this.prefillQueues, this.wholeCallQueues]) {
@@ -101,14 +91,21 @@
     context: CallContext,
     tried: ReadonlySet<string>,
   ): Promise<Result<ReservedServer, Refusal>> {
-    const { call: { generation }, service } = context;
+    const { call: { generation }, route, service } = context;
     const candidates = this.prefillCandidates(service).filter(({ record }) => !tried.has(record.id));
     if (candidates.length === 0) return fail({ code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS });
     // A prefill is useless while no decoder has room to continue from it.
     if (!this.workCandidates(service).some(({ open, limit }) => open < limit)) return fail(this.noSlotRefusal(service));
     const part = generation === null ? null : sharedPartId(generation);
     const preferredEngines = part === null ? [] : selectPreferredEngines(candidates, part, PREFERRED_ENGINES_PER_PART);
-    return this.waitInQueue(this.prefillQueue(service), context, preferredEngines, this.usualFirstEventMs);
+    const estimates = this.deps.estimates.forService(service.name);
+    const { promptTokens, ownTokens } = generation === null ? NO_PROMPT : promptSize(generation);
+    return this.waitInQueue(this.prefillQueue(service), context, {
+      preferredEngines,
+      // Beyond this wait, it is faster to prefill the shared parts again elsewhere.
+      otherEngineAfterMs: estimates.prefillMs(promptTokens - ownTokens) ?? INITIAL_WAIT_SHARE * route.targetMs,
+      expectedMs: estimates.firstEventMs(promptTokens),
+    });
   }
 
   /**
@@ -121,7 +118,9 @@
   ): Promise<Result<ReservedServer, Refusal>> {
     const { service } = context;
     if (service.engine === null || tried.size > 0) return this.reserveLeastOccupied(service, tried, 'wholes');
-    return this.waitInQueue(this.wholeCallQueue(service), context, [], 0);
+    return this.waitInQueue(this.wholeCallQueue(service), context, {
+      preferredEngines: [], otherEngineAfterMs: 0, expectedMs: 0,
+    });
   }
 
   /** Reserves a slot at a decoder, not in `tried`, for the rest of a call whose prefill is done. */
@@ -147,7 +146,7 @@
     const candidates = this.workCandidates(service).filter(({ record }) => !tried.has(record.id));
     const chosen = pickLeastOccupied(candidates, this.opts.failureDomain, () => this.deps.random.float());
     if (chosen === null) return fail(this.noSlotRefusal(service));
-    return ok({ server: chosen.record, reservation: this.deps.occupancy.countCall(chosen.record.id, kind) });
+    return ok(this.reserved(chosen.record, this.deps.occupancy.countCall(chosen.record.id, kind)));
   }
 
   private async waitInQueue(
@@ -155,12 +154,11 @@
     {
       route, trace, deadline, ended, retried,
     }: CallContext,
-    preferredEngines: readonly string[],
-    expectedMs: number,
+    { expectedMs, ...queued }: QueueRequest,
   ): Promise<Result<ReservedServer, Refusal>> {
     const restMs = expectedMs + this.opts.transitMs;
     const slot = await queue.wait({
-      preferredEngines,
+      ...queued,
       // The target time starts with the caller's first attempt, so a retried call has missed it already.
       targetAt: retried ? -Infinity : trace.arrivedAt + route.targetMs - restMs,
       expiresAt: deadline - restMs,
@@ -170,11 +168,15 @@
     }
     const { server, reservation } = slot.data;
     const record = this.deps.fleet.record(server);
-    if (record !== null) return ok({ server: record, reservation });
+    if (record !== null) return ok(this.reserved(record, reservation));
     reservation.dispose();
     return fail({ code: 'no_server', retryAfterMs: RETRY_AFTER_MS });
   }
 
+  private reserved(server: ServerRecord, reservation: Disposable): ReservedServer {
+    return { server, reservation, prefillsAhead: Math.max(0, this.deps.occupancy.total(server.id).prefills - 1) };
+  }
+
   private prefillCandidates(service: ForwardingService): readonly Candidate[] {
     const all = this.deps.fleet.candidates(service.name, ({ prefills }) => prefills, () => MAX_PREFILLS_PER_ENGINE);
     return suspectFailedHandovers(
--- a/src/gateway/slotqueue.ts
+++ b/src/gateway/slotqueue.ts
@@ -18,6 +18,8 @@
 export interface QueuedCall {
   /** Engines chosen by rendezvous hashing to cache the shared part of the prompt, the best first. */
   readonly preferredEngines: readonly string[];
+  /** Wait in ms after which an engine that has nothing of the prompt cached may take the call. */
+  readonly otherEngineAfterMs: number;
   /** Monotonic time in ms by which the call needs its slot in order to meet the target time of its route. */
   readonly targetAt: number;
   /** Monotonic time in ms after which a slot no longer helps, because the deadline can't be met. */
@@ -56,12 +58,6 @@
   readonly server: string;
 }
 
-/**
- * Wait in ms after which a call may go to an engine other than its preferred ones; about the time that engine needs to
- * prefill the shared parts again.
- */
-const OTHER_ENGINE_AFTER_MS = 20;
-
 /** Time in ms over which the rate of reserved slots is measured. */
 const RATE_WINDOW_MS = 1_000;
 
@@ -173,7 +169,8 @@
         }
         continue;
       }
-      const waitsForPreferred = entry.preferredEngines.length > 0 && now - entry.arrivedAt < OTHER_ENGINE_AFTER_MS;
+      const waitsForPreferred = entry.preferredEngines.length > 0
+        && now - entry.arrivedAt < entry.otherEngineAfterMs;
       if (!waitsForPreferred && (elsewhere === null || (onTime && now > elsewhere.targetAt))) elsewhere = entry;
     }
     if (onTimePreferred !== null) return onTimePreferred;
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -150,7 +150,7 @@
     const { status } = await sendCall(gateway.callers, '/long/x', {
       method: 'POST',
       body: 'x',
-      headers: { 'catkinscale-token-count': '9000,2', 'catkinscale-prompt-prefix': 'a1:2500,b2:3500,c3:3000' },
+      headers: { 'catkinscale-token-count': '60300,2', 'catkinscale-prompt-prefix': 'a1:25000,b2:35000,c3:300' },
     });
     expect(status).toBe(503);
     expect(server.writtenBytes).toBeGreaterThan(0);
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -266,7 +266,7 @@
 
 describe('a long prompt', () => {
   const headers = {
-    'catkinscale-token-count': '9000,2', 'catkinscale-prompt-prefix': 'a1:2500,b2:3500,c3:3000',
+    'catkinscale-token-count': '60300,2', 'catkinscale-prompt-prefix': 'a1:25000,b2:35000,c3:300',
   };
   const engines = new Map<string, ServerStandIn>();
   /** Handles a call instead of the usual answer if it returns true. */
@@ -361,7 +361,7 @@
     };
     const statuses: number[] = [];
     for (let part = 10; part < 50; part += 1) {
-      const parts = { ...headers, 'catkinscale-prompt-prefix': `a1:2500,${part}:3500,c3:3000` };
+      const parts = { ...headers, 'catkinscale-prompt-prefix': `a1:25000,${part}:35000,c3:300` };
       statuses.push((await ask('/long/x', { method: 'POST', body: 'p', headers: parts })).status);
     }
     store.remove('servers/p3');
--- a/test/slotqueue.test.ts
+++ b/test/slotqueue.test.ts
@@ -7,6 +7,9 @@
 /** Time in ms from the arrival of a call in which it should have its slot. */
 const TARGET_MS = 60;
 
+/** Wait in ms after which a call may go to an engine other than its preferred one. */
+const OTHER_ENGINE_AFTER_MS = 20;
+
 /** Time in ms from the arrival of a call after which a slot is of no use to it. */
 const EXPIRY_MS = 1_500;
 
@@ -68,7 +71,7 @@
   const call = async (): Promise<void> => {
     const arrivedAt = clock.monotonic();
     const slot = await queue.wait({
-      preferredEngines: ['a'], targetAt: arrivedAt + TARGET_MS, expiresAt: arrivedAt + EXPIRY_MS,
+      preferredEngines: ['a'], otherEngineAfterMs: OTHER_ENGINE_AFTER_MS, targetAt: arrivedAt + TARGET_MS, expiresAt: arrivedAt + EXPIRY_MS,
     }, new AbortController().signal);
     if (!slot.success) {
       counts.refused += 1;
@@ -100,7 +103,9 @@
 ): AbortController {
   const caller = new AbortController();
   const now = clock.monotonic();
-  void queue.wait({ preferredEngines, targetAt: now + TARGET_MS, expiresAt: now + EXPIRY_MS }, caller.signal)
+  void queue.wait({
+    preferredEngines, otherEngineAfterMs: OTHER_ENGINE_AFTER_MS, targetAt: now + TARGET_MS, expiresAt: now + EXPIRY_MS,
+  }, caller.signal)
     .then((slot: Result<ReservedSlot, NoSlot>) => got.push(slot.success ? slot.data.server : 'refused'));
   return caller;
 }
@@ -123,7 +128,7 @@
     for (let index = 0; index < 200; index += 1) {
       const now = clock.monotonic();
       void queue.wait({
-        preferredEngines: ['a'], targetAt: now + TARGET_MS, expiresAt: now + EXPIRY_MS,
+        preferredEngines: ['a'], otherEngineAfterMs: OTHER_ENGINE_AFTER_MS, targetAt: now + TARGET_MS, expiresAt: now + EXPIRY_MS,
       }, new AbortController().signal)
         .then((slot) => {
           if (!slot.success) return;
@@ -152,7 +157,7 @@
     const call = async (queue: SlotQueue): Promise<void> => {
       const now = clock.monotonic();
       const slot = await queue.wait({
-        preferredEngines: ['a'], targetAt: now + TARGET_MS, expiresAt: Infinity,
+        preferredEngines: ['a'], otherEngineAfterMs: OTHER_ENGINE_AFTER_MS, targetAt: now + TARGET_MS, expiresAt: Infinity,
       }, new AbortController().signal);
       if (!slot.success) return;
       if (queue === queues[1] && clock.monotonic() <= now + TARGET_MS) onTime += 1;
@@ -196,7 +201,9 @@
     engines.get('a')!.open = 1;
     const got: string[] = [];
     const wait = (name: string, targetAt: number, expiresAt: number): void => {
-      void queue.wait({ preferredEngines: ['a'], targetAt, expiresAt }, new AbortController().signal)
+      void queue.wait({
+        preferredEngines: ['a'], otherEngineAfterMs: OTHER_ENGINE_AFTER_MS, targetAt, expiresAt,
+      }, new AbortController().signal)
         .then((slot) => got.push(slot.success ? name : `${name} refused`));
     };
     wait('first', 10, EXPIRY_MS);
@@ -259,7 +266,9 @@
     const { clock, queue } = twoEngines();
     const caller = new AbortController();
     caller.abort();
-    const slot = await queue.wait({ preferredEngines: ['a'], targetAt: 10, expiresAt: 100 }, caller.signal);
+    const slot = await queue.wait({
+      preferredEngines: ['a'], otherEngineAfterMs: OTHER_ENGINE_AFTER_MS, targetAt: 10, expiresAt: 100,
+    }, caller.signal);
     await clock.advance(5);
     expect(slot.success).toBe(false);
     expect(queue.length).toBe(0);
