Let the share of a retry budget follow the number of gateways

Cause: RetryBudgets divided the burst once, at a service's first use, by the members known then and by 6 at least. Of 195 gateways that start together each took up to a sixth: 195 x 430 / 6 = 13,975 retries in place of 430. Change: the share is computed at each use; what has accumulated beyond it is dropped, and a grown share fills by calls. Before: the new test fails on the third line (10 in place of 2).

--- a/src/core/retries.ts
+++ b/src/core/retries.ts
@@ -4,8 +4,11 @@
 export interface RetryBudgetOptions {
   /** Retries earned by one success; 0.1 by default. */
   readonly ratio?: number;
-  /** Largest number of retries that can accumulate, also the initial number; 20 by default. */
-  readonly burst?: number;
+  /**
+   * Largest number of retries that can accumulate, also the initial number; 20 by default. A function is called at each
+   * use, for a share that changes with the number of processes that have one.
+   */
+  readonly burst?: number | (() => number);
 }
 
 const DEFAULT_RATIO = 0.1;
@@ -17,28 +20,29 @@
 
   private readonly ratio: number;
 
-  private readonly burst: number;
+  private readonly burst: () => number;
 
   public constructor(options: RetryBudgetOptions = {}) {
+    const burst = options.burst ?? DEFAULT_BURST;
     this.ratio = options.ratio ?? DEFAULT_RATIO;
-    this.burst = options.burst ?? DEFAULT_BURST;
-    this.tokens = this.burst;
+    this.burst = typeof burst === 'number' ? () => burst : burst;
+    this.tokens = this.burst();
   }
 
   /** Number of retries that may be made now. */
   public get available(): number {
-    return Math.floor(this.tokens + 1e-9);
+    return Math.floor(Math.min(this.tokens, this.burst()) + 1e-9);
   }
 
   /** Records a success, which adds `ratio` of a retry to the budget. */
   public succeeded(): void {
-    this.tokens = Math.min(this.burst, this.tokens + this.ratio);
+    this.tokens = Math.min(this.burst(), this.tokens + this.ratio);
   }
 
   /** Takes one retry from the budget; returns false if there is none. */
   public take(): boolean {
     if (this.available < 1) return false;
-    this.tokens -= 1;
+    this.tokens = Math.min(this.tokens, this.burst()) - 1;
     return true;
   }
 }
--- a/src/gateway/budgets.ts
+++ b/src/gateway/budgets.ts
@@ -3,7 +3,7 @@
 
 const THOUSAND = 1_000;
 
-/** Retry budgets by service. Each gateway has its share of a budget. */
+/** Retry budgets by service. Each gateway has its share of a budget, which follows the number of gateways. */
 export class RetryBudgets {
   private readonly budgets = new Map<string, RetryBudget>();
 
@@ -18,7 +18,9 @@
     let budget = this.budgets.get(service);
     if (budget === undefined) {
       const { perThousand, burst } = this.settings;
-      budget = new RetryBudget({ ratio: perThousand / THOUSAND, burst: Math.max(1, burst / this.gatewayCount()) });
+      budget = new RetryBudget({
+        ratio: perThousand / THOUSAND, burst: () => Math.max(1, burst / this.gatewayCount()),
+      });
       this.budgets.set(service, budget);
     }
     return budget;
--- a/test/retries.test.ts
+++ b/test/retries.test.ts
@@ -5,6 +5,7 @@
 } from '../src/core/retries.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 import { SeededRandom } from '../src/emulator/random.js';
+import { RetryBudgets } from '../src/gateway/budgets.js';
 
 const failed = {
   attempts: 1, sent: SendStatus.Unknown, safe: true, deadline: 10_000, expectedMs: 100,
@@ -33,6 +34,22 @@
   });
 });
 
+describe('RetryBudgets', () => {
+  // Guards against gateways that each have the share of a small fleet, because they knew few others when they started.
+  it('follow the number of gateways in both directions', () => {
+    let gatewayCount = 6;
+    const budget = new RetryBudgets({ perThousand: 100, burst: 60 }, () => gatewayCount).forService('ledger');
+    expect(budget.available).toBe(10);
+    gatewayCount = 30;
+    expect(budget.available).toBe(2);
+    expect([budget.take(), budget.take(), budget.take()]).toEqual([true, true, false]);
+    gatewayCount = 6;
+    expect(budget.available).toBe(0);
+    for (let index = 0; index < 200; index += 1) budget.succeeded();
+    expect(budget.available).toBe(10);
+  });
+});
+
 describe('RetryPolicy', () => {
   // Guards against a booking being executed twice.
   it('retries a call that is not safe to repeat only when it was certainly not sent', () => {
