Keep occupancy messages in the failure domain where there are many gateways

Cause: beyond 24 gateways each sent its table to the first 24 members in the order in which it had learned of them: four fifths of these messages cross failure domains, and some gateways hear many others while some hear none. Change: beyond that size, the next 24 of the own failure domain in the order of their ids. Ruled out: scaling what is heard to the whole fleet, as one heard prefill of few would count as eight.

--- a/src/gateway/occupancy.ts
+++ b/src/gateway/occupancy.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod';
 import type { Clock, Disposable } from '../core/interfaces/index.js';
 import { safeParseJson } from '../core/json.js';
-import type { Members } from '../core/membership/index.js';
+import type { Member, Members } from '../core/membership/index.js';
 import { sleep } from '../core/time.js';
 
 /** Numbers of calls that are open at one backend server, by their kind. */
@@ -31,9 +31,28 @@
 /** Time in ms without a message after which the table of a gateway counts as empty. */
 const PEER_EXPIRY_MS = 1_000;
 
-/** Largest number of gateways that one gateway sends to, which bounds the cost in a large fleet. */
+/**
+ * Largest number of gateways that one gateway sends to, which bounds the cost in a large fleet. In a larger one,
+ * messages stay in the failure domain, because traffic between failure domains is expensive.
+ */
 export const MAX_RECEIVERS = 24;
 
+/**
+ * Gateways that receive the messages of `self`: all, or where there are too many the next ones of its failure domain
+ * in the order of their ids, so that each gateway hears as many others.
+ */
+export function selectReceivers<T extends Pick<Member, 'id' | 'failureDomain'>>(
+  self: Pick<Member, 'id' | 'failureDomain'>,
+  others: readonly T[],
+): readonly T[] {
+  if (others.length <= MAX_RECEIVERS) return others;
+  const near = others.filter(({ failureDomain }) => failureDomain === self.failureDomain)
+    .sort((left, right) => (left.id < right.id ? -1 : 1));
+  const next = near.findIndex(({ id }) => id > self.id);
+  const ring = next === -1 ? near : [...near.slice(next), ...near.slice(0, next)];
+  return ring.slice(0, MAX_RECEIVERS);
+}
+
 const METHOD = 'occupancy';
 
 /** Largest number of servers in one message. */
@@ -178,7 +197,7 @@
     const message = JSON.stringify(createJSONRPCNotification(METHOD, {
       from: members.self().id, sequence: this.sequence, open, waiting: [...demand],
     }));
-    for (const { address } of members.live().slice(0, MAX_RECEIVERS)) {
+    for (const { address } of selectReceivers(members.self(), members.live())) {
       datagrams.send(address.split(':')[0] ?? '', message);
     }
   }
--- a/test/occupancy.test.ts
+++ b/test/occupancy.test.ts
@@ -4,7 +4,7 @@
 import { SeededRandom } from '../src/emulator/random.js';
 import { selectCallerAddresses, MAX_ADDRESSES, sampleAddresses } from '../src/gateway/directory.js';
 import type { PeerGateway } from '../src/gateway/directory.js';
-import { Occupancy } from '../src/gateway/occupancy.js';
+import { MAX_RECEIVERS, Occupancy, selectReceivers } from '../src/gateway/occupancy.js';
 import type { Datagrams } from '../src/gateway/occupancy.js';
 
 function member(id: string, index: number): Member {
@@ -109,6 +109,30 @@
   });
 });
 
+describe('selectReceivers', () => {
+  const fleet = (count: number) => Array.from({ length: count }, (_, index) => ({
+    id: `g${String(index).padStart(3, '0')}`, failureDomain: index % 2 === 0 ? 'regina' : 'brandon',
+  }));
+
+  it('selects all gateways of a small fleet', () => {
+    const [self, ...others] = fleet(MAX_RECEIVERS + 1);
+    expect(selectReceivers(self!, others)).toEqual(others);
+  });
+
+  // Guards against traffic between failure domains that grows with the square of the gateways, and against gateways
+  // that hear nobody because all others send to the same few.
+  it('selects gateways of its own failure domain in a large fleet, so that each hears as many others', () => {
+    const all = fleet(120);
+    const heard = new Map<string, number>();
+    for (const self of all) {
+      const receivers = selectReceivers(self, all.filter((other) => other !== self));
+      expect(receivers.every(({ failureDomain }) => failureDomain === self.failureDomain)).toBe(true);
+      for (const { id } of receivers) heard.set(id, (heard.get(id) ?? 0) + 1);
+    }
+    expect([...heard.values()]).toEqual(all.map(() => MAX_RECEIVERS));
+  });
+});
+
 describe('selectCallerAddresses', () => {
   const own = { callerAddress: 'own:80', ready: true, configured: true };
 
