Follow the store by one gateway of each failure domain

Change: RelayedSource in gateway/relays.ts. One gateway of each failure domain, chosen by rendezvous hashing over the members, reads the store; the others long-poll it for changes (peer method records.changes:PREFIX), which carry the store's revisions, removals included, and how long the store has answered there. A relay whose records are older than 1.3 s, or that does not answer within its wait and 350 ms, is not asked for 1.5 s: a relay of another failure domain is next, then the store itself, at random times while the relays say that it is away. Failure domains of up to four gateways all follow the store as before. What a gateway does with a change is unchanged: one listener, one registry, one contact span, whichever way a change came. Tests: relays.test.ts plays all relays of a failure domain cut, killed or frozen, all relays of all, the store away for 200 gateways, and one gateway cut off; bounds are the 3 s in which the platform wants a configuration applied.

--- a/src/gateway/follower.ts
+++ b/src/gateway/follower.ts
@@ -3,22 +3,35 @@
 } from '../core/interfaces/index.js';
 import type { Result } from '../core/result.js';
 import { sleep } from '../core/time.js';
-import type { StoreContact } from './contact.js';
+import type { ContactSpan, StoreContact } from './contact.js';
+
+/** When the store answered the gateway that passed an answer on; absent where the store answered this one. */
+export interface StoreEvidence {
+  /** Age of the answer in ms. */
+  readonly ageMs: number;
+  /** Period over which the store is known to have answered. */
+  readonly contact: ContactSpan;
+}
 
 /** All keys under a prefix, and the store revision after which changes are to be read. */
 export interface KeySnapshot {
   readonly entries: readonly KeyValueEntry[];
   readonly revision: number;
+  readonly evidence?: StoreEvidence;
 }
 
 /** Changes after a revision, in order, and the revision after which the next changes are to be read. */
 export interface KeyChanges {
   readonly events: readonly WatchEvent[];
   readonly revision: number;
+  readonly evidence?: StoreEvidence;
 }
 
 /** Why changes can't be read: the store no longer has them, or the call failed. */
-export type KeyChangesError = { readonly code: 'history_lost' } | KeyValueError;
+export type KeyChangesError =
+  /** `relayed` states that another gateway, and not the store, no longer has them. */
+  | { readonly code: 'history_lost'; readonly relayed?: boolean }
+  | KeyValueError;
 
 /** Store from which snapshots and changes of keys can be read. */
 export interface KeySource {
@@ -139,7 +152,7 @@
     if (this.revision === null) {
       const snapshot = await this.source.snapshot(prefix, { timeoutMs: CALL_TIMEOUT_MS, signal });
       if (!snapshot.success) return this.recordFailure(snapshot.error.code);
-      this.recordAnswer(startedAt);
+      this.recordAnswer(startedAt, snapshot.data.evidence);
       this.revision = snapshot.data.revision;
       this.listener.replaced(snapshot.data.entries, snapshot.data.revision);
       return true;
@@ -149,13 +162,13 @@
     if (!changes.success) {
       if (changes.error.code === 'history_lost') {
         this.deps.log.info('history_lost', { prefix, revision: this.revision });
-        this.recordAnswer(startedAt);
+        if (changes.error.relayed !== true) this.recordAnswer(startedAt);
         this.revision = null;
         return true;
       }
       return this.recordFailure(changes.error.code);
     }
-    this.recordAnswer(startedAt);
+    this.recordAnswer(startedAt, changes.data.evidence);
     // A store that lost its history answers with lower revisions, and would otherwise never report changes again.
     if (changes.data.revision < this.revision) this.revision = null;
     else {
@@ -171,10 +184,16 @@
     return false;
   }
 
-  private recordAnswer(startedAt: number): void {
+  private recordAnswer(startedAt: number, evidence?: StoreEvidence): void {
     const ageMs = this.ageMs();
-    this.answeredAt = this.deps.clock.monotonic();
-    this.deps.contact.answered(startedAt);
+    const now = this.deps.clock.monotonic();
+    if (evidence === undefined) {
+      this.answeredAt = now;
+      this.deps.contact.answered(startedAt);
+    } else {
+      this.answeredAt = Math.max(this.answeredAt, now - evidence.ageMs);
+      this.deps.contact.add(evidence.contact);
+    }
     if (this.lastCallFailed) this.deps.log.info('store_regained', { prefix: this.opts.prefix, away_ms: Math.round(ageMs) });
     this.lastCallFailed = false;
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import type { Datagrams } from './occupancy.js';
 import { PeerGateways } from './peergateways.js';
 import { Records } from './records.js';
+import { RelayedSource } from './relays.js';
 import { RoleBalancer } from './rolebalancer.js';
 import { ServerRegistry } from './serverregistry.js';
 import type { GatewaySettings } from './settings.js';
@@ -153,7 +154,12 @@
     this.peers = new PeerGateways({ membership: this.membership, occupancy: this.occupancy, log: deps.log });
     this.fleet = this.disposables.add(new BackendFleet(this.registry, this.occupancy, clock, deps.log));
     const recordDeps = {
-      ...deps, source: deps.store, client, server, members: this.membership, contact,
+      ...deps,
+      source: new RelayedSource({ ...deps, client, members: this.membership }),
+      client,
+      server,
+      members: this.membership,
+      contact,
     };
     const { seeds } = settings.peers;
     this.configuration = new Records(recordDeps, {
--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -8,6 +8,9 @@
 import type { StoreContact } from './contact.js';
 import { KeyFollower } from './follower.js';
 import type { KeySource } from './follower.js';
+import { ChangeHistory } from './history.js';
+import { MAX_RELAY_AGE_MS, relayMethod, relayRequestSchema } from './relays.js';
+import type { RelayAnswer } from './relays.js';
 
 /** Age in ms of this process's records above which it asks peers, because the store does not answer it. */
 const STALE_MS = 700;
@@ -97,6 +100,11 @@
 
   private revision = -1;
 
+  private readonly history = new ChangeHistory();
+
+  /** Called once after the next change of the revision. */
+  private readonly waiting = new Set<() => void>();
+
   /** Monotonic time in ms of the request that a peer answered with current records, and their age then. */
   private adopted: { readonly at: number; readonly ageMs: number } | null = null;
 
@@ -126,9 +134,13 @@
   /** Follows the records, and answers and asks peers, until `signal` aborts. */
   public async run(signal: AbortSignal): Promise<void> {
     const method = `${METHOD}:${this.opts.prefix}`;
-    const registration = this.deps.server.register(method, async (params) => this.answerPeer(params));
+    const { server } = this.deps;
+    const registrations = [
+      server.register(method, async (params) => this.answerPeer(params)),
+      server.register(relayMethod(this.opts.prefix), (params) => this.answerFollower(params, signal)),
+    ];
     await Promise.all([this.follower.run(signal), this.pollPeers(method, signal)]);
-    registration.dispose();
+    for (const registration of registrations) registration.dispose();
   }
 
   /** Prefix, revision, number and age of the records. */
@@ -154,6 +166,49 @@
     return ok(view);
   }
 
+  /** Passes on all records, or the changes after a revision once there are any, to a gateway that follows this one. */
+  private async answerFollower(params: unknown, signal: AbortSignal) {
+    const request = relayRequestSchema.safeParse(params);
+    if (!request.success) return fail({ code: 'rejected' as const, message: 'malformed' });
+    const { revision, wait } = request.data;
+    if (revision !== null && this.revision <= revision) await this.waitForChange(wait, signal);
+    return ok(this.relayAnswer(revision));
+  }
+
+  private relayAnswer(revision: number | null): RelayAnswer {
+    const age = this.follower.ageMs();
+    if (!this.isComplete || age > MAX_RELAY_AGE_MS) return { type: 'stale' };
+    const now = this.deps.clock.monotonic();
+    const { since, until } = this.deps.contact.span;
+    const evidence = { age, contact: { since: now - since, until: now - until } };
+    const entries = [...this.entries.values()].map(({ key, value, version }) => ({ key, value, version }));
+    if (revision === null) {
+      return {
+        type: 'all', revision: this.revision, entries, ...evidence,
+      };
+    }
+    const removals = this.history.removalsSince(revision);
+    if (removals === null) return { type: 'history_lost' };
+    const puts = entries.filter(({ version }) => version > revision);
+    return {
+      type: 'changes', revision: this.revision, puts, removals: [...removals], ...evidence,
+    };
+  }
+
+  private async waitForChange(waitMs: number, signal: AbortSignal): Promise<void> {
+    const changed = new AbortController();
+    const listener = (): void => changed.abort();
+    this.waiting.add(listener);
+    await sleep(this.deps.clock, waitMs, AbortSignal.any([signal, changed.signal]));
+    this.waiting.delete(listener);
+  }
+
+  private setRevision(revision: number): void {
+    if (revision === this.revision) return;
+    this.revision = revision;
+    for (const listener of [...this.waiting]) listener();
+  }
+
   private async pollPeers(method: string, signal: AbortSignal): Promise<void> {
     const { clock, random, members } = this.deps;
     while (!signal.aborted) {
@@ -210,9 +265,10 @@
     const { revision } = source;
     // Records from a peer may be newer than an answer of the store that was in flight meanwhile.
     if (revision < this.revision) return;
-    this.revision = revision;
+    this.history.reset(revision);
     this.entries.clear();
     for (const entry of entries) this.entries.set(entry.key, entry);
+    this.setRevision(revision);
     this.listener.replaced(entries, source);
   }
 
@@ -220,7 +276,7 @@
   private change(events: readonly WatchEvent[], revision: number): void {
     const last = new Map(events.map((event) => [event.type === 'put' ? event.entry.key : event.key, event]));
     for (const [key, event] of last) this.apply(key, event);
-    this.revision = Math.max(this.revision, revision);
+    this.setRevision(Math.max(this.revision, revision));
   }
 
   private apply(key: string, event: WatchEvent): void {
@@ -231,9 +287,11 @@
     const source = { origin: RecordOrigin.Change, revision: version };
     if (event.type === 'put') {
       this.entries.set(key, event.entry);
+      this.history.recordPut(key);
       this.listener.put(event.entry, source);
     } else if (known !== undefined) {
       this.entries.delete(key);
+      this.history.recordRemoval(key, version);
       this.listener.removed(key, source);
     }
   }
