End a gateway in order when it is stopped while it starts

Cause: the listeners for SIGTERM were installed after the gateway had started, so a signal during the first 300 ms of a process ended it with 143 and an empty log. Change: the launcher listens from its first line; runGateway adds its listener before it reads the settings, and the launcher's then does nothing. Before the listeners are open the process ends with 0 and a line 'stopped', later it drains as ever. Ruled out: removing the launcher's listeners in favour of the program's; a signal that had been received and not yet handled was lost with them, and the process ran on for good. Before Node.js runs the launcher, a signal still ends the process; nothing of ours runs then.

--- a/scripts/launcher.cjs
+++ b/scripts/launcher.cjs
@@ -3,6 +3,16 @@
 const { join } = require('node:path');
 const { Script } = require('node:vm');
 
+// A stop signal while the program loads ends it in order. These listeners stay, because a signal that has been received
+// but not handled yet would be lost with them; once the program has its own, they do nothing.
+for (const signal of ['SIGTERM', 'SIGINT']) {
+  process.on(signal, () => {
+    if (process.listenerCount(signal) > 1) return;
+    process.stdout.write(`${JSON.stringify({ message: 'stopped', context: { running: 0, before: 'the program was loaded' } })}\n`);
+    process.exit(0);
+  });
+}
+
 const program = join(__dirname, 'program.js');
 const cache = join(__dirname, 'program.cache');
 
--- a/src/cli/gateway.ts
+++ b/src/cli/gateway.ts
@@ -1,6 +1,7 @@
 import { platformCodec, PlatformStore } from '../../platform/index.js';
 import { openDatagramSocket } from '../adapters/datagrams.js';
 import { SystemClock, SystemRandom } from '../adapters/system.js';
+import type { Log } from '../core/interfaces/index.js';
 import { openLog } from '../daemon/logs.js';
 import { Metrics } from '../daemon/metrics.js';
 import { HttpPeerClient, PeerListener } from '../daemon/peers.js';
@@ -9,11 +10,18 @@
 import { RateLimitedLog } from '../gateway/ratelimitedlog.js';
 import { safeParseGatewaySettings } from '../gateway/settings.js';
 import { safeReadText } from './files.js';
+import { listenForStopSignal } from './stopsignal.js';
 import { ExitCode, failed, invalid } from './outcome.js';
 import type { Outcome } from './outcome.js';
 
+function stoppedBeforeStart(name: string, log: Log): Outcome {
+  log.info('stopped', { running: 0, before: 'the listeners were open' });
+  return { exitCode: ExitCode.Done, json: { stopped: name }, text: `${name} has stopped` };
+}
+
 /** Runs one gateway on the platform until SIGTERM or SIGINT stops it. */
 export async function runGateway(file: string): Promise<Outcome> {
+  const stop = listenForStopSignal();
   const text = safeReadText(file);
   if (!text.success) return invalid(ExitCode.Usage, text.error);
   const settings = safeParseGatewaySettings(text.data, file);
@@ -24,6 +32,7 @@
   const clock = new SystemClock();
   const meter = new Metrics();
   const log = new RateLimitedLog(await openLog({ gateway: name }), clock, meter, linesPerSecond);
+  if (stop.arrived) return stoppedBeforeStart(name, log);
   const store = new PlatformStore(address);
   // The peer address cannot be reached from outside, so this token does not have to be secret.
   const peerOptions = { token: new Secret(`gateways of ${group}`), log, meter };
@@ -51,10 +60,7 @@
     const changed = reread.success && reread.data !== text.data;
     log.info('reload', { changed, applied: false, reason: 'settings apply at the next start' });
   });
-  await new Promise((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
-  });
+  await stop.wait;
   await gateway.drain();
   peers.data.destroy();
   datagrams.data.dispose();
