Let one gateway of three and more follow the store, and notice sooner that it lost it

Change: any live member may be a relay, since one that has just started says that its records are incomplete; failure domains of three gateways and more have one. Records of a relay count as old after 1.0 s in place of 1.3 s, and calls wait for 0.5 s in place of 0.7 s.

--- a/src/gateway/relays.ts
+++ b/src/gateway/relays.ts
@@ -15,16 +15,16 @@
 const RELAYS_PER_DOMAIN = 1;
 
 /** Number of gateways in a failure domain up to which all of them follow the store, as relays would save little. */
-const MAX_ALL_FOLLOW = 4;
+const MAX_ALL_FOLLOW = 2;
 
 /** Age in ms of a gateway's records above which others do not follow it, because it may have lost the store. */
-export const MAX_RELAY_AGE_MS = 1_300;
+export const MAX_RELAY_AGE_MS = 1_000;
 
 /** Longest wait in ms of a call for changes to a relay, and of a relay to the store. */
-const RELAY_WAIT_MS = 700;
+const RELAY_WAIT_MS = 500;
 
 /** Time in ms that a call to a relay may take in addition to its wait. */
-const RELAY_MARGIN_MS = 350;
+const RELAY_MARGIN_MS = 300;
 
 /** Time in ms for which a relay that did not answer, or whose records are too old, is not asked. */
 const AVOID_RELAY_MS = 1_500;
@@ -180,12 +180,10 @@
     return farRelay === undefined ? nearRelays : [...nearRelays, farRelay];
   }
 
-  /** Other gateways that may be followed. One without a configuration has just started and knows no records. */
+  /** Other gateways that may be followed. Those that have just started answer that their records are incomplete. */
   private knownMembers(): readonly Member[] {
     const { members } = this.deps;
-    return members.live().filter(({ leaving, revision, incarnation }) => (
-      !leaving && revision > 0 && !members.isSuspect(incarnation)
-    ));
+    return members.live().filter(({ leaving, incarnation }) => !leaving && !members.isSuspect(incarnation));
   }
 
   private isRelay(): boolean {
--- a/test/relays.test.ts
+++ b/test/relays.test.ts
@@ -10,7 +10,7 @@
 const DOMAINS = ['regina', 'brandon', 'saskatoon', 'winnipeg', 'moose-jaw'];
 
 /** Time in ms in which a change must be known at each gateway that can reach the store or another gateway. */
-const APPLY_MS = 3_000;
+const APPLY_MS = 2_000;
 
 /** Time in ms in which a change is known while nothing is disturbed. */
 const CALM_APPLY_MS = 1_000;
