Leave a silent engine its call where no other one could run it

Cause: a call that may run more than once was aborted at an engine that had not answered within twice the route's target, also where no other server was left; a slow but sound stream ended without its answer. Change: such a call is aborted only while another server that is not suspect could take it. Before: test/latecopies.test.ts, a stream whose events are 400 ms apart ended after 218 ms. After: it arrives whole. Ruled out: longer bounds, which would leave a silent engine unnoticed where others could help. Also tested, and not found here: a second copy of an answer on a kept connection, at four moments (the caller gets its own answer or 502); a stream that sends a byte now and then ends at its route's timeout.

--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -165,8 +165,10 @@
       timedOut = true;
       if (backend.answeredAt < sentAt) backend.wasUnreachable();
       // A prefill may be repeated, because it does not execute the call. It is aborted even if the server answers other
-      // calls, because the server may still never answer this one.
-      if (work.type === 'prefill' || mayRunTwice(context)) upstream.abort('no answer in the usual time');
+      // calls, because the server may still never answer this one. A slow answer is better than none, so that a call
+      // that no other server could run is not aborted.
+      const isRepeatable = mayRunTwice(context) && this.slotAllocator.hasOtherServer(context.service, server.id);
+      if (work.type === 'prefill' || isRepeatable) upstream.abort('no answer in the usual time');
     });
     void upstream.closed.then(() => {
       reservation.dispose();
--- a/src/gateway/slotallocator.ts
+++ b/src/gateway/slotallocator.ts
@@ -128,6 +128,11 @@
     return this.reserveLeastOccupied(context.service, tried, 'continuations');
   }
 
+  /** Whether a server other than the given one may take whole calls or continuations now. */
+  public hasOtherServer(service: ForwardingService, id: string): boolean {
+    return this.workCandidates(service).some(({ record, suspect }) => record.id !== id && !suspect);
+  }
+
   public dispose(): void {
     this.subscription.dispose();
     for (const all of [this.prefillQueues, this.wholeCallQueues]) for (const queue of all.values()) queue.dispose();
