--- a/test/latecopies.test.ts
+++ b/test/latecopies.test.ts
@@ -59,7 +59,9 @@
 beforeAll(async () => {
   store = new StoreStandIn();
   await store.start();
-  engine = new ServerStandIn('e', (res) => void stream(res, pieces, everyMs));
+  engine = new ServerStandIn('e', (res) => {
+    void stream(res, pieces, everyMs);
+  });
   await engine.start();
   store.put('servers/p', createServerRecord(await listenOnFreePort(plain), 'ledger'));
   store.put('servers/e', engine.serverRecord('engine', { stage: 'decode' }));
