Keep connections to a peer free for probes while others wait for changes

Cause: at most two connections to a peer carry one call each, and a gateway that follows a relay has two calls waiting there nearly all the time. A probe of that relay then waited for up to half a second, beyond its timeout of 400 ms. Change: up to four connections to a peer. Before: the new test of peers.test.ts times out. After: it passes. Bytes and memory are those of connections in use; small deployments open no more than before.

--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -24,6 +24,12 @@
 /** Longer than a probe schedule takes to reach each of 48 members, so that a probe rarely needs a new connection. */
 const KEEP_ALIVE_MS = 60_000;
 
+/**
+ * Largest number of connections to one peer: two for calls that wait for changes of the configuration and of the
+ * servers, and two for others, so that a probe never waits behind them and a relay is not suspected for it.
+ */
+const CONNECTIONS_PER_PEER = 4;
+
 /** JSON-RPC error code for errors that a handler returned. */
 const HANDLER_ERROR = -32_000;
 
@@ -132,7 +138,7 @@
 /** Calls JSON-RPC methods of peers over persistent connections. */
 export class HttpPeerClient implements PeerClient {
   private readonly agent = new Agent({
-    connections: 2,
+    connections: CONNECTIONS_PER_PEER,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS - 5_000,
     connect: { timeout: 2_000 },
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -64,6 +64,19 @@
   });
 }
 
+describe('calls that wait', () => {
+  // Guards against a peer that is suspected because a probe waited for a connection behind calls that wait for changes.
+  it('do not delay a probe', async () => {
+    server.register('changes', () => new Promise((resolve) => {
+      setTimeout(() => resolve(ok(null)), 1_000);
+    }));
+    server.register('probe', async () => ok('alive'));
+    const waiting = [call('changes', {}), call('changes', {})];
+    expect(await call('probe', {}, 400)).toEqual(ok('alive'));
+    await Promise.all(waiting);
+  });
+});
+
 describe('messages between entries', () => {
   it('transfer parameters and results', async () => {
     server.register('probe', (params) => Promise.resolve(ok({ echo: params })));
