Read large changes from the store instead of through a relay

Cause: a relay passed on whatever had changed. A configuration of 500 KB and 22 followers are 11 MB on a link of 7 Mbit/s, over ten seconds in which the changes of servers wait behind it. Change: beyond 32,768 characters a relay answers too_large, and the follower reads the store. Before: the new test of relays.test.ts fails (55 copies of 500 KB between gateways). After: none, and 60 gateways know the change within a second with one call each. Ruled out: no relay for the configuration at all, which costs 0.7 calls a second and gateway at rest. Conclusion: kept; one call a gateway and large change, instead of one copy.

--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -9,7 +9,9 @@
 import { KeyFollower } from './follower.js';
 import type { KeySource } from './follower.js';
 import { ChangeHistory } from './history.js';
-import { MAX_RELAY_AGE_MS, relayMethod, relayRequestSchema } from './relays.js';
+import {
+  MAX_RELAY_AGE_MS, MAX_RELAYED_CHARACTERS, relayMethod, relayRequestSchema,
+} from './relays.js';
 import type { RelayAnswer } from './relays.js';
 
 /** Age in ms of this process's records above which it asks peers, because the store does not answer it. */
@@ -92,6 +94,10 @@
   readonly contact: StoreContact;
 }
 
+function isTooLarge(entries: readonly { readonly value: string }[]): boolean {
+  return entries.reduce((sum, { value }) => sum + value.length, 0) > MAX_RELAYED_CHARACTERS;
+}
+
 /** Records under one key prefix of the store, read from the store or, while it does not answer, from other gateways. */
 export class Records {
   private readonly follower: KeyFollower;
@@ -183,6 +189,7 @@
     const evidence = { age, contact: { since: now - since, until: now - until } };
     const entries = [...this.entries.values()].map(({ key, value, version }) => ({ key, value, version }));
     if (revision === null) {
+      if (isTooLarge(entries)) return { type: 'too_large' };
       return {
         type: 'all', revision: this.revision, entries, ...evidence,
       };
@@ -190,6 +197,7 @@
     const removals = this.history.removalsSince(revision);
     if (removals === null) return { type: 'history_lost' };
     const puts = entries.filter(({ version }) => version > revision);
+    if (isTooLarge(puts)) return { type: 'too_large' };
     return {
       type: 'changes', revision: this.revision, puts, removals: [...removals], ...evidence,
     };
--- a/src/gateway/relays.ts
+++ b/src/gateway/relays.ts
@@ -26,6 +26,12 @@
 /** Time in ms that a call to a relay may take in addition to its wait. */
 const RELAY_MARGIN_MS = 300;
 
+/**
+ * Largest size of the records, in characters, that a relay passes on in one answer. Larger ones, such as a configuration
+ * with many routes, are read from the store, because copies of them for all followers would fill the relay's link.
+ */
+export const MAX_RELAYED_CHARACTERS = 32_768;
+
 /** Time in ms for which a relay that did not answer, or whose records are too old, is not asked. */
 const AVOID_RELAY_MS = 1_500;
 
@@ -62,6 +68,8 @@
 export const relayAnswerSchema = z.discriminatedUnion('type', [
   /** The records are incomplete or too old. */
   z.object({ type: z.literal('stale') }),
+  /** There are changes, and they are to be read from the store. */
+  z.object({ type: z.literal('too_large') }),
   /** The relay no longer knows which keys were removed since the requested revision. */
   z.object({ type: z.literal('history_lost') }),
   z.object({
@@ -131,7 +139,7 @@
     if (relayed?.type === 'all') {
       return ok({ entries: relayed.entries, revision: relayed.revision, evidence: this.evidence(relayed) });
     }
-    if (relayed !== null) return unavailable();
+    if (relayed !== null && relayed.type !== 'too_large') return unavailable();
     return this.readStore(prefix, () => this.deps.store.snapshot(prefix, opts));
   }
 
@@ -154,7 +162,7 @@
         evidence: this.evidence(relayed),
       });
     }
-    if (relayed !== null) return unavailable();
+    if (relayed !== null && relayed.type !== 'too_large') return unavailable();
     // A gateway that others follow must notice sooner that it has lost the store.
     const storeWaitMs = this.hasFollowers() ? Math.min(waitMs, RELAY_WAIT_MS) : waitMs;
     const timeoutMs = opts.timeoutMs - (waitMs - storeWaitMs);
--- a/test/relays.test.ts
+++ b/test/relays.test.ts
@@ -58,6 +58,17 @@
     for (const domain of DOMAINS) expect(gateways.relays(domain)).toHaveLength(2);
   });
 
+  // Guards against a relay whose link is filled with copies of a large configuration, behind which others wait.
+  it('that are large are read from the store, and reach every gateway within a second', async () => {
+    const { clock, store, gateways } = await start(60);
+    const [calls, characters] = [store.calls, gateways.relayedCharacters];
+    store.put('large', 500_000);
+    await clock.advance(CALM_APPLY_MS);
+    expect(knowing(gateways, 'large')).toHaveLength(60);
+    expect(store.calls - calls).toBeLessThan(60 + 60);
+    expect(gateways.relayedCharacters - characters).toBeLessThan(500_000);
+  });
+
   it('reach every gateway within a second', async () => {
     const { clock, store, gateways } = await start(60);
     store.put('b');
--- a/test/support/followingstore.ts
+++ b/test/support/followingstore.ts
@@ -34,9 +34,10 @@
 
   public constructor(private readonly clock: SimulatedClock) {}
 
-  public put(id: string): void {
+  public put(id: string, characters = 0): void {
     this.revision += 1;
-    const entry = { key: `${PREFIX}${id}`, value: `${id}@${this.revision}`, version: this.revision };
+    const value = `${id}@${this.revision}`.padEnd(characters);
+    const entry = { key: `${PREFIX}${id}`, value, version: this.revision };
     this.entries.set(entry.key, entry);
     this.add({ type: 'put', entry });
   }
@@ -101,6 +102,9 @@
 export class FollowingGateways {
   public readonly gateways: FollowingGateway[] = [];
 
+  /** Size of all answers between gateways. */
+  public relayedCharacters = 0;
+
   private readonly stop = new AbortController();
 
   public constructor(
@@ -183,6 +187,7 @@
       return fail({ code: 'unreachable' as const, message: 'refused' });
     }
     const answer = gateway.state === 'frozen' ? null : await withTimeout(this.clock, timeoutMs, handler(params));
+    if (answer?.success === true) this.relayedCharacters += JSON.stringify(answer.data).length;
     if (answer !== null && gateway.state === 'running') return answer;
     await sleep(this.clock, timeoutMs);
     return fail({ code: 'timeout' as const, message: 'no answer' });
