--- a/src/gateway/relays.ts
+++ b/src/gateway/relays.ts
@@ -27,8 +27,8 @@
 const RELAY_MARGIN_MS = 300;
 
 /**
- * Largest size of the records, in characters, that a relay passes on in one answer. Larger ones, such as a configuration
- * with many routes, are read from the store, because copies of them for all followers would fill the relay's link.
+ * Largest size of the records, in characters, that a relay passes on in one answer. Larger ones, such as a
+ * configuration with many routes, are read from the store, because copies for all followers would fill its link.
  */
 export const MAX_RELAYED_CHARACTERS = 32_768;
 
