Log the parts of prompts and the calls that were open at an engine that ended

Cause of the change: today's lines name no part of a prompt, and none says which calls were open at an engine when its connections ended, so that the hypotheses could not be told apart. Change: the line of a call has its parts; server_ended is written when all connections to an engine that were open break within 10 ms, with the calls whose answers had not gone on. No decision is changed. Ruled out: a rule that keeps sound calls out; requests at two ends.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -59,9 +59,17 @@
 
   public readonly client: Client;
 
+  /** Whether the connection is established. */
+  public isOpen = false;
+
   private socket: Socket | null = null;
 
-  public constructor(address: string, private readonly onClosed: (connection: Connection) => void) {
+  public constructor(
+    address: string,
+    /** Number of the connection among those of its pool. */
+    public readonly number: number,
+    private readonly onClosed: (connection: Connection) => void,
+  ) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       keepAliveTimeout: DEFAULT_IDLE_MS,
@@ -96,9 +104,16 @@
   private open(host: string, port: number, callback: SocketCallback): void {
     const socket = openSocket(host, port, CONNECT_TIMEOUT_MS, callback);
     this.socket = socket;
+    socket.once('connect', () => {
+      this.isOpen = true;
+    });
+    socket.once('close', () => {
+      this.isOpen = false;
+    });
     // These listeners run before those of the client library, so that both flags are set when it ends the answer.
     socket.once('end', () => {
       this.wasClosed = true;
+      this.isOpen = false;
     });
     socket.on('error', () => {
       this.wasReset = true;
@@ -202,6 +217,9 @@
   /** Whether the pool was disposed, because the server was removed or has restarted. */
   public isDisposed = false;
 
+  /** Number of the newest connection; 0 before the first one. */
+  public newestConnection = 0;
+
   public constructor(private readonly address: string) {}
 
   /** Number of connections that are open or being opened. */
@@ -209,6 +227,11 @@
     return this.all.size;
   }
 
+  /** Whether a connection is open that is not newer than the one with this number. */
+  public hasOpenConnection(number: number): boolean {
+    return [...this.all].some((connection) => connection.isOpen && connection.number <= number);
+  }
+
   /** Sends one request on the most recently used idle connection, or on a new one. */
   public send(outgoing: OutgoingRequest, sink: AnswerSink): OngoingRequest {
     const connection = this.idle.pop() ?? this.create();
@@ -240,7 +263,8 @@
   }
 
   private create(): Connection {
-    const connection = new Connection(this.address, (closed) => this.discard(closed));
+    this.newestConnection += 1;
+    const connection = new Connection(this.address, this.newestConnection, (closed) => this.discard(closed));
     this.all.add(connection);
     return connection;
   }
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -2,6 +2,8 @@
 import { ConnectionPool } from './connections.js';
 import { EngineTimes } from './engineestimates.js';
 import type { Occupancy, OpenCalls } from './occupancy.js';
+import { isProven, OpenRuns } from './openruns.js';
+import type { Run, RunsListener } from './openruns.js';
 import type { Candidate } from './placement.js';
 import type { ServerRecord, ServerRegistry } from './serverregistry.js';
 
@@ -19,6 +21,9 @@
 /** Time in ms between two checks for answers whose head does not end. */
 const ENDLESS_HEAD_CHECK_MS = 100;
 
+/** Largest number of runs in one log line. */
+const MAX_LOGGED_RUNS = 20;
+
 /** Called when avoidance begins, with the number of consecutive failures and its duration in ms. */
 export type AvoidedListener = (consecutiveFailures: number, forMs: number) => void;
 
@@ -75,6 +80,9 @@
   /** Times of this engine; unused at a plain service. */
   public readonly times = new EngineTimes();
 
+  /** Calls of this process that the server works on. */
+  public readonly runs: OpenRuns;
+
   /** Failures of calls to continue at another engine from a prefill of this one. */
   public readonly handovers: AvoidanceTracker;
 
@@ -88,7 +96,9 @@
     public readonly pool: ConnectionPool,
     private readonly clock: Clock,
     onAvoided: (what: 'calls' | 'handovers', ...details: Parameters<AvoidedListener>) => void = () => {},
+    runsListener: RunsListener = { proven: () => {}, ended: () => {} },
   ) {
+    this.runs = new OpenRuns(clock, pool, runsListener);
     this.calls = new AvoidanceTracker(clock, (...details) => onAvoided('calls', ...details));
     this.handovers = new AvoidanceTracker(clock, (...details) => onAvoided('handovers', ...details));
   }
@@ -168,6 +178,9 @@
       this.log.warn('server_avoided', {
         server: record.id, service: record.service, what, failures, for_ms: forMs,
       });
+    }, {
+      proven: () => {},
+      ended: (runs) => this.logEnd(record, runs),
     });
     this.serversById.set(record.id, { bornAt: record.bornAt, server });
     return server;
@@ -204,6 +217,17 @@
     this.serversById.clear();
   }
 
+  private logEnd(record: ServerRecord, runs: readonly Run[]): void {
+    const unproven = runs.filter((run) => !isProven(run));
+    this.log.warn('server_ended', {
+      server: record.id,
+      service: record.service,
+      born: record.bornAt,
+      proven: runs.length - unproven.length,
+      unproven: unproven.slice(0, MAX_LOGGED_RUNS).map(({ request, parts }) => `${request ?? ''}:${parts.join(',')}`).join(' '),
+    });
+  }
+
   private checkEndlessHeads(): void {
     for (const { server } of this.serversById.values()) server.pool.abortEndlessHeads();
     this.timer = this.clock.after(ENDLESS_HEAD_CHECK_MS, () => this.checkEndlessHeads());
--- /dev/null
+++ b/src/gateway/openruns.ts
@@ -0,0 +1,94 @@
+import type { Clock } from '../core/interfaces/index.js';
+import { assertNever } from '../core/result.js';
+import type { ConnectionPool } from './connections.js';
+import { UpstreamEnd } from './upstream.js';
+
+/**
+ * Time in ms after a broken answer within which the other connections to a server that has ended break too. All of them
+ * are reset at the same moment.
+ */
+const CONFIRM_MS = 10;
+
+/** Number of chunks of an answer after which its prompt counts as proven: the answer has begun and gone on. */
+const PROOF_CHUNKS = 2;
+
+/** Call that a server works on. */
+export interface Run {
+  readonly request: string | null;
+  /** Ids of the prompt parts that other requests may share. */
+  readonly parts: readonly string[];
+  /** Monotonic time in ms at which the call was written; `null` while it is not. */
+  sentAt: number | null;
+  /** Number of chunks of the answer's body so far. */
+  chunks: number;
+}
+
+/** Whether the answer of a run has begun and gone on, so that its prompt is not why the server ended. */
+export function isProven(run: Run): boolean {
+  return run.chunks >= PROOF_CHUNKS;
+}
+
+/** Receives what the runs at one server show about their prompts. */
+export interface RunsListener {
+  /** An answer has gone on or was complete. */
+  proven(run: Run): void;
+  /** All connections to the server broke at once, with these runs open. */
+  ended(runs: readonly Run[]): void;
+}
+
+/** Runs that are open at one incarnation of a server; finds out from their ends whether the server has ended. */
+export class OpenRuns {
+  /** Runs whose answers broke off a short time ago. */
+  private broken: Run[] = [];
+
+  public constructor(
+    private readonly clock: Clock,
+    private readonly pool: ConnectionPool,
+    private readonly listener: RunsListener,
+  ) {}
+
+  /** Creates a run that is not written yet. */
+  public create(request: string | null, parts: readonly string[]): Run {
+    return {
+      request, parts, sentAt: null, chunks: 0,
+    };
+  }
+
+  /** Records that the call of a run was written. */
+  public written(run: Run): void {
+    run.sentAt = this.clock.monotonic();
+  }
+
+  /** Records a chunk of the answer's body. */
+  public receivedChunk(run: Run): void {
+    run.chunks += 1;
+    if (run.chunks === PROOF_CHUNKS) this.listener.proven(run);
+  }
+
+  /** Records the end of a run. */
+  public end(run: Run, how: UpstreamEnd): void {
+    if (run.sentAt === null) return;
+    switch (how) {
+      case UpstreamEnd.Complete:
+        if (!isProven(run)) this.listener.proven(run);
+        break;
+      case UpstreamEnd.Broken:
+        this.broken.push(run);
+        if (this.broken.length === 1) this.confirmEnd();
+        break;
+      case UpstreamEnd.Aborted:
+        break;
+      default: assertNever(how);
+    }
+  }
+
+  /** A server that breaks off single answers keeps its other connections. */
+  private confirmEnd(): void {
+    const newest = this.pool.newestConnection;
+    this.clock.after(CONFIRM_MS, () => {
+      const runs = this.broken;
+      this.broken = [];
+      if (!this.pool.hasOpenConnection(newest)) this.listener.ended(runs);
+    });
+  }
+}
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -28,6 +28,11 @@
   return generation.parts.at(-2)?.id ?? generation.parts.at(-1)?.id ?? null;
 }
 
+/** Ids of the prompt parts that other requests may share: all but the last one. */
+export function sharedPartIds(generation: Generation | null): readonly string[] {
+  return generation === null ? [] : generation.parts.slice(0, -1).map(({ id }) => id);
+}
+
 /**
  * Number of calls by which a server in the gateway's own failure domain may be busier than a remote one and still be
  * chosen, because traffic between failure domains is expensive.
--- a/src/gateway/report.ts
+++ b/src/gateway/report.ts
@@ -54,6 +54,7 @@
   const fields = {
     request: call?.id,
     route: route?.name,
+    parts: call?.generation?.parts.map(({ id }) => id).join(' '),
     deadline_ms: call?.deadlineMs ?? undefined,
     version: context.version,
     servers_age_ms: Math.round(context.recordsAgeMs),
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -7,7 +7,7 @@
 import type { Estimates, PrefillWork } from './engineestimates.js';
 import type { BackendFleet, BackendServer } from './fleet.js';
 import type { Refusal } from './outcome.js';
-import { promptSize } from './placement.js';
+import { promptSize, sharedPartIds } from './placement.js';
 import type { ReservedServer, SlotAllocator } from './slotallocator.js';
 import { Upstream } from './upstream.js';
 import type { SendOutcome } from './upstream.js';
@@ -149,14 +149,23 @@
     const sentAt = clock.monotonic();
     const trace: SendTrace = { revision: fleet.revision(server.id), writtenMs: null };
     context.trace.sends.push(trace);
+    // A prefill writes no answer.
+    const run = work.type === 'prefill'
+      ? null : backend.runs.create(context.call.id, sharedPartIds(context.call.generation));
     const upstream = new Upstream(context.call, platformCodec, backend.pool, {
       server,
       deadlineMs: Math.max(MIN_SEND_MS, context.deadline - sentAt - this.opts.transitMs),
       // With priorities, long prompts would preempt answers that have been running for seconds.
       priority: null,
       work,
-    }, context.body, () => {
-      trace.writtenMs = Math.round(clock.monotonic() - sentAt);
+    }, context.body, {
+      written: () => {
+        trace.writtenMs = Math.round(clock.monotonic() - sentAt);
+        if (run !== null) backend.runs.written(run);
+      },
+      chunk: () => {
+        if (run !== null) backend.runs.receivedChunk(run);
+      },
     });
     const abortSend = (): void => upstream.abort(String(context.ended.reason));
     context.ended.addEventListener('abort', abortSend, { once: true });
@@ -170,7 +179,8 @@
       const isRepeatable = mayRunTwice(context) && this.slotAllocator.hasOtherServer(context.service, server.id);
       if (work.type === 'prefill' || isRepeatable) upstream.abort('no answer in the usual time');
     });
-    void upstream.closed.then(() => {
+    void upstream.closed.then((how) => {
+      if (run !== null) backend.runs.end(run, how);
       reservation.dispose();
       probe.dispose();
       context.ended.removeEventListener('abort', abortSend);
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -14,6 +14,23 @@
   | { readonly type: 'broken'; readonly message: string }
   | { readonly type: 'answered'; readonly head: AnswerHead };
 
+/** How the answer to one send ended. */
+export enum UpstreamEnd {
+  Complete = 'complete',
+  /** The connection broke, or the answer is not one. */
+  Broken = 'broken',
+  /** This process gave the call up. */
+  Aborted = 'aborted',
+}
+
+/** Observes one send. */
+export interface UpstreamObserver {
+  /** The call is being written. */
+  written?(): void;
+  /** A chunk of the answer's body has arrived. */
+  chunk?(): void;
+}
+
 /** Receives the body of an answer. */
 export interface BodySink {
   /** Takes a chunk and returns whether more may follow now; otherwise the body is paused. */
@@ -37,7 +54,7 @@
    * Resolves once the answer has ended, has broken off or was aborted. As far as this process knows, the backend server
    * then no longer works on the call.
    */
-  public readonly closed: Promise<void>;
+  public readonly closed: Promise<UpstreamEnd>;
 
   private readonly request: OngoingRequest;
 
@@ -45,6 +62,8 @@
 
   private isResolved = false;
 
+  private isAborted = false;
+
   private bodyState: 'open' | 'complete' | 'broken' = 'open';
 
   private failure = '';
@@ -57,7 +76,7 @@
 
   private resolveOutcome: (outcome: SendOutcome) => void = () => {};
 
-  private resolveClosed: () => void = () => {};
+  private resolveClosed: (how: UpstreamEnd) => void = () => {};
 
   public constructor(
     private readonly call: Call,
@@ -65,7 +84,7 @@
     pool: ConnectionPool,
     plan: SendPlan,
     body: Buffer | null,
-    private readonly onWritten: () => void = () => {},
+    private readonly observer: UpstreamObserver = {},
   ) {
     this.outcome = new Promise((resolve) => {
       this.resolveOutcome = resolve;
@@ -82,6 +101,7 @@
    * Aborts the call; the outcome becomes `broken`, or `not_sent` if nothing was written, unless it is known already.
    */
   public abort(message: string): void {
+    this.isAborted = true;
     this.request.abort();
     this.failed(message);
   }
@@ -122,7 +142,7 @@
 
   public sent(): void {
     this.isWritten = true;
-    this.onWritten();
+    this.observer.written?.();
   }
 
   public head(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
@@ -137,6 +157,7 @@
 
   public data(chunk: Buffer): void {
     if (this.bodyState !== 'open') return;
+    this.observer.chunk?.();
     if (this.bodySink === null) {
       this.unreadChunks.push(chunk);
       this.unreadBytes += chunk.length;
@@ -149,7 +170,7 @@
     this.bodyState = 'complete';
     this.finish({ type: 'broken', message: 'the answer has no head' });
     this.bodySink?.end();
-    this.resolveClosed();
+    this.resolveClosed(UpstreamEnd.Complete);
   }
 
   public failed(message: string): void {
@@ -158,7 +179,7 @@
     this.failure = message;
     this.finish(this.isWritten ? { type: 'broken', message } : { type: 'not_sent', message });
     this.bodySink?.failed(message);
-    this.resolveClosed();
+    this.resolveClosed(this.isAborted ? UpstreamEnd.Aborted : UpstreamEnd.Broken);
   }
 
   private finish(outcome: SendOutcome): void {
