Show by a failing test that one prompt part crashes engine after engine

Three gateways over four stand-ins for engines, which crash when they begin to write on one part and are back after 150 ms.

--- /dev/null
+++ b/src/emulator/crashingengine.ts
@@ -0,0 +1,70 @@
+import { sendSignedResponse, ServerStandIn } from './backend.js';
+import type { ReceivedCall } from './backend.js';
+import type { StoreStandIn } from './platformstore.js';
+
+/** Time in ms after which an engine that has crashed is back. */
+const RESTART_MS = 150;
+
+/** Options of {@link CrashingEngine}. */
+export interface CrashingEngineOptions {
+  readonly store: StoreStandIn;
+  readonly service: string;
+  /** Id of the prompt part that crashes the engine. */
+  readonly deadlyPart: string;
+}
+
+/** Ids of the prompt parts of a call. */
+export function partsOf({ headers }: ReceivedCall): readonly string[] {
+  const prefix = headers['catkinscale-prompt-prefix'];
+  return typeof prefix === 'string' ? prefix.split(',').map((part) => part.split(':')[0] ?? '') : [];
+}
+
+/** Stand-in for an engine that crashes when it begins to write an answer on one prompt part; it is back after a while. */
+export class CrashingEngine {
+  /** Number of times that it has crashed. */
+  public crashes = 0;
+
+  private readonly server: ServerStandIn;
+
+  private starts = 0;
+
+  private restart: NodeJS.Timeout | null = null;
+
+  public constructor(public readonly id: string, private readonly opts: CrashingEngineOptions) {
+    this.server = new ServerStandIn(id, (res, call) => {
+      if (partsOf(call).includes(opts.deadlyPart)) {
+        res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', 'Content-Type': 'text/event-stream' });
+        res.flushHeaders();
+        setTimeout(() => this.crash(), 5);
+      } else sendSignedResponse(res, 'id: 1\n\nid: 2\n\n');
+    });
+  }
+
+  /** Calls with the deadly part that have arrived. */
+  public get deadlyCalls(): number {
+    return this.server.received.filter((call) => partsOf(call).includes(this.opts.deadlyPart)).length;
+  }
+
+  public async start(): Promise<void> {
+    await this.server.start();
+    this.starts += 1;
+    this.opts.store.put(`servers/${this.id}`, this.server.serverRecord(this.opts.service, {
+      stage: 'decode', born: this.starts,
+    }));
+  }
+
+  public crash(): void {
+    if (this.restart !== null) return;
+    this.crashes += 1;
+    this.server.stop();
+    this.restart = setTimeout(() => {
+      this.restart = null;
+      void this.start();
+    }, RESTART_MS);
+  }
+
+  public stop(): void {
+    if (this.restart !== null) clearTimeout(this.restart);
+    this.server.stop();
+  }
+}
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -435,7 +435,7 @@
       res.writeHead(503).end();
       return true;
     };
-    const starting = await startGateway(away, 21_320, ['127.0.0.1:21302']);
+    const starting = await startGateway(away, 21_320, { seeds: ['127.0.0.1:21302'] });
     await waitUntil(async () => (await fetch(`http://${starting.readiness}/ready`)).status === 200);
     const call = await fetch(`http://${starting.callers}/safe/x`, {
       headers: { host: 'shop.example', 'catkinscale-request-id': 'peer' },
--- a/test/leavingservers.test.ts
+++ b/test/leavingservers.test.ts
@@ -40,7 +40,7 @@
 }
 
 async function start(address: string, firstPort: number, seeds: readonly string[] = []): Promise<RunningGateway> {
-  const gateway = await startGateway({ address }, firstPort, seeds);
+  const gateway = await startGateway({ address }, firstPort, { seeds });
   gateways.push(gateway);
   await waitUntil(() => serversOf(gateway).size === LEAVING.length + 1);
   return gateway;
--- /dev/null
+++ b/test/quarantine.test.ts
@@ -0,0 +1,105 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import {
+  afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import { CrashingEngine } from '../src/emulator/crashingengine.js';
+import { StoreStandIn } from '../src/emulator/platformstore.js';
+import { sendCall } from '../src/emulator/sendcall.js';
+import { configuration, startGateway } from './support/gateway.js';
+import type { RunningGateway } from './support/gateway.js';
+import { waitUntil } from './support/waituntil.js';
+
+const FIRST_PART = 'f00d';
+
+const SHARED_PART = 'beef';
+
+const DEADLY_PART = 'dead';
+
+const GATEWAYS = 3;
+
+const ENGINES = 4;
+
+let store: StoreStandIn;
+let engines: CrashingEngine[];
+let gateways: RunningGateway[];
+let port = 22_100;
+let lastOwnPart = 0;
+
+/** Asks a gateway for an answer on a prompt with these parts and one of its own. */
+function ask(gateway: number, parts: readonly string[]) {
+  lastOwnPart += 1;
+  const own = (0x10000 + lastOwnPart).toString(16);
+  return sendCall(gateways[gateway % gateways.length]!.callers, '/brief/x', {
+    method: 'POST',
+    body: 'p',
+    headers: {
+      'catkinscale-token-count': '60,9',
+      'catkinscale-prompt-prefix': [...parts, own].map((id) => `${id}:20`).join(','),
+      'catkinscale-deadline-ms': '2000',
+    },
+  });
+}
+
+function enginesKnownTo(gateway: RunningGateway): number {
+  const { list } = gateway.gateway.dump().servers as { list: readonly unknown[] };
+  return list.length;
+}
+
+function start(index: number): Promise<RunningGateway> {
+  const seeds = Array.from({ length: GATEWAYS }, (_, peer) => `127.0.0.${2 + peer}:${port + 2}`);
+  return startGateway(store, port, { host: `127.0.0.${2 + index}`, seeds, exchangePort: port + 5 });
+}
+
+const crashes = (): number => engines.reduce((sum, engine) => sum + engine.crashes, 0);
+const deadlyCalls = (): number => engines.reduce((sum, engine) => sum + engine.deadlyCalls, 0);
+
+beforeEach(async () => {
+  port += 10;
+  store = new StoreStandIn();
+  await store.start();
+  engines = Array.from({ length: ENGINES }, (_, index) => new CrashingEngine(`e${index}`, {
+    store, service: 'engine', deadlyPart: DEADLY_PART,
+  }));
+  for (const engine of engines) await engine.start();
+  store.put('op/config', configuration({
+    routes: [{
+      name: 'brief',
+      host: 'shop.example',
+      'path-prefix': '/brief/',
+      kind: 'streaming',
+      service: 'engine',
+      'max-attempts': 1,
+      'timeout-ms': 2_000,
+      'target-latency-ms': 100,
+    }],
+  }));
+  gateways = [];
+  for (let index = 0; index < GATEWAYS; index += 1) gateways.push(await start(index));
+  await waitUntil(() => gateways.every((gateway) => {
+    const { members } = gateway.gateway.dump().membership as { members: readonly unknown[] };
+    return gateway.gateway.ready() && enginesKnownTo(gateway) === ENGINES && members.length >= GATEWAYS - 1;
+  }));
+});
+
+afterEach(async () => {
+  await Promise.all(gateways.map((gateway) => gateway.stop()));
+  for (const engine of engines) engine.stop();
+  store.stop();
+});
+
+describe('a prompt part that crashes engines', () => {
+  // Guards against requests of one kind that crash one engine after another, each by another gateway.
+  it('reaches no engine once five have ended under it, at any gateway', async () => {
+    for (let call = 0; call < 100 && crashes() < 5; call += 1) {
+      expect((await ask(call, [FIRST_PART, SHARED_PART, DEADLY_PART])).status).not.toBe(200);
+      await pause(20);
+    }
+    await pause(300);
+    const before = deadlyCalls();
+    for (let call = 0; call < 12; call += 1) {
+      await ask(call, [FIRST_PART, SHARED_PART, DEADLY_PART]);
+      await pause(60);
+    }
+    expect(deadlyCalls() - before).toBeLessThanOrEqual(3);
+  });
+});
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -1,5 +1,7 @@
 import { platformCodec, PlatformStore } from '../../platform/index.js';
+import { openDatagramSocket } from '../../src/adapters/datagrams.js';
 import { SystemClock, SystemRandom } from '../../src/adapters/system.js';
+import type { Log } from '../../src/core/interfaces/index.js';
 import { Secret } from '../../src/core/configuration/settings.js';
 import { Metrics } from '../../src/daemon/metrics.js';
 import { HttpPeerClient, PeerListener } from '../../src/daemon/peers.js';
@@ -54,17 +56,31 @@
   stop(): Promise<void>;
 }
 
+/** Options of {@link startGateway}. */
+export interface StartGatewayOptions {
+  /** Peer addresses of other gateways. */
+  readonly seeds?: readonly string[];
+  /** Loopback address of the gateway. */
+  readonly host?: string;
+  /** UDP port of all gateways; without it, no datagrams are exchanged. */
+  readonly exchangePort?: number;
+  readonly log?: Log;
+}
+
 /** Starts a gateway on five consecutive loopback ports from `firstPort`; throws if it fails to start. */
 export async function startGateway(
   store: { readonly address: string },
   firstPort: number,
-  seeds: readonly string[] = [],
+  {
+    seeds = [], host = '127.0.0.1', exchangePort, log = silentLog,
+  }: StartGatewayOptions = {},
 ): Promise<RunningGateway> {
-  const [callers, readiness, peers, directory, metrics] = [0, 1, 2, 3, 4].map((offset) => `127.0.0.1:${firstPort + offset}`);
+  const [callers, readiness, peers, directory, metrics] = [0, 1, 2, 3, 4].map((offset) => `${host}:${firstPort + offset}`);
+  const exchange = `${host}:${exchangePort ?? 1}`;
   const settings = safeParseGatewaySettings([
     '[gateway]', `name = g${firstPort}`, 'failure-domain = regina',
     '[listen]', `callers = ${callers}`, `readiness = ${readiness}`, `peers = ${peers}`, `directory = ${directory}`,
-    `metrics = ${metrics}`, 'exchange = 127.0.0.1:1',
+    `metrics = ${metrics}`, `exchange = ${exchange}`,
     '[peers]', `seeds = ${seeds.join(',')}`,
     '[store]', `address = ${store.address}`,
     '[drain]', 'grace = 2 s',
@@ -78,16 +94,18 @@
   const peerClient = new HttpPeerClient(options);
   const peerListener = await peerServer.listen(settings.data.listen.peers);
   const client = new PlatformStore(store.address);
+  const datagrams = exchangePort === undefined ? null : await openDatagramSocket(exchange, log);
+  if (datagrams?.success === false) throw new Error(datagrams.error.message);
   const gateway = new Gateway({
     clock: new SystemClock(),
     random: new SystemRandom(),
-    log: silentLog,
+    log,
     meter,
     store: client,
     codec: platformCodec,
     peerClient,
     peerServer,
-    datagrams: { send: () => {}, onMessage: () => ({ dispose: () => {} }) },
+    datagrams: datagrams?.data ?? { send: () => {}, onMessage: () => ({ dispose: () => {} }) },
   }, settings.data);
   const started = await gateway.start();
   if (!started.success) throw new Error(started.error.message);
@@ -101,6 +119,7 @@
       await gateway.drain();
       if (peerListener.success) peerListener.data.destroy();
       client.dispose();
+      datagrams?.data.dispose();
       await peerClient.close();
     },
   };
