Keep prompt parts that crash engines from all engines

Cause: failures are kept by engine and never by prompt, and by each gateway for itself. Five crashes may be seen by five gateways, one each. Change: src/gateway/quarantine. When all connections to an engine break at once, the calls there whose answers had not gone on are suspects; an answer that goes on proves its parts. A part that explains two ends, one after the other (three where others explain them as well, four where it worked within the last minute), is kept from engines: calls with it get 503 at once, those that are sent and not answered yet are ended. Conclusion: what is known of a crash belongs to what was asked, and to all gateways.

--- a/src/emulator/crashingengine.ts
+++ b/src/emulator/crashingengine.ts
@@ -19,7 +19,7 @@
   return typeof prefix === 'string' ? prefix.split(',').map((part) => part.split(':')[0] ?? '') : [];
 }
 
-/** Stand-in for an engine that crashes when it begins to write an answer on one prompt part; it is back after a while. */
+/** Stand-in for an engine that crashes when it begins an answer on one prompt part, and is back after a while. */
 export class CrashingEngine {
   /** Number of times that it has crashed. */
   public crashes = 0;
--- a/src/gateway/callcontext.ts
+++ b/src/gateway/callcontext.ts
@@ -46,6 +46,7 @@
 export enum AbortReason {
   CallerLeft = 'caller left',
   Timeout = 'timeout',
+  Quarantined = 'a part of the prompt is in quarantine',
 }
 
 /** What the caller received. */
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -3,7 +3,7 @@
 import { EngineTimes } from './engineestimates.js';
 import type { Occupancy, OpenCalls } from './occupancy.js';
 import { isProven, OpenRuns } from './openruns.js';
-import type { Run, RunsListener } from './openruns.js';
+import type { PromptObserver, Run, RunsListener } from './openruns.js';
 import type { Candidate } from './placement.js';
 import type { ServerRecord, ServerRegistry } from './serverregistry.js';
 
@@ -150,6 +150,7 @@
     private readonly occupancy: Occupancy,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly prompts: PromptObserver,
   ) {
     this.subscription = registry.onChange((id) => this.closeReplaced(id));
     this.checkEndlessHeads();
@@ -179,8 +180,8 @@
         server: record.id, service: record.service, what, failures, for_ms: forMs,
       });
     }, {
-      proven: () => {},
-      ended: (runs) => this.logEnd(record, runs),
+      proven: (run) => this.prompts.recordProof(record, run),
+      ended: (runs) => this.ended(record, runs),
     });
     this.serversById.set(record.id, { bornAt: record.bornAt, server });
     return server;
@@ -217,15 +218,19 @@
     this.serversById.clear();
   }
 
-  private logEnd(record: ServerRecord, runs: readonly Run[]): void {
+  private ended(record: ServerRecord, runs: readonly Run[]): void {
+    const current = this.registry.get(record.id);
+    const isPlanned = current === null || current.draining || current.bornAt !== record.bornAt;
     const unproven = runs.filter((run) => !isProven(run));
     this.log.warn('server_ended', {
       server: record.id,
       service: record.service,
       born: record.bornAt,
+      planned: isPlanned,
       proven: runs.length - unproven.length,
       unproven: unproven.slice(0, MAX_LOGGED_RUNS).map(({ request, parts }) => `${request ?? ''}:${parts.join(',')}`).join(' '),
     });
+    if (!isPlanned) this.prompts.recordEnd(record, runs);
   }
 
   private checkEndlessHeads(): void {
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -10,6 +10,8 @@
 import type { Occupancy } from './occupancy.js';
 import type { Refusal } from './outcome.js';
 import { promptSize } from './placement.js';
+import { QuarantineGate } from './quarantinegate.js';
+import type { QuarantineGateDependencies } from './quarantinegate.js';
 import { SlotAllocator } from './slotallocator.js';
 import { sendRefusal, recordCall } from './report.js';
 import { RetriedCallDetector } from './retriedcalls.js';
@@ -20,7 +22,7 @@
 import type { Delivery, Trace, CallContext } from './callcontext.js';
 
 /** Dependencies of {@link Forwarder}. */
-export interface ForwarderDependencies extends SenderDependencies {
+export interface ForwarderDependencies extends SenderDependencies, QuarantineGateDependencies {
   readonly random: Random;
   readonly meter: Meter;
   readonly occupancy: Occupancy;
@@ -66,9 +68,12 @@
 
   private readonly sender: Sender;
 
+  private readonly quarantineGate: QuarantineGate;
+
   public constructor(private readonly deps: ForwarderDependencies, opts: ForwarderOptions) {
     this.slotAllocator = new SlotAllocator(deps, opts);
     this.sender = new Sender(deps, this.slotAllocator, opts);
+    this.quarantineGate = new QuarantineGate(deps);
   }
 
   /** Number of calls that are not answered yet. */
@@ -78,6 +83,7 @@
 
   public dispose(): void {
     this.slotAllocator.dispose();
+    this.quarantineGate.dispose();
   }
 
   /** Handles one call; resolves when its answer has ended. */
@@ -145,17 +151,22 @@
       res,
       ended: ended.signal,
     };
+    const watch = this.quarantineGate.watch(context, () => ended.abort(AbortReason.Quarantined));
     try {
       await waitForSocketReads();
       return ended.signal.aborted ? this.endResult(context) : await this.obtainAndDeliver(context);
     } finally {
       timer.dispose();
+      watch.dispose();
       res.off('close', onCallerLeft);
       socket?.off('end', onCallerLeft);
     }
   }
 
   private async obtainAndDeliver(context: CallContext): Promise<Delivery> {
+    const quarantined = await this.quarantineGate.admit(context);
+    if (context.ended.aborted) return this.endResult(context);
+    if (quarantined !== null) return refused(quarantined);
     this.deps.budget(context.service.name).succeeded();
     const answer = await this.obtainAnswer(context, new Set());
     if (answer.type !== 'answer') return answer;
@@ -244,7 +255,7 @@
     lastEventId: string | null,
     failed: string,
   ): Promise<ResumedStream | null> {
-    if (context.ended.aborted) return null;
+    if (context.ended.aborted || this.quarantineGate.refusalOf(context) !== null) return null;
     addStep(context.trace, 'resume', this.deps.clock.monotonic());
     const call = lastEventId === null ? context.call : { ...context.call, lastEventId };
     const answer = await this.obtainAnswer({ ...context, call }, new Set([failed]));
@@ -254,9 +265,14 @@
     return null;
   }
 
-  /** Result for a call whose caller has disconnected or whose time is over. */
-  private endResult({ ended, trace }: CallContext): Delivery {
+  /** Result for a call whose caller has disconnected, whose time is over, or whose prompt is in quarantine by now. */
+  private endResult(context: CallContext): Delivery {
+    const { ended, trace } = context;
     if (ended.reason === AbortReason.CallerLeft) return { type: 'cut', reason: AbortReason.CallerLeft };
+    if (ended.reason === AbortReason.Quarantined) {
+      const refusal = trace.countedSends > 0 ? null : this.quarantineGate.refusalOf(context);
+      return refused(refusal ?? { code: 'outcome_unknown', message: AbortReason.Quarantined });
+    }
     // A call of which only the prefill was sent was not executed.
     return refused(trace.countedSends > 0 ? { code: 'timeout' } : { code: 'expired', retryAfterMs: RETRY_AFTER_MS });
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,6 +25,7 @@
 import { Occupancy } from './occupancy.js';
 import type { Datagrams } from './occupancy.js';
 import { PeerGateways } from './peergateways.js';
+import { Quarantine, QuarantineExchange, Trials } from './quarantine/index.js';
 import { Records } from './records.js';
 import { RelayedSource } from './relays.js';
 import { RoleBalancer } from './rolebalancer.js';
@@ -113,6 +114,12 @@
 
   private readonly estimates = new Estimates();
 
+  private readonly quarantine: Quarantine;
+
+  private readonly quarantineExchange: QuarantineExchange;
+
+  private readonly trials: Trials;
+
   private routes: RouteTable | null = null;
 
   private listener: HttpListener | null = null;
@@ -152,7 +159,15 @@
     this.registry = this.disposables.add(new ServerRegistry({ clock, log: deps.log, contact }));
     this.occupancy = new Occupancy({ clock, members: this.membership, datagrams: deps.datagrams });
     this.peers = new PeerGateways({ membership: this.membership, occupancy: this.occupancy, log: deps.log });
-    this.fleet = this.disposables.add(new BackendFleet(this.registry, this.occupancy, clock, deps.log));
+    this.quarantine = new Quarantine(deps);
+    const quarantineDeps = {
+      ...deps, client, server, members: this.membership, quarantine: this.quarantine,
+    };
+    this.quarantineExchange = new QuarantineExchange(quarantineDeps, { hasSeeds: settings.peers.seeds.length > 0 });
+    this.trials = new Trials(quarantineDeps);
+    this.fleet = this.disposables.add(
+      new BackendFleet(this.registry, this.occupancy, clock, deps.log, this.quarantine),
+    );
     const recordDeps = {
       ...deps,
       source: new RelayedSource({ ...deps, client, members: this.membership }),
@@ -183,6 +198,10 @@
       budget: (service) => budgets.forService(service),
       occupancy: this.occupancy,
       estimates: this.estimates,
+      prompts: this.quarantine,
+      quarantine: this.quarantine,
+      exchange: this.quarantineExchange,
+      trials: this.trials,
       endsAt: () => this.endsAt,
       recordsAgeMs: () => this.servers.ageMs(),
     }, { failureDomain: settings.gateway.failureDomain, transitMs: TRANSIT_MS }));
@@ -229,6 +248,7 @@
     const { signal } = this.stop;
     setMaxListeners(MAX_STOP_LISTENERS, signal);
     this.disposables.add(this.peers.logChanges());
+    this.disposables.add(this.trials.serve());
     void Promise.all([
       this.membership.run(signal),
       this.configuration.run(signal),
@@ -236,6 +256,7 @@
       this.authority.run(signal),
       this.roles.run(signal),
       this.occupancy.run(signal),
+      this.quarantineExchange.run(signal),
     ]);
     this.deps.log.info('started', { gateway: this.settings.gateway.name });
     return ok(undefined);
@@ -273,6 +294,7 @@
       authority: this.authority.dump(),
       occupancy: this.occupancy.dump(),
       estimates: this.estimates.dump(),
+      quarantine: this.quarantine.dump(),
     };
   }
 
--- a/src/gateway/openruns.ts
+++ b/src/gateway/openruns.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../core/interfaces/index.js';
 import { assertNever } from '../core/result.js';
 import type { ConnectionPool } from './connections.js';
+import type { ServerRecord } from './serverregistry.js';
 import { UpstreamEnd } from './upstream.js';
 
 /**
@@ -36,6 +37,14 @@
   ended(runs: readonly Run[]): void;
 }
 
+/** Learns which prompts work and which were open when a server ended. */
+export interface PromptObserver {
+  /** A server has answered a call that was sent at a monotonic time in ms. */
+  recordAnswer(record: ServerRecord, sentAt: number): void;
+  recordProof(record: ServerRecord, run: Run): void;
+  recordEnd(record: ServerRecord, runs: readonly Run[]): void;
+}
+
 /** Runs that are open at one incarnation of a server; finds out from their ends whether the server has ended. */
 export class OpenRuns {
   /** Runs whose answers broke off a short time ago. */
--- a/src/gateway/outcome.ts
+++ b/src/gateway/outcome.ts
@@ -13,6 +13,8 @@
   | { readonly code: 'occupied'; readonly retryAfterMs: number }
   /** Each send was refused by its backend server or could not be written. */
   | { readonly code: 'not_executed'; readonly retryAfterMs: number }
+  /** A part of the prompt has crashed backend servers. */
+  | { readonly code: 'quarantined'; readonly part: string; readonly retryAfterMs: number }
   /** This process stops before the end of the call is certain; another gateway can serve it. */
   | { readonly code: 'stopping'; readonly retryAfterMs: number }
   /** The deadline of the caller or the timeout of the route passed before the call was sent. */
@@ -39,6 +41,7 @@
     case 'no_server':
     case 'occupied':
     case 'not_executed':
+    case 'quarantined':
     case 'stopping':
     case 'expired': return { status: 503, retryAfterMs: refusal.retryAfterMs };
     case 'outcome_unknown': return { status: 502, retryAfterMs: null };
--- /dev/null
+++ b/src/gateway/quarantine/evidence.ts
@@ -0,0 +1,227 @@
+import { assertNever } from '../../core/result.js';
+import { findCauses } from './verdict.js';
+import type { PartRecord, ServerEnd, SuspectRun } from './verdict.js';
+
+/** What an operator has ordered for one part. */
+export enum Override {
+  None = 'none',
+  /** The part stays in quarantine. */
+  Block = 'block',
+  /** The part is never in quarantine. */
+  Allow = 'allow',
+}
+
+/** State of one part; monotonic times in ms. */
+export interface PartState {
+  /** When an answer on it last went on or was complete; `-Infinity` where none is known. */
+  readonly provenAt: number;
+  /** When it was taken for the cause of servers' ends; `-Infinity` where it never was. */
+  readonly quarantinedAt: number;
+  /** Number of calls that were let through to find out whether it works again. */
+  readonly trials: number;
+  /** When the last one was let through. */
+  readonly trialAt: number;
+  readonly override: Override;
+  /** Number of operators' orders for the part; the newest one counts. */
+  readonly orders: number;
+}
+
+/** End of one incarnation of a server as it is kept. */
+export interface EndState {
+  readonly at: number;
+  /** Whether the incarnation has answered since, so that only connections had broken. */
+  readonly refuted: boolean;
+  /** Suspect runs by request id. */
+  readonly runs: ReadonlyMap<string, SuspectRun>;
+}
+
+/** Parts and ends that have changed, by key and by incarnation. */
+export interface News {
+  readonly ends: ReadonlyMap<string, EndState>;
+  readonly parts: ReadonlyMap<string, PartState>;
+}
+
+const UNKNOWN_PART: PartState = {
+  provenAt: -Infinity, quarantinedAt: -Infinity, trials: 0, trialAt: -Infinity, override: Override.None, orders: 0,
+};
+
+/** Largest number of ends that are kept; the oldest ones are dropped. */
+export const MAX_ENDS = 128;
+
+/** Largest number of suspect runs of one end. */
+export const MAX_RUNS = 16;
+
+/** Largest number of parts whose state is kept. */
+export const MAX_PARTS = 512;
+
+/** Time in ms after which an end is forgotten. */
+const END_TTL_MS = 300_000;
+
+/** Time in ms without a trial after which a part in quarantine is forgotten, because nothing asks for it any more. */
+const QUARANTINE_TTL_MS = 900_000;
+
+/** Time in ms from the quarantine to the first trial, and between later ones. */
+const TRIAL_DELAYS_MS = [30_000, 120_000, 300_000];
+
+/** Whether a part is kept from servers. */
+export function isQuarantined({ provenAt, quarantinedAt, override }: PartState): boolean {
+  switch (override) {
+    case Override.Block: return true;
+    case Override.Allow: return false;
+    case Override.None: return quarantinedAt > provenAt;
+    default: return assertNever(override);
+  }
+}
+
+/** Monotonic time in ms from which a call may try a part in quarantine; `Infinity` where an operator blocks it. */
+export function nextTrialAt({
+  quarantinedAt, trialAt, trials, override,
+}: PartState): number {
+  if (override === Override.Block) return Infinity;
+  const delayMs = TRIAL_DELAYS_MS[Math.min(trials, TRIAL_DELAYS_MS.length - 1)] ?? 0;
+  return Math.max(quarantinedAt, trialAt) + delayMs;
+}
+
+/**
+ * Evidence on which prompt parts crash servers. The states of two gateways can be merged in any order and any number of
+ * times. All times are passed in.
+ */
+export class Evidence {
+  private readonly ends = new Map<string, EndState>();
+
+  private readonly parts = new Map<string, PartState>();
+
+  /** Keys of the parts that an end concerns. */
+  private suspects: ReadonlySet<string> = new Set();
+
+  /** State of a part, or that of one of which nothing is known. */
+  public part(key: string): PartState {
+    return this.parts.get(key) ?? UNKNOWN_PART;
+  }
+
+  /** Whether an end or an order concerns a part. */
+  public concerns(key: string): boolean {
+    return this.parts.has(key) || this.suspects.has(key);
+  }
+
+  /** Everything that is known. */
+  public all(): News {
+    return { ends: this.ends, parts: this.parts };
+  }
+
+  /**
+   * Merges what another gateway knows, or what has happened here. Returns what is new, without times that differ only
+   * by the time that a message travelled.
+   */
+  public merge({ ends, parts }: News, now: number): News {
+    const newEnds = new Map<string, EndState>();
+    const newParts = new Map<string, PartState>();
+    for (const [incarnation, end] of ends) {
+      const merged = this.mergeEnd(incarnation, end, now);
+      if (merged !== null) newEnds.set(incarnation, merged);
+    }
+    for (const [key, part] of parts) {
+      const merged = this.mergePart(key, part);
+      if (merged !== null) newParts.set(key, merged);
+    }
+    if (newEnds.size > 0) this.expire(now);
+    return { ends: newEnds, parts: newParts };
+  }
+
+  /** Puts the parts that are now the most likely causes into quarantine and returns their states. */
+  public judge(now: number): ReadonlyMap<string, PartState> {
+    const ends: ServerEnd[] = [...this.ends].flatMap(([incarnation, { at, refuted, runs }]) => (
+      refuted ? [] : [{ incarnation, at, runs: [...runs.values()] }]
+    ));
+    const records = new Map<string, PartRecord>([...this.parts].map(([key, part]) => (
+      [key, { provenAt: part.provenAt, isQuarantined: isQuarantined(part) }]
+    )));
+    const judged = new Map<string, PartState>();
+    for (const key of findCauses(ends, records)) {
+      if (this.part(key).override !== Override.None) continue;
+      judged.set(key, { ...this.part(key), quarantinedAt: now });
+    }
+    for (const [key, part] of judged) this.setPart(key, part);
+    return judged;
+  }
+
+  /** Text that is the same at gateways that know the same; it does not depend on times. */
+  public summary(): string {
+    const ends = [...this.ends].map(([incarnation, { refuted, runs }]) => (
+      `${incarnation} ${refuted} ${[...runs.keys()].sort().join()}`
+    ));
+    const parts = [...this.parts].filter(([, part]) => isQuarantined(part) || part.orders > 0)
+      .map(([key, part]) => `${key} ${isQuarantined(part)} ${part.trials} ${part.orders}`);
+    return [...ends, ...parts].sort().join('\n');
+  }
+
+  /** Forgets what is old, and the oldest where there is too much. */
+  public expire(now: number): void {
+    for (const [incarnation, { at }] of this.ends) if (now - at > END_TTL_MS) this.ends.delete(incarnation);
+    while (this.ends.size > MAX_ENDS) this.dropOldestEnd();
+    this.suspects = new Set([...this.ends.values()].flatMap(({ runs }) => (
+      [...runs.values()].flatMap(({ keys }) => keys)
+    )));
+    for (const [key, part] of this.parts) {
+      const isKept = part.orders > 0 || this.suspects.has(key)
+        || (isQuarantined(part) && now - Math.max(part.quarantinedAt, part.trialAt) < QUARANTINE_TTL_MS);
+      if (!isKept) this.parts.delete(key);
+    }
+  }
+
+  private mergeEnd(incarnation: string, end: EndState, now: number): EndState | null {
+    const oldest = this.ends.size >= MAX_ENDS ? Math.min(...[...this.ends.values()].map(({ at }) => at)) : -Infinity;
+    if (now - end.at > END_TTL_MS || end.at < oldest) return null;
+    const known = this.ends.get(incarnation);
+    const runs = new Map(known?.runs ?? []);
+    for (const [request, run] of end.runs) if (runs.size < MAX_RUNS && !runs.has(request)) runs.set(request, run);
+    const merged: EndState = {
+      at: Math.min(known?.at ?? Infinity, end.at), refuted: end.refuted || known?.refuted === true, runs,
+    };
+    const isNew = known === undefined || known.runs.size < runs.size || known.refuted !== merged.refuted;
+    if (isNew) this.ends.set(incarnation, merged);
+    return isNew ? merged : null;
+  }
+
+  private mergePart(key: string, part: PartState): PartState | null {
+    const known = this.part(key);
+    const order = part.orders > known.orders ? part : known;
+    const trial = part.trials > known.trials ? part : known;
+    const merged: PartState = {
+      provenAt: this.isNewProof(key, known.provenAt, part.provenAt) ? part.provenAt : known.provenAt,
+      // The time grows by the travel time with each message, so it is taken over only where it matters.
+      quarantinedAt: isQuarantined(known) ? known.quarantinedAt : Math.max(known.quarantinedAt, part.quarantinedAt),
+      trials: trial.trials,
+      trialAt: trial.trialAt,
+      override: order.override,
+      orders: order.orders,
+    };
+    const isNew = merged.provenAt !== known.provenAt || isQuarantined(merged) !== isQuarantined(known)
+      || merged.trials !== known.trials || merged.orders !== known.orders;
+    if (isNew) this.setPart(key, merged);
+    return isNew ? merged : null;
+  }
+
+  /** Whether a proof is the first one, or was made after an end that the known one does not answer. */
+  private isNewProof(key: string, knownAt: number, provenAt: number): boolean {
+    if (provenAt <= knownAt) return false;
+    if (knownAt === -Infinity || this.part(key).quarantinedAt > knownAt) return true;
+    return [...this.ends.values()].some(({ at, runs }) => (
+      at > knownAt && at <= provenAt && [...runs.values()].some(({ keys }) => keys.includes(key))
+    ));
+  }
+
+  private setPart(key: string, part: PartState): void {
+    this.parts.delete(key);
+    this.parts.set(key, part);
+    if (this.parts.size <= MAX_PARTS) return;
+    // Parts in quarantine go last.
+    const oldest = [...this.parts].find(([, state]) => !isQuarantined(state)) ?? [...this.parts][0];
+    if (oldest !== undefined) this.parts.delete(oldest[0]);
+  }
+
+  private dropOldestEnd(): void {
+    const [oldest] = [...this.ends].sort(([, left], [, right]) => left.at - right.at);
+    if (oldest !== undefined) this.ends.delete(oldest[0]);
+  }
+}
--- /dev/null
+++ b/src/gateway/quarantine/index.ts
@@ -0,0 +1,4 @@
+export { Override } from './evidence.js';
+export { QuarantineExchange } from './exchange.js';
+export { partKey, Quarantine } from './quarantine.js';
+export { Trials } from './trials.js';
--- /dev/null
+++ b/src/gateway/quarantine/quarantine.ts
@@ -0,0 +1,221 @@
+import type {
+  Clock, Disposable, Log, Meter,
+} from '../../core/interfaces/index.js';
+import { isProven } from '../openruns.js';
+import type { Run } from '../openruns.js';
+import type { ServerRecord } from '../serverregistry.js';
+import {
+  Evidence, isQuarantined, MAX_RUNS, nextTrialAt, Override,
+} from './evidence.js';
+import type { News, PartState } from './evidence.js';
+import type { SuspectRun } from './verdict.js';
+
+/** Largest number of parts that were seen to work and are remembered. */
+const MAX_PROVEN = 8_192;
+
+/** Largest number of parts of one prompt that are considered, from its beginning. */
+const MAX_KEYS_PER_RUN = 8;
+
+/** Dependencies of {@link Quarantine}. */
+export interface QuarantineDependencies {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly meter: Meter;
+}
+
+/** Called with the keys of parts that have been put into quarantine. */
+export type BlockedListener = (keys: ReadonlySet<string>) => void;
+
+/** Called with what has become known here. */
+export type NewsListener = (news: News) => void;
+
+/** Key of a prompt part; engines of different services run different models. */
+export function partKey(service: string, part: string): string {
+  return `${service}/${part}`;
+}
+
+function incarnationOf({ id, bornAt }: ServerRecord): string {
+  return `${id}@${bornAt}`;
+}
+
+/**
+ * Keeps the prompt parts that crash servers from them. It learns from the calls that were open when a server ended and
+ * from those that were answered, here and at other gateways.
+ */
+export class Quarantine {
+  private readonly evidence = new Evidence();
+
+  /** Monotonic times in ms at which parts were seen to work here, the oldest first. */
+  private readonly proven = new Map<string, number>();
+
+  private blocked: ReadonlySet<string> = new Set();
+
+  private readonly blockedListeners = new Set<BlockedListener>();
+
+  private readonly newsListeners = new Set<NewsListener>();
+
+  public constructor(private readonly deps: QuarantineDependencies) {}
+
+  /** Calls `listener` whenever parts are put into quarantine. */
+  public onBlocked(listener: BlockedListener): Disposable {
+    this.blockedListeners.add(listener);
+    return { dispose: () => this.blockedListeners.delete(listener) };
+  }
+
+  /** Calls `listener` with everything that other gateways should learn. */
+  public onNews(listener: NewsListener): Disposable {
+    this.newsListeners.add(listener);
+    return { dispose: () => this.newsListeners.delete(listener) };
+  }
+
+  /** Key of a part in quarantine among those of a prompt, or `null`. */
+  public findBlocked(service: string, parts: readonly string[]): string | null {
+    if (this.blocked.size === 0) return null;
+    return parts.map((part) => partKey(service, part)).find((key) => this.blocked.has(key)) ?? null;
+  }
+
+  /** Time in ms until a call may try a part in quarantine; 0 where one may now. */
+  public trialDelayMs(key: string): number {
+    return Math.max(0, nextTrialAt(this.evidence.part(key)) - this.deps.clock.monotonic());
+  }
+
+  /** Lets one call try a part in quarantine; false where it is not in quarantine or it is too early. */
+  public startTrial(key: string): boolean {
+    const part = this.evidence.part(key);
+    if (!isQuarantined(part) || this.trialDelayMs(key) > 0) return false;
+    const trials = part.trials + 1;
+    this.deps.log.info('part_tried', { part: key, trials });
+    this.learn({ ends: new Map(), parts: new Map([[key, { ...part, trials, trialAt: this.deps.clock.monotonic() }]]) });
+    return true;
+  }
+
+  /** Records that a server has ended with these runs open. */
+  public recordEnd(record: ServerRecord, runs: readonly Run[]): void {
+    const suspects = new Map<string, SuspectRun>();
+    for (const run of runs) {
+      if (isProven(run) || run.sentAt === null || run.parts.length === 0 || suspects.size === MAX_RUNS) continue;
+      const keys = run.parts.slice(0, MAX_KEYS_PER_RUN).map((part) => partKey(record.service, part));
+      suspects.set(run.request ?? '', { keys, sentAt: run.sentAt });
+    }
+    if (suspects.size === 0) return;
+    const at = this.deps.clock.monotonic();
+    this.learn({ ends: new Map([[incarnationOf(record), { at, refuted: false, runs: suspects }]]), parts: new Map() });
+  }
+
+  /** Records an answer of a server to a call; an incarnation that answers later than its end has not ended. */
+  public recordAnswer(record: ServerRecord, sentAt: number): void {
+    const incarnation = incarnationOf(record);
+    const end = this.evidence.all().ends.get(incarnation);
+    if (end === undefined || end.refuted || sentAt <= end.at) return;
+    this.deps.log.info('server_end_refuted', { server: record.id, born: record.bornAt });
+    this.learn({ ends: new Map([[incarnation, { ...end, refuted: true }]]), parts: new Map() });
+  }
+
+  /** Records that an answer has gone on or was complete, so that the parts of its prompt work. */
+  public recordProof({ service }: ServerRecord, { parts }: Run): void {
+    const now = this.deps.clock.monotonic();
+    const proofs = new Map<string, PartState>();
+    for (const key of parts.slice(0, MAX_KEYS_PER_RUN).map((part) => partKey(service, part))) {
+      this.proven.delete(key);
+      this.proven.set(key, now);
+      if (this.evidence.concerns(key)) proofs.set(key, { ...this.evidence.part(key), provenAt: now });
+    }
+    const [oldest] = this.proven.keys();
+    if (this.proven.size > MAX_PROVEN && oldest !== undefined) this.proven.delete(oldest);
+    if (proofs.size > 0) this.learn({ ends: new Map(), parts: proofs });
+  }
+
+  /** Carries out an operator's order for a part; `null` releases it and forgets earlier orders. */
+  public order(key: string, override: Override.Block | Override.Allow | null): void {
+    const part = this.evidence.part(key);
+    this.deps.log.info('part_ordered', { part: key, order: override ?? 'clear' });
+    const orders = part.orders + 1;
+    const ordered: PartState = override === null
+      ? {
+        ...part, orders, override: Override.None, provenAt: this.deps.clock.monotonic(),
+      }
+      : { ...part, orders, override };
+    this.learn({ ends: new Map(), parts: new Map([[key, ordered]]) });
+  }
+
+  /** Merges what another gateway knows, or what has happened here, and passes on what is new. */
+  public learn(news: News): void {
+    const now = this.deps.clock.monotonic();
+    const merged = this.evidence.merge(news, now);
+    const parts = new Map(merged.parts);
+    for (const [key, part] of this.ownProofs(merged, now)) parts.set(key, part);
+    if (merged.ends.size > 0) for (const [key, part] of this.evidence.judge(now)) parts.set(key, part);
+    if (merged.ends.size === 0 && parts.size === 0) return;
+    this.updateBlocked();
+    for (const listener of this.newsListeners) listener({ ends: merged.ends, parts });
+  }
+
+  /** Everything that is known, for another gateway. */
+  public all(): News {
+    return this.evidence.all();
+  }
+
+  /** Text that is the same at gateways that know the same. */
+  public summary(): string {
+    return this.evidence.summary();
+  }
+
+  /** Forgets what is old. */
+  public expire(): void {
+    this.evidence.expire(this.deps.clock.monotonic());
+    this.updateBlocked();
+  }
+
+  /** Parts in quarantine, suspects and ends, with ages in ms. */
+  public dump(): Record<string, unknown> {
+    const now = this.deps.clock.monotonic();
+    const ageMs = (at: number): number | null => (at === -Infinity ? null : Math.round(now - at));
+    const { ends, parts } = this.evidence.all();
+    return {
+      parts: [...parts].map(([key, part]) => ({
+        part: key,
+        quarantined: isQuarantined(part),
+        quarantined_age_ms: ageMs(part.quarantinedAt),
+        proven_age_ms: ageMs(part.provenAt),
+        trials: part.trials,
+        next_trial_ms: isQuarantined(part) && part.override === Override.None ? this.trialDelayMs(key) : null,
+        order: part.override,
+      })),
+      ends: [...ends].map(([incarnation, { at, refuted, runs }]) => ({
+        server: incarnation,
+        age_ms: ageMs(at),
+        refuted,
+        suspects: [...runs].map(([request, { keys }]) => ({ request, parts: keys })),
+      })),
+      proven: this.proven.size,
+    };
+  }
+
+  /** What this gateway has seen to work of the parts that newly reported ends concern. */
+  private ownProofs(news: News, now: number): ReadonlyMap<string, PartState> {
+    const proofs = new Map<string, PartState>();
+    for (const { runs } of news.ends.values()) {
+      for (const key of [...runs.values()].flatMap(({ keys }) => keys)) {
+        const provenAt = this.proven.get(key);
+        if (provenAt !== undefined) proofs.set(key, { ...this.evidence.part(key), provenAt });
+      }
+    }
+    return proofs.size === 0 ? proofs : this.evidence.merge({ ends: new Map(), parts: proofs }, now).parts;
+  }
+
+  private updateBlocked(): void {
+    const { log, meter } = this.deps;
+    const { parts, ends } = this.evidence.all();
+    const blocked = new Set([...parts].filter(([, part]) => isQuarantined(part)).map(([key]) => key));
+    const added = new Set([...blocked].filter((key) => !this.blocked.has(key)));
+    for (const key of added) {
+      const under = [...ends].filter(([, { runs }]) => [...runs.values()].some(({ keys }) => keys.includes(key)));
+      log.warn('part_quarantined', { part: key, servers: under.map(([incarnation]) => incarnation).join(' ') });
+    }
+    for (const key of this.blocked) if (!blocked.has(key)) log.info('part_released', { part: key });
+    this.blocked = blocked;
+    meter.gauge('quarantined_parts', blocked.size);
+    meter.gauge('server_ends_known', ends.size);
+    if (added.size > 0) for (const listener of this.blockedListeners) listener(added);
+  }
+}
--- /dev/null
+++ b/src/gateway/quarantine/verdict.ts
@@ -0,0 +1,126 @@
+/** Call that was open at a server when it ended, and whose answer had not gone on. */
+export interface SuspectRun {
+  /** Keys of the prompt parts that other requests may share, in the order of the prompt. */
+  readonly keys: readonly string[];
+  /** Monotonic time in ms at which the call was written. */
+  readonly sentAt: number;
+}
+
+/** End of one incarnation of a server, with the suspect runs of all gateways. */
+export interface ServerEnd {
+  readonly incarnation: string;
+  /** Monotonic time in ms. */
+  readonly at: number;
+  readonly runs: readonly SuspectRun[];
+}
+
+/** What is known of one part besides the ends. */
+export interface PartRecord {
+  /** Monotonic time in ms at which an answer on it last went on or was complete; `-Infinity` where none is known. */
+  readonly provenAt: number;
+  readonly isQuarantined: boolean;
+}
+
+/** Number of ends, one after another, from which a part that was never seen to work is taken for their cause. */
+const ENDS_OF_UNPROVEN = 2;
+
+/** The same where several parts explain the ends equally well. */
+const ENDS_OF_AMBIGUOUS = 3;
+
+/** The same for a part that was seen to work a short time before. */
+const ENDS_OF_PROVEN = 4;
+
+/** Time in ms for which a proof makes it unlikely that a part crashes servers. */
+const PROOF_TTL_MS = 60_000;
+
+/** Calls with one part that were open at one end. */
+interface Occurrence {
+  readonly end: ServerEnd;
+  /** Monotonic time in ms at which the last of them was written. */
+  readonly sentAt: number;
+}
+
+interface Candidate {
+  readonly key: string;
+  readonly ends: readonly ServerEnd[];
+}
+
+/** Occurrences of each part, in the order of the ends. */
+function occurrencesByKey(ends: readonly ServerEnd[]): ReadonlyMap<string, readonly Occurrence[]> {
+  const byKey = new Map<string, Occurrence[]>();
+  for (const end of ends) {
+    for (const { keys, sentAt } of end.runs) {
+      for (const key of keys) {
+        const occurrences = byKey.get(key) ?? [];
+        byKey.set(key, occurrences);
+        const earlier = occurrences.at(-1)?.end === end ? occurrences.pop() : undefined;
+        occurrences.push({ end, sentAt: Math.max(sentAt, earlier?.sentAt ?? -Infinity) });
+      }
+    }
+  }
+  return byKey;
+}
+
+/**
+ * Ends under a part since it was last seen to work. An end counts only if a call with the part was sent after the one
+ * before, so that servers that end at the same moment, as with their host, count once.
+ */
+function countedEnds(occurrences: readonly Occurrence[], provenAt: number): readonly ServerEnd[] {
+  const counted: ServerEnd[] = [];
+  for (const { end, sentAt } of occurrences) {
+    if (end.at > provenAt && sentAt >= (counted.at(-1)?.at ?? -Infinity)) counted.push(end);
+  }
+  return counted;
+}
+
+/** Whether each call with `key` has `other` before it, so that at least as many requests have `other`. */
+function isNarrower({ key, ends }: Candidate, { key: other }: Candidate): boolean {
+  return ends.every(({ runs }) => runs.every(({ keys }) => {
+    const index = keys.indexOf(key);
+    const otherIndex = keys.indexOf(other);
+    return index === -1 || (otherIndex !== -1 && otherIndex < index);
+  }));
+}
+
+function findCandidates(ends: readonly ServerEnd[], parts: ReadonlyMap<string, PartRecord>): readonly Candidate[] {
+  const newestEndAt = ends.at(-1)?.at ?? -Infinity;
+  return [...occurrencesByKey(ends)].flatMap(([key, occurrences]) => {
+    const provenAt = parts.get(key)?.provenAt ?? -Infinity;
+    const needed = newestEndAt - provenAt < PROOF_TTL_MS ? ENDS_OF_PROVEN : ENDS_OF_UNPROVEN;
+    const counted = countedEnds(occurrences, provenAt);
+    return counted.length >= needed ? [{ key, ends: counted }] : [];
+  });
+}
+
+/** The candidates that explain most ends; of nested parts, only the narrowest one. */
+function likeliestOf(candidates: readonly Candidate[]): readonly Candidate[] {
+  const most = Math.max(...candidates.map(({ ends }) => ends.length));
+  const likeliest = candidates.filter(({ ends }) => ends.length === most);
+  return likeliest.filter((candidate) => (
+    !likeliest.some((other) => other !== candidate && isNarrower(other, candidate))
+  ));
+}
+
+/**
+ * Keys of the parts that are the most likely cause of servers' ends and are not in quarantine yet. Of the parts that
+ * explain as many ends, the narrowest one is chosen, because it keeps out the fewest requests. Ends that a part in
+ * quarantine explains do not count against others.
+ */
+export function findCauses(
+  ends: readonly ServerEnd[],
+  parts: ReadonlyMap<string, PartRecord>,
+): readonly string[] {
+  const causes = new Set<string>();
+  const isCause = (key: string): boolean => causes.has(key) || parts.get(key)?.isQuarantined === true;
+  let unexplained = [...ends].sort((left, right) => left.at - right.at);
+  while (true) {
+    unexplained = unexplained.filter(({ runs }) => !runs.some(({ keys }) => keys.some(isCause)));
+    const likeliest = likeliestOf(findCandidates(unexplained, parts));
+    const certain = likeliest.filter((candidate) => (
+      candidate.ends.length >= ENDS_OF_AMBIGUOUS
+      || !likeliest.some((other) => other !== candidate && other.ends.some((end) => candidate.ends.includes(end)))
+    ));
+    if (certain.length === 0) return [...causes];
+    for (const { key } of certain) causes.add(key);
+  }
+}
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -6,6 +6,7 @@
 import type { Codec, PrefillHandle, SendPlan } from './codec.js';
 import type { Estimates, PrefillWork } from './engineestimates.js';
 import type { BackendFleet, BackendServer } from './fleet.js';
+import type { PromptObserver } from './openruns.js';
 import type { Refusal } from './outcome.js';
 import { promptSize, sharedPartIds } from './placement.js';
 import type { ReservedServer, SlotAllocator } from './slotallocator.js';
@@ -21,6 +22,7 @@
   readonly codec: Codec;
   readonly fleet: BackendFleet;
   readonly estimates: Estimates;
+  readonly prompts: PromptObserver;
   /** This process's share of the retry budget of a service. */
   readonly budget: (service: string) => RetryBudget;
 }
@@ -192,8 +194,10 @@
       const late = clock.after(REFUSAL_BODY_MS, () => upstream.abort('the refusal has no end'));
       void upstream.closed.then(() => late.dispose());
     }
-    if (outcome.type === 'answered') backend.succeeded();
-    else if (outcome.type === 'not_executed') backend.refused();
+    if (outcome.type === 'answered') {
+      backend.succeeded();
+      this.deps.prompts.recordAnswer(server, sentAt);
+    } else if (outcome.type === 'not_executed') backend.refused();
     else if (!context.ended.aborted) {
       if (outcome.type === 'not_sent') backend.wasUnreachable();
       else backend.refused();
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -102,4 +102,53 @@
     }
     expect(deadlyCalls() - before).toBeLessThanOrEqual(3);
   });
+
+  // Guards against sound requests that are kept out with the one that crashes engines.
+  it('does not keep out requests that share its other parts', async () => {
+    for (let call = 0; call < 20; call += 1) {
+      await ask(call, [FIRST_PART, SHARED_PART, DEADLY_PART]);
+      await pause(20);
+    }
+    await pause(300);
+    const statuses: number[] = [];
+    for (let call = 0; call < 12; call += 1) {
+      await ask(call, [FIRST_PART, SHARED_PART, DEADLY_PART]);
+      statuses.push((await ask(call, [FIRST_PART, SHARED_PART])).status);
+    }
+    expect(statuses).toEqual(statuses.map(() => 200));
+  });
+
+  it('is refused at once and truthfully, with the part and a retry delay', async () => {
+    for (let call = 0; call < 20; call += 1) {
+      await ask(call, [FIRST_PART, DEADLY_PART]);
+      await pause(20);
+    }
+    await pause(300);
+    const {
+      status, body, headers, tookMs,
+    } = await ask(0, [FIRST_PART, DEADLY_PART]);
+    expect(status).toBe(503);
+    expect(JSON.parse(body)).toMatchObject({ error: { code: 'quarantined', part: DEADLY_PART } });
+    expect(Number(headers['retry-after'])).toBeGreaterThan(10);
+    expect(tookMs).toBeLessThan(100);
+  });
+
+  // Guards against a gateway that starts with an empty memory and lets the part through.
+  it('reaches no engine through a gateway that has just started', async () => {
+    for (let call = 0; call < 20; call += 1) {
+      await ask(call, [FIRST_PART, DEADLY_PART]);
+      await pause(20);
+    }
+    await pause(300);
+    await gateways[2]!.stop();
+    const before = deadlyCalls();
+    gateways[2] = await start(2);
+    const statuses: number[] = [];
+    for (let call = 0; call < 20; call += 1) {
+      statuses.push((await ask(2, [FIRST_PART, DEADLY_PART])).status);
+      await pause(20);
+    }
+    expect(statuses).toEqual(statuses.map(() => 503));
+    expect(deadlyCalls()).toBe(before);
+  });
 });
--- /dev/null
+++ b/test/quarantineverdict.test.ts
@@ -0,0 +1,70 @@
+import { describe, expect, it } from 'vitest';
+import { findCauses } from '../src/gateway/quarantine/verdict.js';
+import type { PartRecord, ServerEnd } from '../src/gateway/quarantine/verdict.js';
+
+/** End of a server at a time in ms under calls that were sent 10 ms before, or at `sentAt`. */
+function end(at: number, runs: readonly (readonly string[])[], sentAt = at - 10): ServerEnd {
+  return { incarnation: `s${at}`, at, runs: runs.map((keys) => ({ keys, sentAt })) };
+}
+
+function parts(records: Record<string, Partial<PartRecord>>): ReadonlyMap<string, PartRecord> {
+  return new Map(Object.entries(records).map(([key, record]) => (
+    [key, { provenAt: -Infinity, isQuarantined: false, ...record }]
+  )));
+}
+
+const NOTHING_KNOWN = parts({});
+
+describe('findCauses', () => {
+  it('names the part that was open at two ends, one after the other', () => {
+    const ends = [end(100, [['dead'], ['x']]), end(200, [['dead'], ['y']])];
+    expect(findCauses(ends.slice(0, 1), NOTHING_KNOWN)).toEqual([]);
+    expect(findCauses(ends, NOTHING_KNOWN)).toEqual(['dead']);
+  });
+
+  // Guards against sound requests that are kept out because their host or failure domain failed with many engines.
+  it('takes ends of many servers at one moment for one', () => {
+    const ends = [100, 101, 102, 103].map((at) => end(at, [['sound'], ['other']], 50));
+    expect(findCauses(ends, NOTHING_KNOWN)).toEqual([]);
+  });
+
+  // Guards against a beginning that all prompts share being kept out instead of the part that crashes engines.
+  it('names the narrowest of nested parts', () => {
+    const ends = [end(100, [['first', 'session', 'dead']]), end(200, [['first', 'session', 'dead']])];
+    expect(findCauses(ends, NOTHING_KNOWN)).toEqual(['dead']);
+  });
+
+  it('names the wider part where the narrower ones differ', () => {
+    const ends = [end(100, [['dead', 'x']]), end(200, [['dead', 'y']])];
+    expect(findCauses(ends, NOTHING_KNOWN)).toEqual(['dead']);
+  });
+
+  it('waits for a third end where calls on different parts were open at the first two', () => {
+    const ends = [end(100, [['dead'], ['unlucky']]), end(200, [['dead'], ['unlucky']]), end(300, [['dead'], ['z']])];
+    expect(findCauses(ends.slice(0, 2), NOTHING_KNOWN)).toEqual([]);
+    expect(findCauses(ends, NOTHING_KNOWN)).toEqual(['dead']);
+  });
+
+  // Guards against sound requests that are kept out because they were beside a request that crashes engines.
+  it('does not count ends that a part in quarantine explains against others', () => {
+    const ends = [100, 200, 300, 400, 500].map((at) => end(at, [['dead'], ['unlucky']]));
+    expect(findCauses(ends, parts({ dead: { isQuarantined: true } }))).toEqual([]);
+  });
+
+  it('does not count ends before the part was last seen to work', () => {
+    const ends = [end(100, [['sound']]), end(200, [['sound']])];
+    expect(findCauses(ends, parts({ sound: { provenAt: 150 } }))).toEqual([]);
+  });
+
+  it('asks for more ends where a part worked a short time before', () => {
+    const ends = [100, 200, 300, 400].map((at) => end(at, [['turned']]));
+    const known = parts({ turned: { provenAt: 50 } });
+    expect(findCauses(ends.slice(0, 3), known)).toEqual([]);
+    expect(findCauses(ends, known)).toEqual(['turned']);
+  });
+
+  it('finds two parts that crash engines at the same time', () => {
+    const ends = [end(100, [['dead']]), end(200, [['fatal']]), end(300, [['dead']]), end(400, [['fatal']])];
+    expect([...findCauses(ends, NOTHING_KNOWN)].sort()).toEqual(['dead', 'fatal']);
+  });
+});
