Do not take a copy of an earlier refusal for the answer to a call

Cause, both shown by tests that failed before: a refusal without an id was taken as the answer to whichever call was under way on the connection; and the same call, sent to a server once more (a resumed stream, a prefill and then a decode), could use a connection on which that server had refused it, where a copy has the right id. Change: an answer without an id counts only on a connection without an earlier request; a call uses no connection that has carried its id. Otherwise the outcome is unknown: 502, or another server where the call may run twice. Ruled out by tests that passed before (test/brokenanswers.test.ts): a copy with its id; an error, a refusal or other bytes of the next server in the middle of a stream that had broken off, seven kinds; a head that breaks off at nine places, on new and on kept connections, as a success. Why tests missed it: copies were tried for successes only, and refusals always had ids.

--- a/src/gateway/codec.ts
+++ b/src/gateway/codec.ts
@@ -76,6 +76,8 @@
   readonly execution: Execution;
   /** False where the answer belongs to another call. */
   readonly matchesCall: boolean;
+  /** Whether the answer has the id of its call. */
+  readonly namesCall: boolean;
   /** Whether the answer has the backend server's signature, without which a success must not be passed on. */
   readonly signed: boolean;
   /** Whether the body has no length and ends when the connection closes. */
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -17,6 +17,9 @@
 /** Time in ms before the end of the server's own idle timeout from which a connection is no longer used. */
 const IDLE_MARGIN_MS = 300;
 
+/** Largest number of request ids that are remembered of one connection. */
+const MAX_REMEMBERED_IDS = 64;
+
 /** Largest number of bytes that a server may send before the head of its answer is complete. */
 const MAX_HEAD_BYTES = 65_536;
 
@@ -27,14 +30,16 @@
   /** Header names and values, alternating. */
   readonly headers: readonly string[];
   readonly body: Buffer | null;
+  /** Request id, if the server repeats it in its answer. */
+  readonly id: string | null;
 }
 
 /** Receives the answer to one request. */
 export interface AnswerSink {
   /** The request is being written; from now on the server may execute it. */
   sent(): void;
-  /** The head of the final answer has arrived. */
-  head(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void;
+  /** The head of the final answer has arrived; `isReused` tells whether the connection had an earlier request. */
+  head(status: number, headers: Readonly<Record<string, string | string[] | undefined>>, isReused: boolean): void;
   data(chunk: Buffer): void;
   /** The whole answer has arrived. */
   end(): void;
@@ -59,6 +64,12 @@
 
   public readonly client: Client;
 
+  /** Number of requests so far. */
+  public requests = 0;
+
+  /** Ids of the newest requests, the oldest first. */
+  private readonly ids = new Set<string>();
+
   /** Whether the connection is established. */
   public isOpen = false;
 
@@ -82,6 +93,22 @@
     this.client.on('disconnect', () => this.onClosed(this));
   }
 
+  /** Records a request with an id. */
+  public use(id: string | null): void {
+    this.requests += 1;
+    if (id !== null) this.ids.add(id);
+    const [oldest] = this.ids;
+    if (this.ids.size > MAX_REMEMBERED_IDS && oldest !== undefined) this.ids.delete(oldest);
+  }
+
+  /**
+   * Whether a request may use the connection. A second copy of the answer to an earlier request with the same id could
+   * not be told from its own answer.
+   */
+  public isUsableFor(id: string | null): boolean {
+    return id === null || !this.ids.has(id);
+  }
+
   /** Number of bytes that were received on the connection. */
   public get bytesRead(): number {
     return this.socket?.bytesRead ?? 0;
@@ -179,7 +206,7 @@
     if (status < 200 || this.aborted) return;
     this.headArrived = true;
     this.chunked = headers['transfer-encoding'] !== undefined;
-    this.sink.head(status, headers);
+    this.sink.head(status, headers, this.connection.requests > 1);
   }
 
   public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -234,7 +261,8 @@
 
   /** Sends one request on the most recently used idle connection, or on a new one. */
   public send(outgoing: OutgoingRequest, sink: AnswerSink): OngoingRequest {
-    const connection = this.idle.pop() ?? this.create();
+    const connection = this.takeIdle(outgoing.id) ?? this.create();
+    connection.use(outgoing.id);
     const exchange: Exchange = new Exchange(connection, sink, () => {
       this.running.delete(exchange);
       this.release(connection);
@@ -262,6 +290,12 @@
     for (const connection of this.idle.splice(0)) this.discard(connection);
   }
 
+  private takeIdle(id: string | null): Connection | undefined {
+    const connection = [...this.idle].reverse().find((idle) => idle.isUsableFor(id));
+    if (connection !== undefined) this.idle.splice(this.idle.indexOf(connection), 1);
+    return connection;
+  }
+
   private create(): Connection {
     this.newestConnection += 1;
     const connection = new Connection(this.address, this.newestConnection, (closed) => this.discard(closed));
--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -33,7 +33,7 @@
       resolve(answer);
     };
     const request = pool.send({
-      method, path, headers: ['host', address, ...headers], body,
+      method, path, headers: ['host', address, ...headers], body, id: null,
     }, {
       sent: () => {},
       head: (value) => {
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -93,7 +93,7 @@
       this.resolveClosed = resolve;
     });
     this.request = pool.send({
-      method: call.method, path: call.target, headers: codec.sendHeaders(call, plan), body,
+      method: call.method, path: call.target, headers: codec.sendHeaders(call, plan), body, id: call.id,
     }, this);
   }
 
@@ -145,9 +145,14 @@
     this.observer.written?.();
   }
 
-  public head(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
+  public head(
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+    isReused: boolean,
+  ): void {
     const head = this.codec.readHead(this.call, status, headers);
-    if (!head.matchesCall) this.abort('the answer belongs to another call');
+    // On a connection with an earlier request, an answer without an id may be a copy of the one to that request.
+    if (!head.matchesCall || (isReused && !head.namesCall)) this.abort('the answer belongs to another call');
     else if (head.execution === Execution.NotExecuted) {
       this.finish({ type: 'not_executed', status, message: `refused with status ${status}` });
       // The body is read only so that the connection can be used for the next call.
