Treat a stream that ends inside an event as broken off

Cause: the close of the connection was taken for the end of a stream, also inside an event, and with chunks as well; a stream without length was never resumed. Change: the end inside an event counts as a break, which resumes the stream where its route allows it and otherwise cuts the caller's answer. Streams without length are resumed after a reset. What was written last is sent before the cut. Answers without length go to callers in chunks: their end shows whether they are whole, where before it took a reset, which may be lost and discards what is not read yet. Open: a server that closes a stream without length between two events, in the middle of its answer, can't be told from one that has ended it.

--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../core/interfaces/index.js';
 import type { AnswerHead } from './codec.js';
+import { EventBoundary, isEventStream } from './events.js';
 import type { ResumableStream } from './events.js';
 import type { Refusal } from './outcome.js';
 import type { BodySink, Upstream } from './upstream.js';
@@ -43,14 +44,10 @@
   return new Promise((resolve) => {
     let upstream = answer;
     let lastChunkAt = 0;
+    const boundary = isEventStream(head) ? new EventBoundary() : null;
     const onDrain = (): void => upstream.resume();
     const sendHead = (): void => {
       if (res.headersSent || res.destroyed) return;
-      if (head.endsWithConnection) {
-        // The caller must know that only the close of the connection marks the end of the answer.
-        res.shouldKeepAlive = false;
-        res.useChunkedEncodingByDefault = false;
-      }
       res.writeHead(head.status, [...head.headers]);
     };
     const finish = (delivery: Delivery): void => {
@@ -62,9 +59,10 @@
         finish(deliveryIfNothingSent(message));
         return;
       }
-      // After an ordinary close, a truncated answer without length would look complete.
-      if (head.endsWithConnection) res.socket?.resetAndDestroy();
-      res.destroy();
+      // After an ordinary close, a truncated answer with neither length nor chunks would look complete.
+      if (head.endsWithConnection && !res.chunkedEncoding) res.socket?.resetAndDestroy();
+      // What was written last leaves the process first, so that the caller can resume after it.
+      setImmediate(() => res.destroy());
       finish({ type: 'cut', reason: ended.aborted ? String(ended.reason) : message });
     };
     const writeChunk = (bytes: Buffer): boolean => {
@@ -77,8 +75,15 @@
       return res.destroyed || res.write(bytes);
     };
     const sink: BodySink = {
-      push: (chunk) => writeChunk(stream === null ? chunk : stream.splitter.push(chunk)),
+      push: (chunk) => {
+        boundary?.push(chunk);
+        return writeChunk(stream === null ? chunk : stream.splitter.push(chunk));
+      },
       end: () => {
+        if (boundary?.isInsideEvent === true) {
+          sink.failed('the stream ended inside an event');
+          return;
+        }
         if (stream !== null) writeChunk(stream.splitter.flush());
         sendHead();
         res.end();
@@ -95,6 +100,7 @@
             return;
           }
           upstream = next;
+          boundary?.reset();
           next.read(sink);
         });
       },
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -9,9 +9,9 @@
 /** Largest number of times that one answer is resumed at another server. */
 const MAX_RESUMES = 3;
 
-/** Whether an answer is an event stream whose end is marked, and not only by the close of the connection. */
-export function isEventStream({ status, headers, endsWithConnection }: AnswerHead): boolean {
-  if (status !== 200 || endsWithConnection) return false;
+/** Whether an answer is an event stream without a length. */
+export function isEventStream({ status, headers }: AnswerHead): boolean {
+  if (status !== 200) return false;
   const valueOf = (wanted: string): string | undefined => (
     headers.find((_value, index) => index % 2 === 1 && headers[index - 1] === wanted)
   );
@@ -26,6 +26,28 @@
   }));
 }
 
+/** Number of bytes in which an empty line, and with it the end of an event, can be recognized. */
+const TERMINATOR_BYTES = 4;
+
+/** Knows whether a stream has stopped inside an event; then it has broken off, also where its connection was closed. */
+export class EventBoundary {
+  private tail: Buffer = Buffer.alloc(0);
+
+  /** Whether the bytes so far end inside an event. */
+  public get isInsideEvent(): boolean {
+    return this.tail.length > 0 && !/(?:\n\n|\n\r\n|\r\r)$/.test(this.tail.toString('latin1'));
+  }
+
+  public push(chunk: Buffer): void {
+    this.tail = Buffer.concat([this.tail, chunk.subarray(-TERMINATOR_BYTES)]).subarray(-TERMINATOR_BYTES);
+  }
+
+  /** Begins anew, with a further run of the stream. */
+  public reset(): void {
+    this.tail = Buffer.alloc(0);
+  }
+}
+
 /**
  * Splits a stream into complete events without changing the bytes that the server sent. A parser would return the
  * fields of the events, and events that are written from them may differ from the server's bytes.
--- a/test/brokenanswers.test.ts
+++ b/test/brokenanswers.test.ts
@@ -190,15 +190,20 @@
 describe('an answer whose head breaks off', () => {
   const WHOLE = signedHead('ID', 'Content-Type: text/event-stream\r\nConnection: close\r\n');
 
+  /** Sends all but the last bytes of the head; on kept connections, only after one whole answer. */
+  function respondWithCutHead(missing: number, kept: boolean): typeof respond {
+    return ({ socket, ids }) => {
+      if (kept && ids.length === 1 && received.length === 1) socket.write(answerTo(ids[0]!));
+      else socket.end(WHOLE.replace('ID', ids.at(-1)!).slice(0, -missing));
+    };
+  }
+
   // Guards against a success with an empty or short body, framed as whole.
   it.each(['/order/x', '/long/x'])('is no success at %s, wherever it ends and on whichever connection', async (path) => {
     for (const kept of [false, true]) {
       for (const cut of [5, 12, 17, 40, 60, WHOLE.length - 30, WHOLE.length - 4, WHOLE.length - 2, WHOLE.length - 1]) {
         received = [];
-        respond = ({ socket, ids }) => {
-          if (kept && ids.length === 1 && received.length === 1) socket.write(answerTo(ids[0]!));
-          else socket.end(WHOLE.replace('ID', ids.at(-1)!).slice(0, cut));
-        };
+        respond = respondWithCutHead(WHOLE.length - cut, kept);
         if (kept) await ask(path);
         const { status, body, broken } = await ask(path);
         expect({
--- a/test/resume.test.ts
+++ b/test/resume.test.ts
@@ -3,7 +3,7 @@
 import {
   afterAll, beforeAll, beforeEach, describe, expect, it,
 } from 'vitest';
-import { EventSplitter } from '../src/gateway/events.js';
+import { EventBoundary, EventSplitter } from '../src/gateway/events.js';
 import { sendCall } from '../src/emulator/sendcall.js';
 import type { Answer } from '../src/emulator/sendcall.js';
 import { ServerStandIn } from '../src/emulator/backend.js';
@@ -166,6 +166,73 @@
   });
 });
 
+describe('a stream with neither length nor chunks', () => {
+  function startUnframed(res: ServerResponse): void {
+    res.shouldKeepAlive = false;
+    res.useChunkedEncodingByDefault = false;
+    startStream(res);
+  }
+
+  it.each(['/talk/x', '/long/x'])('is whole at %s where its connection is closed after an event', async (path) => {
+    respond = (res) => {
+      startUnframed(res);
+      res.write(event(1));
+      setTimeout(() => res.end(event(2)), 20);
+    };
+    expect(await talk(path)).toMatchObject({ status: 200, broken: false, body: event(1) + event(2) });
+  });
+
+  // Guards against a truncated stream that looks complete, because a close is its only end.
+  it('has broken off where its connection is closed inside an event', async () => {
+    respond = (res) => {
+      startUnframed(res);
+      res.write(event(1));
+      setTimeout(() => res.end('id: 2\nda'), 20);
+    };
+    expect(await talk('/talk/x')).toMatchObject({ status: 200, broken: true });
+  });
+
+  it.each([
+    ['closed inside an event', (res: ServerResponse) => res.end('id: 2\nda')],
+    ['reset', (res: ServerResponse) => res.socket?.resetAndDestroy()],
+  ])('continues at another engine where its connection is %s', async (_how, breakOff) => {
+    respond = (res, call) => {
+      startUnframed(res);
+      if (call.headers['last-event-id'] === '1') res.end(event(2) + event(3));
+      else {
+        res.write(event(1));
+        setTimeout(() => breakOff(res), 20);
+      }
+    };
+    expect(await talk()).toMatchObject({ status: 200, broken: false, body: event(1) + event(2) + event(3) });
+    expect(runs).toBe(2);
+  });
+});
+
+describe('a stream in chunks that ends inside an event', () => {
+  it('has broken off', async () => {
+    respond = (res) => {
+      startStream(res);
+      res.end(`${event(1)}id: 2\nda`);
+    };
+    expect(await talk('/talk/x')).toMatchObject({ status: 200, broken: true });
+  });
+});
+
+describe('EventBoundary', () => {
+  it('agrees with the splitter on whether bytes are left, however they are split', () => {
+    const piece = fc.constantFrom('id: 7\n', 'data: y\r\n', '\n', '\r\n', 'data: \u00e9');
+    fc.assert(fc.property(fc.array(piece), fc.array(fc.nat(60)), (pieces, cuts) => {
+      const all = Buffer.from(pieces.join(''));
+      const boundary = new EventBoundary();
+      const points = [0, ...cuts.filter((cut) => cut < all.length).sort((left, right) => left - right), all.length];
+      points.slice(1).forEach((end, index) => boundary.push(all.subarray(points[index], end)));
+      const text = all.toString();
+      expect(boundary.isInsideEvent).toBe(text !== '' && !/\n\r?\n$/.test(text));
+    }), { seed: 2, numRuns: 500 });
+  });
+});
+
 describe('EventSplitter', () => {
   // Guards against bytes that are lost, duplicated or passed on before their event is complete, however they are split.
   it('passes on complete events only, and every byte in the end', () => {
