Let operators block, allow and clear a prompt part

Cause: a part in quarantine was visible in the log, the metrics and the dump, and only a trial could release it. Change: POST /quarantine/ORDER at the metrics address and the command catkinscale quarantine. Orders are numbered and reach all gateways like other news. A path that is no URL is answered like the root; it would have ended the request with an unhandled error.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -42,6 +42,24 @@
   return { exitCode: ExitCode.Done, json: body, text: toText(body) };
 }
 
+/** Part of the prompts to a service. */
+export interface PromptPartName {
+  readonly service: string;
+  readonly part: string;
+}
+
+/** Orders a gateway, and through it all others, to keep a prompt part from engines, to let it through, or neither. */
+export async function orderPart(at: string, order: string, { service, part }: PromptPartName): Promise<Outcome> {
+  const query = new URLSearchParams({ service, part });
+  const reply = await sendEntryRequest({
+    address: at, method: 'POST', path: `/quarantine/${order}?${query}`, timeoutMs: READ_TIMEOUT_MS,
+  });
+  if (!reply.success) return noReplyOutcome(reply.error, true);
+  const { status, body } = reply.data;
+  if (status !== 200) return { exitCode: ExitCode.Refused, json: body, text: refusalText(body) };
+  return { exitCode: ExitCode.Done, json: body, text: `${order}: ${service}/${part}` };
+}
+
 /** Validates a fleet file or, with `isSettings`, a settings file with its secrets. */
 export function check(file: string, isSettings: boolean): Outcome {
   if (isSettings) {
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,7 +1,7 @@
 import yargs from 'yargs';
 import type { Argv } from 'yargs';
 import {
-  address, apply, check, drain, dump, show,
+  address, apply, check, drain, dump, orderPart, show,
 } from './commands.js';
 import type { OperatorTarget } from './commands.js';
 import { safeLoadSettings, safeReadText } from './files.js';
@@ -128,6 +128,16 @@
         finish(await runGateway(args.settings), true);
       },
     )
+    .command(
+      'quarantine <order> <service> <part>',
+      'keep a prompt part from engines, let it through, or leave that to the gateways again',
+      (args) => withJson(args)
+        .positional('order', { choices: ['block', 'allow', 'clear'] as const, demandOption: true, describe: 'what to do' })
+        .positional('service', { type: 'string', demandOption: true, describe: 'service of the engines' })
+        .positional('part', { type: 'string', demandOption: true, describe: 'hexadecimal id of the part' })
+        .option('at', { type: 'string', demandOption: true, describe: 'IP address and port of a gateway\'s metrics' }),
+      async (args) => finish(await orderPart(args.at, args.order, args), args.json),
+    )
     .command(
       'apply <file>',
       'put a fleet file in force, in full or not at all',
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -2,10 +2,17 @@
 import { listenHttp, sendJson } from '../daemon/http.js';
 import type { HttpListener, ListenError } from '../daemon/http.js';
 import type { Result } from '../core/result.js';
+import { Override, partKey } from './quarantine/index.js';
 
 /** Limits for the small requests of callers that look up an address and of the platform. */
 const LIMITS = { body: 1_024, connections: 1_024, headerTimeout: 3_000 };
 
+/** Base of the paths of requests, which have no host name of their own. */
+const BASE_URL = 'http://gateway';
+
+/** Beginning of the path of an operator's order for a prompt part. */
+const ORDER_PATH = '/quarantine/';
+
 /** Content of the endpoints for readiness, the directory and metrics. */
 export interface EndpointContent {
   ready(): boolean;
@@ -14,6 +21,25 @@
   /** All metrics in the Prometheus text format. */
   metrics(): string;
   dump(): Record<string, unknown>;
+  /** Carries out an operator's order for a prompt part; `null` releases it. */
+  orderPart(key: string, order: Override.Block | Override.Allow | null): void;
+}
+
+const PART_ORDERS = { block: Override.Block, allow: Override.Allow, clear: null } as const;
+
+/** Answers `POST /quarantine/ORDER?service=SERVICE&part=ID`. */
+function answerPartOrder(url: URL, res: ServerResponse, content: EndpointContent): void {
+  const name = url.pathname.slice(ORDER_PATH.length);
+  const order = Object.entries(PART_ORDERS).find(([known]) => known === name)?.[1];
+  const service = url.searchParams.get('service') ?? '';
+  const part = url.searchParams.get('part') ?? '';
+  if (order === undefined || service === '' || !/^[0-9a-f]{1,64}$/i.test(part)) {
+    sendJson(res, 400, { error: { message: 'expected block, allow or clear, a service and a hexadecimal part' } });
+    return;
+  }
+  const key = partKey(service, part.toLowerCase());
+  content.orderPart(key, order);
+  sendJson(res, 200, { part: key, order: name });
 }
 
 function sendText(res: ServerResponse, type: string, text: string): void {
@@ -48,10 +74,13 @@
   });
 }
 
-/** Opens the listener for metrics and the dump. */
+/** Opens the listener for metrics, the dump and operators' orders. */
 export function listenMetrics(address: string, shown: EndpointContent): Promise<Result<HttpListener, ListenError>> {
   return listenForSmallRequests(address, (req, res) => {
-    if (req.url === '/dump') sendJson(res, 200, shown.dump());
+    const path = req.url ?? '/';
+    const url = new URL(URL.canParse(path, BASE_URL) ? path : '/', BASE_URL);
+    if (req.method === 'POST' && url.pathname.startsWith(ORDER_PATH)) answerPartOrder(url, res, shown);
+    else if (url.pathname === '/dump') sendJson(res, 200, shown.dump());
     else sendText(res, 'text/plain; version=0.0.4', shown.metrics());
   });
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -233,6 +233,7 @@
       addressBody: () => this.addressBody(),
       metrics: () => this.deps.meter.render(),
       dump: () => this.dump(),
+      orderPart: (key, order) => this.quarantine.order(key, order),
     };
     const opened = [
       callers,
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -2,6 +2,9 @@
 import {
   afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
+import { ExitCode } from '../src/cli/outcome.js';
+import { run } from '../src/cli/program.js';
+import { fail } from '../src/core/result.js';
 import { CrashingEngine } from '../src/emulator/crashingengine.js';
 import { StoreStandIn } from '../src/emulator/platformstore.js';
 import { sendCall } from '../src/emulator/sendcall.js';
@@ -151,4 +154,26 @@
     expect(statuses).toEqual(statuses.map(() => 503));
     expect(deadlyCalls()).toBe(before);
   });
+
+  it('is kept from engines, let through and left to the gateways by operators\' orders', async () => {
+    const order = (name: string, gateway: number) => run(
+      ['quarantine', name, 'engine', SHARED_PART, '--at', gateways[gateway]!.metrics, '--json'],
+      () => Promise.resolve(fail({ message: 'no entry' })),
+    );
+    const statusesAre = (status: number): Promise<void> => waitUntil(async () => {
+      const answers = await Promise.all(gateways.map((_gateway, index) => ask(index, [FIRST_PART, SHARED_PART])));
+      return answers.every((answer) => answer.status === status);
+    });
+    expect(await order('block', 0)).toBe(ExitCode.Done);
+    await statusesAre(503);
+    expect(await order('clear', 1)).toBe(ExitCode.Done);
+    await statusesAre(200);
+    expect(await order('allow', 2)).toBe(ExitCode.Done);
+    await statusesAre(200);
+    expect(await fetch(`http://${gateways[0]!.metrics}/quarantine/other?service=engine&part=${SHARED_PART}`, {
+      method: 'POST',
+    }).then(({ status }) => status)).toBe(400);
+    // A path that is no URL is answered too, and harms nothing.
+    expect((await sendCall(gateways[0]!.metrics, '//')).status).toBe(200);
+  });
 });
