--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -10,6 +10,7 @@
 import { peak } from './peak.js';
 import { prefix } from './prefix.js';
 import { propagation } from './propagation.js';
+import { quarantine } from './quarantine.js';
 import { retryStorm } from './retrystorm.js';
 import { scale } from './scale.js';
 import { slowServers } from './slowservers.js';
@@ -36,4 +37,5 @@
   fairness,
   scale,
   combined,
+  quarantine,
 ];
