--- a/src/emulator/crashingengine.ts
+++ b/src/emulator/crashingengine.ts
@@ -11,6 +11,8 @@
   readonly service: string;
   /** Id of the prompt part that crashes the engine. */
   readonly deadlyPart: string;
+  /** Time in ms from the head of an answer on that part to the crash; 5 by default. */
+  readonly crashAfterMs?: number;
 }
 
 /** Ids of the prompt parts of a call. */
@@ -35,7 +37,7 @@
       if (partsOf(call).includes(opts.deadlyPart)) {
         res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', 'Content-Type': 'text/event-stream' });
         res.flushHeaders();
-        setTimeout(() => this.crash(), 5);
+        setTimeout(() => this.crash(), opts.crashAfterMs ?? 5);
       } else sendSignedResponse(res, 'id: 1\n\nid: 2\n\n');
     });
   }
@@ -48,9 +50,12 @@
   public async start(): Promise<void> {
     await this.server.start();
     this.starts += 1;
-    this.opts.store.put(`servers/${this.id}`, this.server.serverRecord(this.opts.service, {
-      stage: 'decode', born: this.starts,
-    }));
+    this.register();
+  }
+
+  /** Announces that the engine leaves; it still works on its calls. */
+  public leave(): void {
+    this.register({ state: 'draining' });
   }
 
   public crash(): void {
@@ -67,4 +72,10 @@
     if (this.restart !== null) clearTimeout(this.restart);
     this.server.stop();
   }
+
+  private register(changes: object = {}): void {
+    this.opts.store.put(`servers/${this.id}`, this.server.serverRecord(this.opts.service, {
+      stage: 'decode', born: this.starts, ...changes,
+    }));
+  }
 }
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -11,6 +11,9 @@
 import type { RunningGateway } from './support/gateway.js';
 import { waitUntil } from './support/waituntil.js';
 
+/** Timeout in ms of the routes that are called. */
+const ROUTE_TIMEOUT_MS = 600;
+
 /** Time in ms within which a call is answered and its connection closed: the timeout of the route and 500 ms. */
 const FINAL_MS = 1_100;
 
@@ -96,6 +99,15 @@
     expect(server.writtenBytes).toBeLessThan(MOST_BYTES);
   });
 
+  // Guards against a head that is read until the timeout of the route, because only a count of its bytes ends it sooner.
+  it('in interim answers is given up long before the timeout of the route', async () => {
+    const server = await startEndlessServer(() => '', { repeatedText: 'HTTP/1.1 103 Early Hints\r\n\r\n' });
+    await startGatewayWith({ 'i-1': server.serverRecord('ledger') });
+    const { status, tookMs } = await sendCall(gateway.callers, '/order/x', { method: 'POST', body: 'x' });
+    expect(status).toBe(502);
+    expect(tookMs).toBeLessThan(ROUTE_TIMEOUT_MS - 150);
+  });
+
   it.each([
     ['without length', (id: string) => `${signedHead(id)}\r\n`],
     ['in chunks', (id: string) => `${signedHead(id)}Transfer-Encoding: chunked\r\n\r\nffffffff\r\n`],
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -22,6 +22,9 @@
 
 const ENGINES = 4;
 
+/** Time in ms after which the last engine crashes under a deadly call. */
+const SLOW_CRASH_MS = 400;
+
 let store: StoreStandIn;
 let engines: CrashingEngine[];
 let gateways: RunningGateway[];
@@ -60,10 +63,16 @@
   port += 10;
   store = new StoreStandIn();
   await store.start();
-  engines = Array.from({ length: ENGINES }, (_, index) => new CrashingEngine(`e${index}`, {
-    store, service: 'engine', deadlyPart: DEADLY_PART,
-  }));
-  for (const engine of engines) await engine.start();
+  engines = [];
+  for (let index = 0; index < ENGINES; index += 1) {
+    // The last engine crashes only after a while.
+    const crashAfterMs = index === ENGINES - 1 ? SLOW_CRASH_MS : 5;
+    const engine = new CrashingEngine(`e${index}`, {
+      store, service: 'engine', deadlyPart: DEADLY_PART, crashAfterMs,
+    });
+    await engine.start();
+    engines.push(engine);
+  }
   store.put('op/config', configuration({
     routes: [{
       name: 'brief',
@@ -176,4 +185,34 @@
     // A path that is no URL is answered too, and harms nothing.
     expect((await sendCall(gateways[0]!.metrics, '//')).status).toBe(200);
   });
+
+  it('ends calls that are sent and have no answer yet, as an unknown outcome', async () => {
+    for (const engine of engines.slice(0, -1)) engine.leave();
+    await waitUntil(() => gateways.every((gateway) => {
+      const { list } = gateway.gateway.dump().servers as { list: readonly { draining: boolean }[] };
+      return list.filter(({ draining }) => !draining).length === 1;
+    }));
+    const answer = ask(0, [FIRST_PART, DEADLY_PART]);
+    await pause(SLOW_CRASH_MS / 4);
+    await fetch(`http://${gateways[0]!.metrics}/quarantine/block?service=engine&part=${DEADLY_PART}`, { method: 'POST' });
+    const { status, tookMs } = await answer;
+    expect(status).toBe(502);
+    expect(tookMs).toBeLessThan(SLOW_CRASH_MS);
+  });
+
+  // Guards against parts that are blamed because an engine that had announced its leaving closed its connections.
+  it('is not suspected at an engine that has left as announced', async () => {
+    for (const engine of engines.slice(0, -1)) engine.leave();
+    const last = engines.at(-1)!;
+    await waitUntil(() => gateways.every((gateway) => {
+      const { list } = gateway.gateway.dump().servers as { list: readonly { draining: boolean }[] };
+      return list.filter(({ draining }) => !draining).length === 1;
+    }));
+    const answer = ask(0, [FIRST_PART, DEADLY_PART]);
+    await pause(SLOW_CRASH_MS / 4);
+    last.leave();
+    await answer;
+    const { ends } = gateways[0]!.gateway.dump().quarantine as { ends: readonly unknown[] };
+    expect(ends).toEqual([]);
+  });
 });
--- a/test/quarantineexchange.test.ts
+++ b/test/quarantineexchange.test.ts
@@ -6,7 +6,7 @@
 import type { QuarantineGroup } from '../src/emulator/quarantinegroup.js';
 import { CountingMeter, RecordingLog } from '../src/emulator/recording.js';
 import {
-  MAX_ENDS, MAX_PARTS, Override,
+  MAX_ENDS, MAX_PARTS, MAX_RUNS, Override,
 } from '../src/gateway/quarantine/evidence.js';
 import { partKey, Quarantine } from '../src/gateway/quarantine/index.js';
 import { packNews, unpackDatagram } from '../src/gateway/quarantine/wire.js';
@@ -146,15 +146,18 @@
 
   it('keeps its state bounded however many parts and ends come', async () => {
     const { clock, quarantine } = alone();
-    for (let index = 0; index < 1_000; index += 1) {
-      quarantine.recordEnd(engineRecord(`s${index}`), Array.from({ length: 40 }, (_, call) => (
-        openRun([`p${index}-${call}`], clock.monotonic(), `r${index}-${call}`)
-      )));
+    for (let index = 0; index < 600; index += 1) {
+      for (const reporter of ['a', 'b']) {
+        quarantine.recordEnd(engineRecord(`s${index}`), Array.from({ length: 20 }, (_, call) => (
+          openRun([`p${index}-${call}`], clock.monotonic(), `${reporter}${index}-${call}`)
+        )));
+      }
       quarantine.order(partKey('engine', `ordered${index}`), Override.Block);
       await clock.advance(10);
     }
     const { ends, parts } = quarantine.all();
     expect(ends.size).toBeLessThanOrEqual(MAX_ENDS);
+    expect(Math.max(...[...ends.values()].map(({ runs }) => runs.size))).toBeLessThanOrEqual(MAX_RUNS);
     expect(parts.size).toBeLessThanOrEqual(MAX_PARTS);
   });
 
