Learn what is known of prompt parts only from gateways that know it

Callers would have seen: after most gateways are killed at once, requests with a part in quarantine reach engines again. Cause, found by reading: a gateway that starts counted any answer, also that of one which has just started and knows nothing. Change: an answer says whether its sender is synchronized, and only then ends the wait. The test failed before: it was synchronized by a gateway that was killed with it.

--- a/src/gateway/quarantine/exchange.ts
+++ b/src/gateway/quarantine/exchange.ts
@@ -40,7 +40,12 @@
 
 const METHOD = 'quarantine.exchange';
 
-const exchangeSchema = z.object({ digest: z.number(), news: newsSchema.nullable() });
+const exchangeSchema = z.object({
+  digest: z.number(),
+  news: newsSchema.nullable(),
+  /** Whether the sender knows what the others know. */
+  synchronized: z.boolean(),
+});
 
 /** Dependencies of {@link QuarantineExchange}. */
 export interface QuarantineExchangeDependencies {
@@ -177,18 +182,18 @@
     }
   }
 
-  /** Compares all that is known with another gateway; returns whether it answered. */
+  /** Compares all that is known with another gateway; returns whether that one knows what the others know. */
   private async exchangeWith(address: string): Promise<boolean> {
     const theirs = await this.call(address, null);
     if (theirs === null) return false;
     if (theirs.news !== null) this.learn(theirs.news);
     if (theirs.digest !== this.digest()) await this.call(address, this.encodeAll());
-    return true;
+    return theirs.synchronized;
   }
 
   private async call(address: string, news: WireNews | null): Promise<z.infer<typeof exchangeSchema> | null> {
     const { client, meter } = this.deps;
-    const params = { digest: this.digest(), news };
+    const params = { digest: this.digest(), news, synchronized: this.isSynchronized };
     const answer = await client.call(address, METHOD, params, { timeoutMs: CALL_TIMEOUT_MS });
     const parsed = answer.success ? exchangeSchema.safeParse(answer.data) : null;
     meter.count('quarantine_exchanges', 1, { outcome: parsed?.success === true ? 'answered' : 'failed' });
@@ -201,7 +206,11 @@
     const { digest, news } = request.data;
     if (news !== null) this.learn(news);
     const isSame = digest === this.digest();
-    return ok({ digest: this.digest(), news: isSame || news !== null ? null : this.encodeAll() });
+    return ok({
+      digest: this.digest(),
+      news: isSame || news !== null ? null : this.encodeAll(),
+      synchronized: this.isSynchronized,
+    });
   }
 
   private learn(news: WireNews): void {
--- a/test/brokenanswers.test.ts
+++ b/test/brokenanswers.test.ts
@@ -140,6 +140,13 @@
     expect(status).toBe(502);
   });
 
+  // Guards against refusals that are lost, because a server may refuse before it has read the id.
+  it.each([400, 503])('is no concern on a new connection, where status %i without an id is the answer', async (code) => {
+    respond = ({ socket }) => socket.write(refusal(null, code));
+    expect((await ask('/order/x')).status).toBe(503);
+    expect(received).toHaveLength(1);
+  });
+
   // Guards against a copy that has the right id, because the same call comes to the server once more.
   it('is on no connection that the call uses again', async () => {
     respond = ({
--- a/test/quarantineexchange.test.ts
+++ b/test/quarantineexchange.test.ts
@@ -62,6 +62,30 @@
     expect(blocked).toBe(DEAD);
   });
 
+  // Guards against gateways that were killed together and learn from each other that nothing is known.
+  it('does not take the answer of a gateway that has just started itself for what the others know', async () => {
+    const group = createQuarantineGroup(3);
+    await group.clock.advance(500);
+    await crashTwice(group);
+    await group.clock.advance(500);
+    const old = group.nodes.map(({ ip }) => `${ip}:1`);
+    const [late, other] = [group.add(), group.add()];
+    const setCut = (cut: boolean): void => old.forEach((address) => {
+      for (const { ip } of [late, other]) group.network.setCut(`${ip}:1`, address, cut);
+    });
+    setCut(true);
+    for (const { ip } of [late, other]) group.isolated.add(ip);
+    let blocked: string | null = null;
+    void late.exchange.whenSynchronized().then(() => {
+      blocked = late.quarantine.findBlocked('engine', ['dead']) ?? 'nothing';
+    });
+    await group.clock.advance(450);
+    expect(blocked).toBeNull();
+    setCut(false);
+    await group.clock.advance(500);
+    expect(blocked).toBe(DEAD);
+  });
+
   it('brings a gateway that was cut off up to date within the bound of contact', async () => {
     const group = createQuarantineGroup(6);
     await group.clock.advance(500);
