Wait in the tests until gateways that start together are synchronized

Cause: with the commit before, the first call of a test could be held while all gateways wait for one that knows of parts; an order that arrived meanwhile then refused it truthfully with 503, where the test is about a call that was sent (502). The checks are as before; each test begins with one answered call at each gateway.

--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -91,6 +91,8 @@
     const { members } = gateway.gateway.dump().membership as { members: readonly unknown[] };
     return gateway.gateway.ready() && enginesKnownTo(gateway) === ENGINES && members.length >= GATEWAYS - 1;
   }));
+  // Gateways that start together wait for one that knows of parts, for a bounded time.
+  await Promise.all(gateways.map((_gateway, index) => ask(index, [FIRST_PART])));
 });
 
 afterEach(async () => {
