Keep the end of a server that answers only after a while

Callers would have seen: an engine that starts again under its id answers calls before its new record is read; that took its end back everywhere, so that a part which crashes engines every few seconds was never found. Cause: any later answer under the old record refuted an end. Change: only one within a second of it, before a server is back. The test failed before.

--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -13,6 +13,12 @@
 /** Largest number of parts that were seen to work and are remembered. */
 const MAX_PROVEN = 8_192;
 
+/**
+ * Time in ms after the end of a server within which an answer shows that only connections had broken. Later, the server
+ * may have started again under the same id, and its new record has not been read yet.
+ */
+const MAX_REFUTATION_MS = 1_000;
+
 /** Largest number of parts of one prompt that are considered, from its beginning. */
 const MAX_KEYS_PER_RUN = 8;
 
@@ -102,11 +108,12 @@
     this.learn({ ends: new Map([[incarnationOf(record), { at, refuted: false, runs: suspects }]]), parts: new Map() });
   }
 
-  /** Records an answer of a server to a call; an incarnation that answers later than its end has not ended. */
+  /** Records an answer of a server to a call; an incarnation that answers soon after its end has not ended. */
   public recordAnswer(record: ServerRecord, sentAt: number): void {
     const incarnation = incarnationOf(record);
     const end = this.evidence.all().ends.get(incarnation);
-    if (end === undefined || end.refuted || sentAt <= end.at) return;
+    const isSoonAfter = end !== undefined && sentAt > end.at && sentAt - end.at < MAX_REFUTATION_MS;
+    if (end === undefined || end.refuted || !isSoonAfter) return;
     this.deps.log.info('server_end_refuted', { server: record.id, born: record.bornAt });
     this.learn({ ends: new Map([[incarnation, { ...end, refuted: true }]]), parts: new Map() });
   }
--- a/test/quarantineexchange.test.ts
+++ b/test/quarantineexchange.test.ts
@@ -159,6 +159,16 @@
     expect(quarantine.findBlocked('engine', ['dead'])).toBeNull();
   });
 
+  // Guards against ends that are taken back because the server has started again under its id and old record.
+  it('keeps the end of a server that answers only after a while', async () => {
+    const { clock, quarantine } = alone();
+    quarantine.recordEnd(engineRecord('s1'), [openRun(['dead'], 0)]);
+    await clock.advance(3_000);
+    quarantine.recordAnswer(engineRecord('s1'), clock.monotonic());
+    quarantine.recordEnd(engineRecord('s2'), [openRun(['dead'], clock.monotonic())]);
+    expect(quarantine.findBlocked('engine', ['dead'])).toBe(DEAD);
+  });
+
   it('does not blame calls whose answers had gone on', async () => {
     const { clock, quarantine } = alone();
     for (const id of ['s1', 's2', 's3', 's4', 's5']) {
