--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -9,7 +9,7 @@
 /** Time in ms that a server takes for one request, as on the sheet. */
 const WORK_MS = 86;
 
-const CLIENTS_PER_GATEWAY = 6;
+const CLIENTS_PER_GATEWAY = 12;
 
 /** Time in ms after which the platform starts a process again that has ended. */
 const RESTART_MS = 1_000;
@@ -67,7 +67,7 @@
       results.push(result);
       const { id, status, complete, error, reused } = result;
       record('answered', { request: id, status, complete, error, reused });
-      await wait(status === 200 ? 30 : 200);
+      await wait(status === 200 ? 10 : 200);
     }
   });
   // All machines are in touch: nothing has disturbed them for longer than `contact-ms`.
