--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,4 +1,5 @@
-import { fileURLToPath } from 'node:url';
+import { setTimeout } from 'node:timers';
+import { fileURLToPath, URL } from 'node:url';
 import {
   answerSigned, Client, configuration, Server, wait,
 } from '../lib/peers.mjs';
@@ -45,16 +46,14 @@
   const gateways = await create(['regina', 'brandon', 'saskatoon']);
   await Promise.all(gateways.map((gateway) => gateway.start()));
   let stopped = false;
-  for (const gateway of gateways) {
-    const restart = async () => {
-      await gateway.exited;
-      await wait(RESTART_MS);
-      if (stopped) return;
-      gateway.spawn();
-      restart();
-    };
-    restart();
-  }
+  const restart = async (gateway) => {
+    await gateway.exited;
+    await wait(RESTART_MS);
+    if (stopped) return;
+    gateway.spawn();
+    restart(gateway);
+  };
+  for (const gateway of gateways) restart(gateway);
 
   const results = [];
   const clients = gateways.flatMap((gateway) => Array.from({ length: CLIENTS_PER_GATEWAY }, (_, index) => (
@@ -65,8 +64,12 @@
     while (!stopped) {
       const result = await client.send({ method: 'POST', path: '/book/1', body: 'one crate' });
       results.push(result);
-      const { id, status, complete, error, reused } = result;
-      record('answered', { request: id, status, complete, error, reused });
+      const {
+        id, status, complete, error, reused,
+      } = result;
+      record('answered', {
+        request: id, status, complete, error, reused,
+      });
       await wait(status === 200 ? 10 : 200);
     }
   });
@@ -82,5 +85,10 @@
   const lost = results.filter(({ id, reused, status }) => reused && status === null && arrived.has(id));
   const ends = gateways.flatMap(({ name, ends: all }) => all.map((how) => ({ gateway: name, how })));
   const served = results.filter(({ status }) => status === 200).length;
-  return { broken: lost.length > ALLOWED_LOST, detail: { lost: lost.length, ends, served, requests: results.length } };
+  return {
+    broken: lost.length > ALLOWED_LOST,
+    detail: {
+      lost: lost.length, ends, served, requests: results.length,
+    },
+  };
 });
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,4 +1,6 @@
-import { fileURLToPath } from 'node:url';
+import { performance } from 'node:perf_hooks';
+import { clearInterval, setInterval, setTimeout } from 'node:timers';
+import { fileURLToPath, URL } from 'node:url';
 import {
   answerSigned, Client, configuration, Server, wait,
 } from '../lib/peers.mjs';
@@ -20,7 +22,9 @@
   const runs = [];
   const addServer = async (id, service) => {
     const server = new Server(id, (req, res) => {
-      const run = { server: id, service, request: req.headers['catkinscale-request-id'], path: req.url };
+      const run = {
+        server: id, service, request: req.headers['catkinscale-request-id'], path: req.url,
+      };
       runs.push(run);
       record('runs', run);
       setTimeout(() => answerSigned(res, id, `${service} has done ${run.request}`), WORK_MS);
@@ -45,7 +49,9 @@
     {
       name: 'order-book', host: HOST, 'path-prefix': '/book/', kind: 'non_idempotent', service: 'ledger', 'max-attempts': 1,
     },
-    { name: 'find', host: HOST, 'path-prefix': '/find/', kind: 'idempotent', service: 'catalogue' },
+    {
+      name: 'find', host: HOST, 'path-prefix': '/find/', kind: 'idempotent', service: 'catalogue',
+    },
   ], [{ name: 'ledger', 'max-connections': 96 }, { name: 'catalogue', 'max-connections': 96 }]));
   const gateways = await create(['regina', 'brandon']);
   await Promise.all(gateways.map((gateway) => gateway.start()));
@@ -61,7 +67,9 @@
     while (!stopped) {
       const result = await client.send({ method: 'POST', path, body: 'one crate' });
       answers.set(result.id, result);
-      record('answered', { request: result.id, path, status: result.status, body: result.body });
+      record('answered', {
+        request: result.id, path, status: result.status, body: result.body,
+      });
       await wait(20);
     }
   });
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,4 +1,6 @@
-import { fileURLToPath } from 'node:url';
+import { performance } from 'node:perf_hooks';
+import { clearInterval, setInterval, setTimeout } from 'node:timers';
+import { fileURLToPath, URL } from 'node:url';
 import {
   answerSigned, Client, configuration, Server, wait,
 } from '../lib/peers.mjs';
--- a/review/lib/gateways.mjs
+++ b/review/lib/gateways.mjs
@@ -1,14 +1,19 @@
 import { spawn } from 'node:child_process';
 import { openSync, readFileSync, writeFileSync } from 'node:fs';
+import { get } from 'node:http';
 import { createServer } from 'node:net';
 import { join } from 'node:path';
+import { performance } from 'node:perf_hooks';
+import process from 'node:process';
 import { setTimeout as wait } from 'node:timers/promises';
-import { fileURLToPath } from 'node:url';
+import { fileURLToPath, URL } from 'node:url';
 
 export const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 
 const START_TIMEOUT_MS = 20_000;
 
+const READY_TIMEOUT_MS = 500;
+
 /** Bounds of the small deployment whose figures the settings take. */
 const BOUNDS = { 'grace-s': 8, 'lease-ms': 3_000, 'budget-slack': 52 };
 
@@ -34,8 +39,12 @@
   /** How the process ended each time, as its exit code or signal. */
   ends = [];
 
-  constructor(name, ip, zone, { ports, seeds, store, directory, record }) {
-    Object.assign(this, { name, ip, zone, ports, seeds, store, directory, record });
+  constructor(name, ip, zone, {
+    ports, seeds, store, directory, record,
+  }) {
+    Object.assign(this, {
+      name, ip, zone, ports, seeds, store, directory, record,
+    });
     const [front] = ports;
     this.callerAddress = `${ip}:${front}`;
   }
@@ -99,12 +108,15 @@
     return this.child !== null && this.child.exitCode === null && this.child.signalCode === null;
   }
 
-  async isReady() {
-    try {
-      return (await fetch(`http://${this.ip}:${this.ports[1]}/ready`, { signal: AbortSignal.timeout(500) })).status === 200;
-    } catch {
-      return false;
-    }
+  isReady() {
+    return new Promise((resolve) => {
+      const req = get(`http://${this.ip}:${this.ports[1]}/ready`, { timeout: READY_TIMEOUT_MS }, (res) => {
+        res.resume();
+        resolve(res.statusCode === 200);
+      });
+      req.on('timeout', () => req.destroy());
+      req.on('error', () => resolve(false));
+    });
   }
 
   kill(signal) {
--- a/review/lib/peers.mjs
+++ b/review/lib/peers.mjs
@@ -1,4 +1,6 @@
+import { Buffer } from 'node:buffer';
 import { Agent, createServer, request } from 'node:http';
+import { performance } from 'node:perf_hooks';
 import { setTimeout as wait } from 'node:timers/promises';
 
 /** Backend server of a plain service or of an engine, by the section on replicas in PROTOCOL.md. */
@@ -74,7 +76,9 @@
 
   constructor(name, address, host) {
     const [ip, port] = address.split(':');
-    Object.assign(this, { name, ip, port: Number(port), host });
+    Object.assign(this, {
+      name, ip, port: Number(port), host,
+    });
   }
 
   /** Sends one request; `connection` tells how many requests the connection had before. */
--- a/review/lib/script.mjs
+++ b/review/lib/script.mjs
@@ -1,7 +1,9 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { performance } from 'node:perf_hooks';
 import process from 'node:process';
+import { setTimeout } from 'node:timers';
 import { createGateways } from './gateways.mjs';
 import { Store } from './store.mjs';
 
@@ -52,7 +54,9 @@
       trouble: process.env.TROUBLE !== '0',
       onEnd: (close) => closers.push(close),
       gateways: async (zones) => {
-        const created = await createGateways(zones, { network, store: store.address, directory, record });
+        const created = await createGateways(zones, {
+          network, store: store.address, directory, record,
+        });
         gateways.push(...created);
         return created;
       },
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -1,5 +1,9 @@
+import { Buffer } from 'node:buffer';
 import { createServer } from 'node:http';
+import { performance } from 'node:perf_hooks';
+import { clearTimeout, setTimeout } from 'node:timers';
 import { setTimeout as wait } from 'node:timers/promises';
+import { URL } from 'node:url';
 
 const PAGE_ITEMS = 500;
 
