--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,99 +1,176 @@
 import { performance } from 'node:perf_hooks';
+import process from 'node:process';
 import { clearInterval, setInterval, setTimeout } from 'node:timers';
 import { fileURLToPath, URL } from 'node:url';
+import { ENGINE_SERVICE, Load, streamingRoute } from '../lib/engines.mjs';
 import {
-  answerSigned, Client, configuration, Server, wait,
+  Client, configuration, Server, wait,
 } from '../lib/peers.mjs';
 import { runCase } from '../lib/script.mjs';
 
-const HOST = 'orders.example';
+const HOST = 'catalogue.example';
+
+const DECODERS = 5;
+
+const PREFILLERS = 9;
 
-/** Time in ms between two entries that a server writes, as `heartbeat-ms`. */
 const HEARTBEAT_MS = 1_200;
 
-/** Time in ms that a server takes for one request, as on the sheet. */
-const WORK_MS = 86;
+/** Time in ms after which a crashed replica is back. */
+const DOWN_MS = 3_000;
+
+/** Time in ms from the head of an answer to the crash. */
+const CRASH_AFTER_MS = 20;
+
+const EVENTS = 3;
+
+const EVENT_PERIOD_MS = 15;
+
+/** Share of the requests that have the part, and for how long; the dose of the page on such parts. */
+const DEADLY = { share: 0.05, forMs: 22_000 };
+
+const REQUESTS_PER_S = 30;
+
+/** `contact-ms` of the site. */
+const CONTACT_MS = 3_000;
+
+/** Crashes after which the rule BUDGET begins to count, and the requests that it then allows. */
+const COUNTED_CRASHES = 5;
+
+const ALLOWED = 3;
+
+/** Parts of a prompt; the last one belongs to the request itself. */
+const PARTS = 10;
+
+/** Place of the part that crashes replicas, from 1 on; it can be set otherwise for a comparison. */
+const DEADLY_PLACE = Number(process.env.DEADLY_PLACE ?? PARTS - 1);
 
-const CLIENTS_PER_GATEWAY = 3;
+const DEADLY_PART = 'deadbeef';
+
+function promptParts(number, isDeadly) {
+  return Array.from({ length: PARTS }, (_, index) => {
+    if (index + 1 === PARTS) return `${(0x10000000 + number).toString(16)}:40`;
+    if (index + 1 === DEADLY_PLACE) return isDeadly ? `${DEADLY_PART}:20` : '5afe0000:20';
+    return `5c1e07a${index}:20`;
+  }).join(',');
+}
+
+function streamEvents(res) {
+  let event = 0;
+  const timer = setInterval(() => {
+    event += 1;
+    res.write(`id: ${event}\ndata: piece ${event}\n\n`);
+    if (event < EVENTS) return;
+    clearInterval(timer);
+    res.end();
+  }, EVENT_PERIOD_MS);
+  res.on('close', () => clearInterval(timer));
+}
 
 await runCase(fileURLToPath(new URL('.', import.meta.url)), async ({
   store, record, trouble, onEnd, gateways: create,
 }) => {
-  const runs = [];
-  const addServer = async (id, service) => {
+  const crashes = [];
+  const deadlyArrivals = [];
+  const startEngine = async (id, stage, port) => {
     const server = new Server(id, (req, res) => {
-      const run = {
-        server: id, service, request: req.headers['catkinscale-request-id'], path: req.url,
-      };
-      runs.push(run);
-      record('runs', run);
-      setTimeout(() => answerSigned(res, id, `${service} has done ${run.request}`), WORK_MS);
+      if (req.url === '/report') {
+        res.end(JSON.stringify({
+          stage, models: [{ name: 'm', version: 1, adapters: [] }], busy: false, sequence: 0, waiting: 0, running: 0,
+        }));
+        return;
+      }
+      if (stage === 'prefill' || req.url === '/order') {
+        res.writeHead(421, { 'Content-Length': 0 });
+        res.end();
+        return;
+      }
+      const request = req.headers['catkinscale-request-id'];
+      const isDeadly = req.headers['catkinscale-prompt-prefix'].includes(DEADLY_PART);
+      res.writeHead(200, { 'Catkinscale-Server-Signature': `signed.${id}`, 'Content-Type': 'text/event-stream' });
+      if (!isDeadly) {
+        streamEvents(res);
+        return;
+      }
+      deadlyArrivals.push(performance.now());
+      record('deadly_request', { engine: id, request });
+      res.flushHeaders();
+      setTimeout(() => {
+        if (server.isDown) return;
+        server.isDown = true;
+        crashes.push(performance.now());
+        record('crash', { engine: id, request });
+        clearInterval(server.timer);
+        server.crash();
+        setTimeout(() => {
+          startEngine(id, stage, server.port).then(() => record('back', { engine: id }));
+        }, DOWN_MS);
+      }, CRASH_AFTER_MS);
+    });
+    await server.start('127.0.0.1', port);
+    onEnd(() => {
+      clearInterval(server.timer);
+      server.stop();
     });
-    await server.start();
-    onEnd(() => server.stop());
     const born = Date.now();
     let sequence = 0;
     const beat = () => {
       sequence += 1;
-      server.beatAt = performance.now();
-      store.put(`servers/${id}`, server.entry(service, { born, sequence }));
+      store.put(`servers/${id}`, server.entry('loom-mind', {
+        slots: 12, stage, models: [{ name: 'm', version: 1, adapters: [] }], born, sequence,
+      }));
     };
     beat();
-    const timer = setInterval(beat, HEARTBEAT_MS);
-    onEnd(() => clearInterval(timer));
-    return server;
+    server.timer = setInterval(beat, HEARTBEAT_MS);
   };
-  for (let index = 1; index <= 3; index += 1) await addServer(`i-ledger-${index}`, 'ledger');
-  const other = await addServer('i-catalogue-1', 'catalogue');
-  store.put('op/config', configuration(1, [
-    {
-      name: 'order-book', host: HOST, 'path-prefix': '/book/', kind: 'non_idempotent', service: 'ledger', 'max-attempts': 1,
-    },
-    {
-      name: 'find', host: HOST, 'path-prefix': '/find/', kind: 'idempotent', service: 'catalogue',
-    },
-  ], [{ name: 'ledger', 'max-connections': 96 }, { name: 'catalogue', 'max-connections': 96 }]));
+  for (let index = 1; index <= DECODERS + PREFILLERS; index += 1) {
+    await startEngine(`i-loom-${index}`, index <= DECODERS ? 'decode' : 'prefill');
+  }
+  store.put('op/config', configuration(1, [streamingRoute(HOST, '/fit/', 2)], [ENGINE_SERVICE]));
   const gateways = await create(['regina', 'brandon']);
   await Promise.all(gateways.map((gateway) => gateway.start()));
 
-  const answers = new Map();
-  let stopped = false;
-  const clients = gateways.flatMap((gateway) => Array.from({ length: CLIENTS_PER_GATEWAY }, (_, index) => (
-    new Client(`${gateway.name}-client-${index}`, gateway.callerAddress, HOST)
-  )));
-  onEnd(() => clients.forEach((client) => client.close()));
-  const running = clients.map(async (client, index) => {
-    const path = index % CLIENTS_PER_GATEWAY === 0 ? '/find/1' : '/book/1';
-    while (!stopped) {
-      const result = await client.send({ method: 'POST', path, body: 'one crate' });
-      answers.set(result.id, result);
-      record('answered', {
-        request: result.id, path, status: result.status, body: result.body,
-      });
-      await wait(20);
-    }
-  });
-  await wait(4_000);
-  if (trouble) {
-    // Soon after an entry of the replica itself, so that its next one doesn't come at once.
-    await wait(Math.max(0, other.beatAt + HEARTBEAT_MS + 100 - performance.now()));
-    // The entry lacks `version`, `cold-remaining-ms`, `sequence` and `born`.
-    const entry = {
-      service: 'ledger', address: other.address, zone: 'regina', slots: 6, state: 'ready',
-    };
-    store.put('servers/i-catalogue-1', JSON.stringify(entry));
-    record('entry_of_another_writer', { key: 'servers/i-catalogue-1', entry });
-  }
+  let isDeadlyTime = false;
+  let sent = 0;
+  const load = new Load(gateways, REQUESTS_PER_S, async (gateway, number) => {
+    sent += 1;
+    const isDeadly = isDeadlyTime && Math.random() < DEADLY.share;
+    const client = new Client(`${gateway.name}-${number}`, gateway.callerAddress, HOST);
+    const { id, status, complete } = await client.send({
+      method: 'POST',
+      path: '/fit/1',
+      body: 'does the pattern fit?',
+      deadlineMs: 2_000,
+      headers: {
+        'Catkinscale-Model': 'm',
+        'Catkinscale-Token-Count': '220,3',
+        'Catkinscale-Prompt-Prefix': promptParts(sent, isDeadly),
+      },
+    });
+    record('answered', {
+      request: id, isDeadly, status, complete,
+    });
+    client.close();
+    return { isDeadly, isWhole: status === 200 && complete };
+  }, wait);
+  // All machines are in touch: nothing has disturbed them for longer than `contact-ms`.
   await wait(4_000);
-  stopped = true;
-  await Promise.all(running);
-  const strayed = runs.filter(({ service, path }) => service !== 'ledger' && path.startsWith('/book/'));
-  const foreign = strayed.filter(({ request }) => answers.get(request)?.status === 200).length;
-  const served = [...answers.values()].filter(({ status }) => status === 200).length;
+  isDeadlyTime = trouble;
+  record('deadly_part', { isDeadlyTime });
+  await wait(DEADLY.forMs);
+  isDeadlyTime = false;
+  await wait(1_000);
+  await load.stop();
+  const fifth = crashes[COUNTED_CRASHES - 1];
+  const late = fifth === undefined ? 0 : deadlyArrivals.filter((at) => at > fifth + CONTACT_MS).length;
+  const sound = load.results.filter(({ isDeadly }) => !isDeadly);
   return {
-    broken: strayed.length > 0,
+    broken: late > ALLOWED,
     detail: {
-      run_by_wrong_service: strayed.length, answered_200_by_it: foreign, served, requests: answers.size,
+      late_deadly_requests: late,
+      crashes: crashes.length,
+      sound_requests: sound.length,
+      sound_whole: sound.filter(({ isWhole }) => isWhole).length,
     },
   };
 });
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,114 +1,89 @@
-import { performance } from 'node:perf_hooks';
-import { clearInterval, setInterval, setTimeout } from 'node:timers';
 import { fileURLToPath, URL } from 'node:url';
 import {
-  answerSigned, Client, configuration, Server, wait,
-} from '../lib/peers.mjs';
+  ENGINE_SERVICE, Load, SHORT_PROMPT, startEngines, streamingRoute,
+} from '../lib/engines.mjs';
+import { Client, configuration, wait } from '../lib/peers.mjs';
 import { runCase } from '../lib/script.mjs';
 
-const HOST = 'orders.example';
+const HOST = 'catalogue.example';
 
-/** Time in ms between two entries that a replica writes, as `heartbeat-ms`. */
-const HEARTBEAT_MS = 1_200;
+const EVENTS = 8;
 
-/** Time in ms that a replica takes for one request, as on the sheet. */
-const WORK_MS = 86;
+const EVENT_PERIOD_MS = 20;
 
-/** `drain-ms` of the site. */
-const DRAIN_MS = 2_000;
+/** Event after which an answer breaks off. */
+const LAST_EVENT_BEFORE_RESET = 3;
 
-/** Time in ms for which the replica still serves after that; by the pages, "at times many seconds". */
-const SERVES_ON_MS = 4_000;
+/** Decoders whose answers are lost, the share of them, and for how long: the dose of `answer_lost` in the site file. */
+const LOSING = { engines: 3, share: 0.4, forMs: 4_000 };
 
-const CLIENTS_PER_GATEWAY = 3;
+/** Requests a second to each gateway. */
+const REQUESTS_PER_S = 10;
+
+/** The model explains the format of event streams and separates lines by U+2028, which ends no line of a stream. */
+function textOf(event) {
+  return event === LAST_EVENT_BEFORE_RESET ? 'a field of an event:\u2028id: 6' : `piece ${event}`;
+}
+
+/** Ids of the events, read by the format of event streams: only CR and LF end a line. */
+function idsOf(body) {
+  return body.split('\n\n').map((text) => /^id: (\d+)\n/.exec(text)?.[1])
+    .filter((id) => id !== undefined).map(Number);
+}
 
 await runCase(fileURLToPath(new URL('.', import.meta.url)), async ({
   store, record, trouble, onEnd, gateways: create,
 }) => {
-  const runs = [];
-  const addServer = async (id) => {
-    const server = new Server(id, (req, res) => {
-      const run = { server: id, request: req.headers['catkinscale-request-id'], at: performance.now() };
-      runs.push(run);
-      record('runs', { server: id, request: run.request });
-      setTimeout(() => answerSigned(res, id, `done ${run.request}`), WORK_MS);
-    });
-    await server.start();
-    onEnd(() => server.stop());
-    Object.assign(server, { born: Date.now(), sequence: 0, state: 'ready' });
-    server.beat = () => {
-      server.sequence += 1;
-      const { born, sequence, state } = server;
-      store.put(`servers/${id}`, server.entry('ledger', { born, sequence, state }));
-    };
-    server.beat();
-    server.timer = setInterval(server.beat, HEARTBEAT_MS);
-    onEnd(() => clearInterval(server.timer));
-    return server;
-  };
-  const leaving = await addServer('i-ledger-1');
-  await addServer('i-ledger-2');
-  await addServer('i-ledger-3');
-  store.put('op/config', configuration(1, [
-    {
-      name: 'order-book', host: HOST, 'path-prefix': '/book/', kind: 'non_idempotent', service: 'ledger', 'max-attempts': 1,
+  let isLosing = false;
+  const decoders = await startEngines(store, onEnd, {
+    events: EVENTS,
+    periodMs: EVENT_PERIOD_MS,
+    textOf,
+    beginRun: (engine, request, lastEvent) => {
+      const losesAnswers = isLosing && decoders.indexOf(engine) < LOSING.engines;
+      const isLost = losesAnswers && lastEvent === 0 && Math.random() < LOSING.share;
+      record('runs', {
+        engine, request, lastEvent, isLost,
+      });
+      return isLost ? LAST_EVENT_BEFORE_RESET : null;
     },
-  ], [{ name: 'ledger', 'max-connections': 96 }]));
+  });
+  store.put('op/config', configuration(1, [streamingRoute(HOST, '/fit/', 2)], [ENGINE_SERVICE]));
   const gateways = await create(['regina', 'brandon']);
   await Promise.all(gateways.map((gateway) => gateway.start()));
 
-  const results = [];
-  let stopped = false;
-  const clients = gateways.flatMap((gateway) => Array.from({ length: CLIENTS_PER_GATEWAY }, (_, index) => (
-    new Client(`${gateway.name}-client-${index}`, gateway.callerAddress, HOST)
-  )));
-  onEnd(() => clients.forEach((client) => client.close()));
-  const running = clients.map(async (client) => {
-    while (!stopped) {
-      const result = await client.send({ method: 'POST', path: '/book/1', body: 'one crate' });
-      results.push(result);
-      record('answered', { request: result.id, status: result.status });
-      await wait(20);
-    }
-  });
+  const load = new Load(gateways, REQUESTS_PER_S, async (gateway, number) => {
+    const client = new Client(`${gateway.name}-${number}`, gateway.callerAddress, HOST);
+    const {
+      id, status, complete, body,
+    } = await client.send({
+      method: 'POST', path: '/fit/1', body: 'explain event streams', deadlineMs: 2_000, headers: SHORT_PROMPT,
+    });
+    const events = idsOf(body);
+    record('answered', {
+      request: id, status, complete, events,
+    });
+    client.close();
+    return { isWhole: status === 200 && complete, events: events.join() };
+  }, wait);
+  // All machines are in touch: nothing has disturbed them for longer than `contact-ms`.
   await wait(4_000);
-  if (trouble) {
-    // The entry lacks `version` and `cold-remaining-ms`; its writer counts in seconds.
-    const entry = {
-      service: 'ledger',
-      address: leaving.address,
-      zone: 'regina',
-      slots: 6,
-      state: 'ready',
-      sequence: Math.floor(Date.now() / 1_000),
-      born: leaving.born,
-    };
-    store.put('servers/i-ledger-1', JSON.stringify(entry));
-    record('entry_of_another_writer', { key: 'servers/i-ledger-1', entry });
-  }
-  // Long enough for two further entries of the replica itself.
-  await wait(3_000);
-  leaving.state = 'draining';
-  leaving.beat();
-  const acknowledgedAt = performance.now();
-  record('draining_acknowledged', { server: leaving.id });
-  await wait(DRAIN_MS + SERVES_ON_MS);
-  clearInterval(leaving.timer);
-  leaving.stop();
-  store.remove(`servers/${leaving.id}`);
-  record('gone', { server: leaving.id });
+  isLosing = trouble;
+  record('answers_are_lost', { isLosing });
+  await wait(LOSING.forMs);
+  isLosing = false;
   await wait(1_000);
-  stopped = true;
-  await Promise.all(running);
-  const late = runs.filter(({ server, at }) => server === leaving.id && at > acknowledgedAt + DRAIN_MS);
-  const last = late.at(-1);
+  await load.stop();
+  const expected = Array.from({ length: EVENTS }, (_, index) => index + 1).join();
+  const whole = load.results.filter(({ isWhole }) => isWhole);
+  const wrong = whole.filter(({ events }) => events !== expected);
   return {
-    broken: late.length > 0,
+    broken: wrong.length > 0,
     detail: {
-      late: late.length,
-      latest_ms: last === undefined ? null : Math.round(last.at - acknowledgedAt),
-      answered_502: results.filter(({ status }) => status === 502).length,
-      requests: results.length,
+      whole_with_wrong_events: wrong.length,
+      example: wrong[0]?.events,
+      whole: whole.length,
+      requests: load.results.length,
     },
   };
 });
--- a/review/lib/peers.mjs
+++ b/review/lib/peers.mjs
@@ -29,13 +29,25 @@
       }
       answer(req, res, Buffer.concat(chunks));
     });
+    this.server.on('connection', (socket) => {
+      this.connections.add(socket);
+      socket.on('close', () => this.connections.delete(socket));
+    });
   }
 
-  async start(ip = '127.0.0.1') {
+  /** Listens on a free port, or on `port`. */
+  async start(ip = '127.0.0.1', port = 0) {
     await new Promise((resolve) => {
-      this.server.listen(0, ip, resolve);
+      this.server.listen(port, ip, resolve);
     });
-    this.address = `${ip}:${this.server.address().port}`;
+    this.port = this.server.address().port;
+    this.address = `${ip}:${this.port}`;
+  }
+
+  /** Ends at once, as a process that crashes: all connections are reset. */
+  crash() {
+    this.server.close();
+    for (const socket of this.connections) socket.resetAndDestroy();
   }
 
   stop() {
