--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -29,15 +29,19 @@
 /** Share of the requests that have the part, and for how long; the dose of the page on such parts. */
 const DEADLY = { share: 0.05, forMs: 22_000 };
 
-const REQUESTS_PER_S = 30;
+/** Requests a second to each gateway, half of those of contract-fit. */
+const REQUESTS_PER_S = 57;
 
 /** `contact-ms` of the site. */
 const CONTACT_MS = 3_000;
 
-/** Crashes after which the rule BUDGET begins to count, and the requests that it then allows. */
-const COUNTED_CRASHES = 5;
+/** Crash from which the rules count; the last one, if there are fewer. */
+const COUNTED_CRASH = 5;
 
-const ALLOWED = 3;
+/** Requests that the rule LOST needs to compare, and the share of those outside that must begin. */
+const MIN_REQUESTS = 20;
+
+const MIN_SHARE = 0.5;
 
 /** Parts of a prompt; the last one belongs to the request itself. */
 const PARTS = 10;
@@ -72,6 +76,7 @@
 }) => {
   const crashes = [];
   const deadlyArrivals = [];
+  const begun = new Set();
   const startEngine = async (id, stage, port) => {
     const server = new Server(id, (req, res) => {
       if (req.url === '/report') {
@@ -89,6 +94,7 @@
       const isDeadly = req.headers['catkinscale-prompt-prefix'].includes(DEADLY_PART);
       res.writeHead(200, { 'Catkinscale-Server-Signature': `signed.${id}`, 'Content-Type': 'text/event-stream' });
       if (!isDeadly) {
+        begun.add(request);
         streamEvents(res);
         return;
       }
@@ -134,6 +140,7 @@
   let sent = 0;
   const load = new Load(gateways, REQUESTS_PER_S, async (gateway, number) => {
     sent += 1;
+    const sentAt = performance.now();
     const isDeadly = isDeadlyTime && Math.random() < DEADLY.share;
     const client = new Client(`${gateway.name}-${number}`, gateway.callerAddress, HOST);
     const { id, status, complete } = await client.send({
@@ -151,25 +158,35 @@
       request: id, isDeadly, status, complete,
     });
     client.close();
-    return { isDeadly, isWhole: status === 200 && complete };
+    return {
+      id, sentAt, isDeadly, isWhole: status === 200 && complete,
+    };
   }, wait);
   // All machines are in touch: nothing has disturbed them for longer than `contact-ms`.
   await wait(4_000);
+  const beginsAt = performance.now();
   isDeadlyTime = trouble;
   record('deadly_part', { isDeadlyTime });
   await wait(DEADLY.forMs);
+  const endsAt = performance.now();
   isDeadlyTime = false;
   await wait(1_000);
   await load.stop();
-  const fifth = crashes[COUNTED_CRASHES - 1];
-  const late = fifth === undefined ? 0 : deadlyArrivals.filter((at) => at > fifth + CONTACT_MS).length;
+
+  const countedAt = crashes[Math.min(COUNTED_CRASH, crashes.length) - 1] ?? beginsAt;
   const sound = load.results.filter(({ isDeadly }) => !isDeadly);
+  const outside = sound.filter(({ sentAt }) => sentAt < beginsAt);
+  const inside = sound.filter(({ sentAt }) => sentAt > countedAt + 2 * CONTACT_MS && sentAt < endsAt);
+  const shareBegun = (requests) => requests.filter(({ id }) => begun.has(id)).length / Math.max(1, requests.length);
+  const isComparable = Math.min(outside.length, inside.length) >= MIN_REQUESTS;
+  const late = crashes.length < COUNTED_CRASH ? 0 : deadlyArrivals.filter((at) => at > countedAt + CONTACT_MS).length;
   return {
-    broken: late > ALLOWED,
+    broken: isComparable && shareBegun(inside) < MIN_SHARE * shareBegun(outside),
     detail: {
-      late_deadly_requests: late,
+      sound_begun_inside: `${shareBegun(inside).toFixed(3)} of ${inside.length}`,
+      sound_begun_outside: `${shareBegun(outside).toFixed(3)} of ${outside.length}`,
       crashes: crashes.length,
-      sound_requests: sound.length,
+      late_deadly_requests: late,
       sound_whole: sound.filter(({ isWhole }) => isWhole).length,
     },
   };
