--- a/review/lib/gateways.mjs
+++ b/review/lib/gateways.mjs
@@ -96,12 +96,11 @@
     this.spawn();
     const deadline = performance.now() + START_TIMEOUT_MS;
     while (!await this.isReady()) {
-      if (this.child.exitCode !== null || this.child.signalCode !== null) return false;
+      if (!this.isRunning) throw new Error(`${this.name} has ended before it was ready`);
       if (performance.now() > deadline) throw new Error(`${this.name} is not ready`);
       await wait(30);
     }
     this.record('gateway_ready', { gateway: this.name });
-    return true;
   }
 
   get isRunning() {
--- a/review/lib/script.mjs
+++ b/review/lib/script.mjs
@@ -7,8 +7,8 @@
 import { createGateways } from './gateways.mjs';
 import { Store } from './store.mjs';
 
-/** Exit codes of a case. */
-export const Verdict = { Held: 0, Broken: 1, NotRun: 2 };
+/** Exit codes of a script; `run.sh` turns 91 into 1, with which Node.js itself ends after an error. */
+export const Verdict = { Held: 0, Broken: 91, NotRun: 2 };
 
 const LIMIT_MS = 115_000;
 
