--- a/src/soak/processes.ts
+++ b/src/soak/processes.ts
@@ -93,6 +93,16 @@
     return this.exited;
   }
 
+  /** Resolves with the exit code once the process has ended, or `null` if a signal ended it. */
+  public whenExited(): Promise<number | null> {
+    return this.exited;
+  }
+
+  /** State of the gateway as it reports it itself; throws where it does not answer. */
+  public async dump(): Promise<unknown> {
+    return (await fetch(`http://${this.ip}:${PORTS.metrics}/dump`)).json();
+  }
+
   /** Kills the process and stops the proxy. */
   public dispose(): void {
     this.child?.kill('SIGKILL');
