Let an exception end one call or one round of a loop, not the process

Cause: no code handled the rejection of a call's handler, of a loop or of a peer's handler, so that each ended the process. Datagrams after the socket's end are left out. Ruled out: hiding; expected failures stay values, and nothing that is caught here is silent.

--- a/src/adapters/datagrams.ts
+++ b/src/adapters/datagrams.ts
@@ -22,15 +22,21 @@
   } catch (err) {
     return fail({ message: `cannot open ${address}: ${String(err)}` });
   }
+  let isClosed = false;
   socket.on('error', (err) => log.warn('datagram_socket_failed', { message: err.message }));
   return ok({
     // Send errors are ignored: the next message replaces a lost one.
-    send: (ip, message) => socket.send(message, port, ip, () => {}),
+    send: (ip, message) => {
+      if (!isClosed) socket.send(message, port, ip, () => {});
+    },
     onMessage: (listener) => {
       const receive = (message: Buffer): void => listener(message);
       socket.on('message', receive);
       return { dispose: () => socket.off('message', receive) };
     },
-    dispose: () => socket.close(),
+    dispose: () => {
+      isClosed = true;
+      socket.close();
+    },
   });
 }
--- a/src/cli/gateway.ts
+++ b/src/cli/gateway.ts
@@ -6,6 +6,7 @@
 import { Metrics } from '../daemon/metrics.js';
 import { HttpPeerClient, PeerListener } from '../daemon/peers.js';
 import { Secret } from '../core/configuration/index.js';
+import { reportUnexpected } from '../core/unexpected.js';
 import { Gateway } from '../gateway/gateway.js';
 import { RateLimitedLog } from '../gateway/ratelimitedlog.js';
 import { safeParseGatewaySettings } from '../gateway/settings.js';
@@ -55,6 +56,8 @@
   }, settings.data);
   const started = await gateway.start();
   if (!started.success) return failed(ExitCode.Refused, started.error.message);
+  // A call or a loop that throws ends alone. Here, callbacks of timers and sockets do, so that no other call is cut.
+  process.on('uncaughtException', (err) => reportUnexpected({ log, meter }, 'callback', err));
   process.on('SIGHUP', () => {
     const reread = safeReadText(file);
     const changed = reread.success && reread.data !== text.data;
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -11,6 +11,7 @@
 import type { AnnouncementListener } from './announcements.js';
 import { invariant, ok } from '../result.js';
 import type { Result } from '../result.js';
+import { runTogether } from '../unexpected.js';
 import { Roster } from './roster.js';
 import { ProbeSchedule } from './probeschedule.js';
 import {
@@ -170,8 +171,13 @@
     store.add(server.register('probe', async (params) => this.onProbe(params)));
     store.add(server.register('probeIndirect', async (params) => this.onProbeIndirect(params)));
     store.add(server.register('exchange', async (params) => this.exchange.handle(params)));
-    await Promise.all([this.detector.run(signal), this.exchange.run(signal)]);
-    store.dispose();
+    try {
+      await runTogether(signal, [
+        (stopped) => this.detector.run(stopped), (stopped) => this.exchange.run(stopped),
+      ]);
+    } finally {
+      store.dispose();
+    }
   }
 
   /** Dumps the state under stable keys, with ages in ms. */
--- a/src/daemon/callers.ts
+++ b/src/daemon/callers.ts
@@ -17,6 +17,7 @@
 import { RanStatus, refusedCallRan } from '../core/refusals.js';
 import type { Refusal } from '../core/refusals.js';
 import type { Result } from '../core/result.js';
+import { reportUnexpected } from '../core/unexpected.js';
 
 /** Options of {@link listenCallers}; times in ms, sizes in bytes. */
 export interface CallerOptions {
@@ -291,6 +292,6 @@
     opts.address,
     (req, res) => endpoints.handle(req, res),
     opts.limits,
-    { writeBufferBytes: opts.writeBufferBytes },
+    { writeBufferBytes: opts.writeBufferBytes, onUnexpected: (err) => reportUnexpected(opts, 'caller', err) },
   );
 }
--- a/src/daemon/http.ts
+++ b/src/daemon/http.ts
@@ -37,7 +37,7 @@
 /** Reason why a body could not be read; `aborted` needs no answer, because the connection is closed. */
 export type BodyError = HttpRefusal | { readonly code: 'aborted' } | { readonly code: 'not_utf8' };
 
-/** Answers one request. It must not reject: that is a bug and stops the process. */
+/** Answers one request. A rejection ends this request only and is reported to {@link HttpOptions.onUnexpected}. */
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
 
 /** Timeout in ms for a whole request, body included. */
@@ -178,6 +178,16 @@
   readonly maxHeaderBytes?: number;
   /** Total size in bytes of unread bodies in memory, for all callers together. */
   readonly maxUnreadBytes?: number;
+  /** Receives the exceptions of the handler. */
+  readonly onUnexpected: (err: unknown) => void;
+}
+
+/** Ends a request whose handler has failed, without a promise on whether it was run. */
+function endFailedRequest(res: ServerResponse): void {
+  if (res.destroyed || res.writableEnded) return;
+  // After an ordinary close, an answer without length would look complete.
+  if (res.headersSent) res.socket?.resetAndDestroy();
+  else sendJson(res, 500, { error: { code: 'internal', message: 'the request failed unexpectedly' } });
 }
 
 /** Opens an HTTP listener; its memory is bounded, whatever clients send. Fails if it cannot listen on `address`. */
@@ -185,7 +195,7 @@
   address: string,
   handle: HttpHandler,
   limits: HttpLimits,
-  opts: HttpOptions = {},
+  opts: HttpOptions,
 ): Promise<Result<HttpListener, ListenError>> {
   const refusedSockets = new WeakSet<Socket>();
   const server: Server = createServer({
@@ -226,7 +236,10 @@
       // The headers of an answer that began before `close` allow keep-alive, so its idle connection is closed here.
       if (closing) setImmediate(() => server.closeIdleConnections());
     });
-    void handle(req, res);
+    handle(req, res).catch((err: unknown) => {
+      opts.onUnexpected(err);
+      endFailedRequest(res);
+    });
   });
   const [host, port] = address.split(':');
   const listenError = await new Promise<Error | null>((resolve) => {
--- a/src/daemon/operators.ts
+++ b/src/daemon/operators.ts
@@ -6,12 +6,13 @@
 } from './http.js';
 import type { HttpLimits, HttpListener, ListenError } from './http.js';
 import { httpRefusalAnswer, refusalAnswer } from './refusals.js';
-import type { Log } from '../core/interfaces/index.js';
+import type { Log, Meter } from '../core/interfaces/index.js';
 import { FLEET_MAX_BYTES } from '../core/configuration/index.js';
 import { formatIssue } from '../core/issues.js';
 import { assertNever } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import type { Secret } from '../core/configuration/index.js';
+import { reportUnexpected } from '../core/unexpected.js';
 
 const APPLY_TIMEOUT_MS = 10_000;
 
@@ -25,6 +26,7 @@
   readonly address: string;
   readonly token: Secret;
   readonly log: Log;
+  readonly meter: Meter;
   /** Renders the metrics in the Prometheus text format. */
   readonly renderMetrics: () => string;
   /** Starts the planned stop of the process; resolves to its report before the listeners close. */
@@ -126,5 +128,7 @@
 /** Opens the HTTP listener for operators; fails if the address cannot be used. */
 export function listenOperators(entry: EntryApi, opts: OperatorOptions): Promise<Result<HttpListener, ListenError>> {
   const endpoints = new OperatorEndpoints(entry, opts);
-  return listenHttp(opts.address, (req, res) => endpoints.handle(req, res), LIMITS);
+  return listenHttp(opts.address, (req, res) => endpoints.handle(req, res), LIMITS, {
+    onUnexpected: (err) => reportUnexpected(opts, 'operator', err),
+  });
 }
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -15,6 +15,7 @@
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import type { Secret } from '../core/configuration/index.js';
+import { reportUnexpected } from '../core/unexpected.js';
 
 /** Large enough for a fleet file of maximum size with every character escaped in JSON. */
 const MAX_MESSAGE_BYTES = 4_000_000;
@@ -55,12 +56,8 @@
     this.expectedToken = Buffer.from(tokenDigest(opts.token));
     this.rpc = new JSONRPCServer({
       errorListener: (_message, err) => {
-        // The library turns every exception into an answer. Only errors that a handler returned may end that way;
-        // any other one is a bug and is thrown outside of the library.
-        if (err instanceof JSONRPCErrorException) return;
-        queueMicrotask(() => {
-          throw err;
-        });
+        // The library turns every exception into an answer. Errors that a handler returned are meant to end that way.
+        if (!(err instanceof JSONRPCErrorException)) reportUnexpected(opts, 'peer_handler', err);
       },
     });
   }
@@ -76,7 +73,9 @@
 
   /** Listens on an IP address and port; fails if they cannot be used. */
   public listen(address: string): Promise<Result<HttpListener, ListenError>> {
-    return listenHttp(address, (req, res) => this.handle(req, res), LIMITS, { keepAliveMs: KEEP_ALIVE_MS });
+    return listenHttp(address, (req, res) => this.handle(req, res), LIMITS, {
+      keepAliveMs: KEEP_ALIVE_MS, onUnexpected: (err) => reportUnexpected(this.opts, 'peer', err),
+    });
   }
 
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/src/daemon/process.ts
+++ b/src/daemon/process.ts
@@ -121,6 +121,7 @@
       address: settings.listen.operators,
       token: secrets.operatorToken,
       log,
+      meter,
       renderMetrics: () => meter.render(),
       drain,
     }))
--- a/src/gateway/callcontext.ts
+++ b/src/gateway/callcontext.ts
@@ -47,6 +47,7 @@
   CallerLeft = 'caller left',
   Timeout = 'timeout',
   Quarantined = 'a part of the prompt is in quarantine',
+  Failed = 'the call failed unexpectedly',
 }
 
 /** What the caller received. */
--- a/src/gateway/discovery.ts
+++ b/src/gateway/discovery.ts
@@ -1,4 +1,7 @@
 import type { KeyValueEntry, Log, Meter } from '../core/interfaces/index.js';
+import { fail } from '../core/result.js';
+import type { Result } from '../core/result.js';
+import { reportUnexpected } from '../core/unexpected.js';
 import type { Codec } from './codec.js';
 import type { RecordsListener, RecordSource } from './records.js';
 import type { ServerRecord, ServerRegistry } from './serverregistry.js';
@@ -30,11 +33,20 @@
   }
 
   private read(key: string, value: string): ServerRecord | null {
-    const record = this.deps.codec.readServer(key, value);
+    const record = this.decode(key, value);
     if (record.success) return record.data;
     const problem = record.error.slice(0, MAX_LOGGED_CHARACTERS);
     this.deps.log.warn('server_unreadable', { key: key.slice(0, MAX_LOGGED_CHARACTERS), problem });
     this.deps.meter.count('servers_unreadable');
     return null;
   }
+
+  private decode(key: string, value: string): Result<ServerRecord, string> {
+    try {
+      return this.deps.codec.readServer(key, value);
+    } catch (err) {
+      reportUnexpected(this.deps, 'server_record', err);
+      return fail(String(err));
+    }
+  }
 }
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -23,6 +23,8 @@
   dump(): Record<string, unknown>;
   /** Carries out an operator's order for a prompt part; `null` releases it. */
   orderPart(key: string, order: Override.Block | Override.Allow | null): void;
+  /** Receives the exceptions of the other functions. */
+  onUnexpected(err: unknown): void;
 }
 
 const PART_ORDERS = { block: Override.Block, allow: Override.Allow, clear: null } as const;
@@ -49,17 +51,18 @@
 
 function listenForSmallRequests(
   address: string,
+  { onUnexpected }: EndpointContent,
   answer: (req: IncomingMessage, res: ServerResponse) => void,
 ): Promise<Result<HttpListener, ListenError>> {
   return listenHttp(address, async (req, res) => {
     req.resume();
     answer(req, res);
-  }, LIMITS);
+  }, LIMITS, { onUnexpected });
 }
 
 /** Opens the readiness listener, which reports whether callers may be sent to this gateway. */
 export function listenReadiness(address: string, shown: EndpointContent): Promise<Result<HttpListener, ListenError>> {
-  return listenForSmallRequests(address, (_req, res) => {
+  return listenForSmallRequests(address, shown, (_req, res) => {
     const ready = shown.ready();
     sendJson(res, ready ? 200 : 503, { ready });
   });
@@ -67,7 +70,7 @@
 
 /** Opens the directory listener, which tells callers the addresses to use. */
 export function listenDirectory(address: string, shown: EndpointContent): Promise<Result<HttpListener, ListenError>> {
-  return listenForSmallRequests(address, (_req, res) => {
+  return listenForSmallRequests(address, shown, (_req, res) => {
     const body = shown.addressBody();
     if (body === null) sendJson(res, 503, { error: 'no gateway is ready' });
     else sendText(res, 'application/json', body);
@@ -76,7 +79,7 @@
 
 /** Opens the listener for metrics, the dump and operators' orders. */
 export function listenMetrics(address: string, shown: EndpointContent): Promise<Result<HttpListener, ListenError>> {
-  return listenForSmallRequests(address, (req, res) => {
+  return listenForSmallRequests(address, shown, (req, res) => {
     const path = req.url ?? '/';
     const url = new URL(URL.canParse(path, BASE_URL) ? path : '/', BASE_URL);
     if (req.method === 'POST' && url.pathname.startsWith(ORDER_PATH)) answerPartOrder(url, res, shown);
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Disposable, Meter, Random } from '../core/interfaces/index.js';
+import { reportUnexpected } from '../core/unexpected.js';
 import { readBytes, waitForSocketReads } from '../daemon/http.js';
 import { CallKind, chooseDestination } from './configuration.js';
 import type { ForwardingService, Route, RouteTable } from './configuration.js';
@@ -101,7 +102,7 @@
       else if (!body.success) {
         delivery = refused(body.error.code === 'body_too_large'
           ? { code: 'body_too_large' } : { code: 'occupied', retryAfterMs: RETRY_AFTER_MS });
-      } else if (call.success) delivery = await this.serve(call.data, body.data, routed, res, trace);
+      } else if (call.success) delivery = await this.serveOrFail(call.data, body.data, routed, res, trace);
       else delivery = refused(call.error);
       if (delivery.type === 'refused') sendRefusal(res, delivery.refusal);
       recordCall(call.success ? call.data : null, 'route' in routed ? routed.route : null, delivery, trace, {
@@ -125,6 +126,24 @@
     return service === undefined ? { code: 'no_server', retryAfterMs: RETRY_AFTER_MS } : { route, service };
   }
 
+  /** Serves a call; an exception ends this call only, and nobody knows whether it was executed. */
+  private async serveOrFail(
+    call: Call,
+    bytes: Buffer,
+    routed: Routed,
+    res: ServerResponse,
+    trace: Trace,
+  ): Promise<Delivery> {
+    try {
+      return await this.serve(call, bytes, routed, res, trace);
+    } catch (err) {
+      reportUnexpected(this.deps, 'call', err);
+      // After an ordinary close, an answer without length would look complete.
+      if (res.headersSent) res.socket?.resetAndDestroy();
+      return refused({ code: 'outcome_unknown', message: 'unexpected error' });
+    }
+  }
+
   private async serve(call: Call, bytes: Buffer, routed: Routed, res: ServerResponse, trace: Trace): Promise<Delivery> {
     const waitMs = Math.min(call.deadlineMs ?? Infinity, routed.route.timeoutMs);
     const endsAt = this.deps.endsAt();
@@ -154,6 +173,10 @@
     try {
       await waitForSocketReads();
       return ended.signal.aborted ? this.endResult(context) : await this.obtainAndDeliver(context);
+    } catch (err) {
+      // Nobody reads the answer of a server any more.
+      ended.abort(AbortReason.Failed);
+      throw err;
     } finally {
       timer.dispose();
       watch.dispose();
@@ -263,11 +286,16 @@
     if (context.ended.aborted || this.quarantineGate.refusalOf(context) !== null) return null;
     addStep(context.trace, 'resume', this.deps.clock.monotonic());
     const call = lastEventId === null ? context.call : { ...context.call, lastEventId };
-    const answer = await this.obtainAnswer({ ...context, call }, new Set([failed]));
-    if (answer.type !== 'answer') return null;
-    if (isEventStream(answer.head) && answer.head.signed) return answer;
-    answer.upstream.abort('no stream to go on with');
-    return null;
+    try {
+      const answer = await this.obtainAnswer({ ...context, call }, new Set([failed]));
+      if (answer.type !== 'answer') return null;
+      if (isEventStream(answer.head) && answer.head.signed) return answer;
+      answer.upstream.abort('no stream to go on with');
+      return null;
+    } catch (err) {
+      reportUnexpected(this.deps, 'resume', err);
+      return null;
+    }
   }
 
   /** Result for a call whose caller has disconnected, whose time is over, or whose prompt is in quarantine by now. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import { sleep, withTimeout } from '../core/time.js';
+import { keepRunning, reportUnexpected } from '../core/unexpected.js';
 import { listenHttp } from '../daemon/http.js';
 import type { HttpListener, ListenError } from '../daemon/http.js';
 import type { Metrics } from '../daemon/metrics.js';
@@ -227,6 +228,7 @@
       keepAliveMs: INITIAL_IDLE_MS + IDLE_MARGIN_MS,
       maxHeaderBytes: MAX_HEAD_BYTES,
       maxUnreadBytes: MAX_UNREAD_BODY_BYTES,
+      onUnexpected: (err) => reportUnexpected(this.deps, 'call', err),
     });
     const content: EndpointContent = {
       ready: () => this.ready(),
@@ -234,6 +236,7 @@
       metrics: () => this.deps.meter.render(),
       dump: () => this.dump(),
       orderPart: (key, order) => this.quarantine.order(key, order),
+      onUnexpected: (err) => reportUnexpected(this.deps, 'endpoint', err),
     };
     const opened = [
       callers,
@@ -250,15 +253,18 @@
     setMaxListeners(MAX_STOP_LISTENERS, signal);
     this.disposables.add(this.peers.logChanges());
     this.disposables.add(this.trials.serve());
-    void Promise.all([
-      this.membership.run(signal),
-      this.configuration.run(signal),
-      this.servers.run(signal),
-      this.authority.run(signal),
-      this.roles.run(signal),
-      this.occupancy.run(signal),
-      this.quarantineExchange.run(signal),
-    ]);
+    const loops = {
+      membership: this.membership,
+      configuration: this.configuration,
+      servers: this.servers,
+      authority: this.authority,
+      roles: this.roles,
+      occupancy: this.occupancy,
+      quarantine: this.quarantineExchange,
+    };
+    for (const [task, loop] of Object.entries(loops)) {
+      void keepRunning(this.deps, task, (stopped) => loop.run(stopped), signal);
+    }
     this.deps.log.info('started', { gateway: this.settings.gateway.name });
     return ok(undefined);
   }
--- a/src/gateway/occupancy.ts
+++ b/src/gateway/occupancy.ts
@@ -160,8 +160,11 @@
     this.own.set(server, calls);
     calls[kind] += 1;
     this.changed = true;
+    let isOpen = true;
     return {
       dispose: () => {
+        if (!isOpen) return;
+        isOpen = false;
         calls[kind] -= 1;
         const unused = calls.prefills + calls.continuations + calls.wholes === 0;
         if (unused && this.own.get(server) === calls) this.own.delete(server);
@@ -181,16 +184,19 @@
     const { clock, datagrams, members } = this.deps;
     const subscription = datagrams.onMessage((message) => this.receive(message));
     let sentAt = -Infinity;
-    while (!signal.aborted) {
-      await sleep(clock, PERIOD_MS * Math.max(1, members.live().length / MAX_RECEIVERS), signal);
-      const demand = this.demand();
-      if (!this.changed && demand.size === 0 && clock.monotonic() - sentAt < REPEAT_MS) continue;
-      // The flag stays set while calls wait, so that one more message reports that none waits any longer.
-      this.changed = demand.size > 0;
-      sentAt = clock.monotonic();
-      this.broadcast(demand);
+    try {
+      while (!signal.aborted) {
+        await sleep(clock, PERIOD_MS * Math.max(1, members.live().length / MAX_RECEIVERS), signal);
+        const demand = this.demand();
+        if (!this.changed && demand.size === 0 && clock.monotonic() - sentAt < REPEAT_MS) continue;
+        // The flag stays set while calls wait, so that one more message reports that none waits any longer.
+        this.changed = demand.size > 0;
+        sentAt = clock.monotonic();
+        this.broadcast(demand);
+      }
+    } finally {
+      subscription.dispose();
     }
-    subscription.dispose();
   }
 
   /** Own calls by server, and the age of each peer's table. */
--- a/src/gateway/quarantine/exchange.ts
+++ b/src/gateway/quarantine/exchange.ts
@@ -98,9 +98,12 @@
     store.add(datagrams.onMessage((message) => this.receive(unpackDatagram(message))));
     store.add(server.register(METHOD, async (params) => this.answer(params)));
     store.add(quarantine.onNews((news) => this.collect(news)));
-    await this.compareRepeatedly(signal);
-    this.finishSynchronization();
-    store.dispose();
+    try {
+      await this.compareRepeatedly(signal);
+    } finally {
+      this.finishSynchronization();
+      store.dispose();
+    }
   }
 
   private async compareRepeatedly(signal: AbortSignal): Promise<void> {
--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -5,6 +5,7 @@
 import type { Members } from '../core/membership/index.js';
 import { fail, ok } from '../core/result.js';
 import { sleep } from '../core/time.js';
+import { reportUnexpected, runTogether } from '../core/unexpected.js';
 import type { StoreContact } from './contact.js';
 import { KeyFollower } from './follower.js';
 import type { KeySource } from './follower.js';
@@ -145,8 +146,13 @@
       server.register(method, async (params) => this.answerPeer(params)),
       server.register(relayMethod(this.opts.prefix), (params) => this.answerFollower(params, signal)),
     ];
-    await Promise.all([this.follower.run(signal), this.pollPeers(method, signal)]);
-    for (const registration of registrations) registration.dispose();
+    try {
+      await runTogether(signal, [
+        (stopped) => this.follower.run(stopped), (stopped) => this.pollPeers(method, stopped),
+      ]);
+    } finally {
+      for (const registration of registrations) registration.dispose();
+    }
   }
 
   /** Prefix, revision, number and age of the records. */
@@ -277,7 +283,7 @@
     this.entries.clear();
     for (const entry of entries) this.entries.set(entry.key, entry);
     this.setRevision(revision);
-    this.listener.replaced(entries, source);
+    this.notify(() => this.listener.replaced(entries, source));
   }
 
   /** Applies only the last change of each key, so that no listener acts on an intermediate state. */
@@ -296,11 +302,20 @@
     if (event.type === 'put') {
       this.entries.set(key, event.entry);
       this.history.recordPut(key);
-      this.listener.put(event.entry, source);
+      this.notify(() => this.listener.put(event.entry, source));
     } else if (known !== undefined) {
       this.entries.delete(key);
       this.history.recordRemoval(key, version);
-      this.listener.removed(key, source);
+      this.notify(() => this.listener.removed(key, source));
+    }
+  }
+
+  /** Calls the listener; an exception over one entry must not keep the others from it. */
+  private notify(call: () => void): void {
+    try {
+      call();
+    } catch (err) {
+      reportUnexpected(this.deps, `records ${this.opts.prefix}`, err);
     }
   }
 }
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -143,6 +143,19 @@
     context: CallContext,
     reserved: ReservedServer,
     work: SendPlan['work'],
+  ): Promise<SendResult> {
+    try {
+      return await this.sendReserved(context, reserved, work);
+    } catch (err) {
+      reserved.reservation.dispose();
+      throw err;
+    }
+  }
+
+  private async sendReserved(
+    context: CallContext,
+    reserved: ReservedServer,
+    work: SendPlan['work'],
   ): Promise<SendResult> {
     const { server, reservation } = reserved;
     const { clock, codec: platformCodec, fleet } = this.deps;
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -10,6 +10,7 @@
 import { run } from '../src/cli/program.js';
 import type { RunningEntry, StartEntry } from '../src/cli/serve.js';
 import type { HttpListener } from '../src/daemon/http.js';
+import { Metrics } from '../src/daemon/metrics.js';
 import { listenOperators } from '../src/daemon/operators.js';
 import { fail, ok } from '../src/core/result.js';
 import { Secret } from '../src/core/configuration/settings.js';
@@ -62,6 +63,7 @@
     address: '127.0.0.1:0',
     token: new Secret(TOKEN),
     log: quietLog,
+    meter: new Metrics(),
     renderMetrics: () => '',
     drain: () => entry.drain(),
   });
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -24,6 +24,7 @@
     address: '127.0.0.1:0',
     token: new Secret(TOKEN),
     log: quietLog,
+    meter: metrics,
     renderMetrics: () => metrics.render(),
     drain: () => entry.drain(),
   });
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -5,6 +5,7 @@
 import { Secret } from '../../src/core/configuration/settings.js';
 import { Metrics } from '../../src/daemon/metrics.js';
 import { HttpPeerClient, PeerListener } from '../../src/daemon/peers.js';
+import type { Codec } from '../../src/gateway/codec.js';
 import { Gateway } from '../../src/gateway/gateway.js';
 import { safeParseGatewaySettings } from '../../src/gateway/settings.js';
 import { silentLog } from './loopback.js';
@@ -65,6 +66,8 @@
   /** UDP port of all gateways; without it, no datagrams are exchanged. */
   readonly exchangePort?: number;
   readonly log?: Log;
+  readonly codec?: Codec;
+  readonly meter?: Metrics;
 }
 
 /** Starts a gateway on five consecutive loopback ports from `firstPort`; throws if it fails to start. */
@@ -72,7 +75,7 @@
   store: { readonly address: string },
   firstPort: number,
   {
-    seeds = [], host = '127.0.0.1', exchangePort, log = silentLog,
+    seeds = [], host = '127.0.0.1', exchangePort, log = silentLog, codec = platformCodec, meter = new Metrics(),
   }: StartGatewayOptions = {},
 ): Promise<RunningGateway> {
   const [callers, readiness, peers, directory, metrics] = [0, 1, 2, 3, 4].map((offset) => `${host}:${firstPort + offset}`);
@@ -88,7 +91,6 @@
     '[retries]', 'burst = 200',
   ].join('\n'), 'test');
   if (!settings.success) throw new Error(JSON.stringify(settings.error));
-  const meter = new Metrics();
   const options = { token: new Secret('a token of the tests'), log: silentLog, meter };
   const peerServer = new PeerListener(options);
   const peerClient = new HttpPeerClient(options);
@@ -102,7 +104,7 @@
     log,
     meter,
     store: client,
-    codec: platformCodec,
+    codec,
     peerClient,
     peerServer,
     datagrams: datagrams?.data ?? { send: () => {}, onMessage: () => ({ dispose: () => {} }) },
