Take event ids from lines that CR or LF ends only

Cause: `^` with the flag `m` also matches after U+2028 and U+2029, so that "id: 6" in the text of a model was taken for the id of an event, and a broken stream went on after it. Change: lines are split at CR and LF, ids come from whole lines; splitter and boundary share one definition of an empty line. Ruled out: the line separators that JSON leaves as they are but `^` doesn't match (U+0085, VT, FF, RS) passed before, too.

--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -18,14 +18,35 @@
   return valueOf('content-type')?.startsWith(EVENT_STREAM) === true && valueOf('content-length') === undefined;
 }
 
-/** Length in bytes of the complete events at the beginning of `bytes`; an empty line ends an event. */
+/**
+ * Ends of an empty line, which ends an event; only CR, LF and both together end a line. A CR after a LF counts only
+ * with the byte after it, which may be the LF that belongs to it.
+ */
+const EMPTY_LINE_ENDS = ['\n\n', '\n\r\n', '\r\r'];
+
+/** Length in bytes of the complete events at the beginning of `bytes`. */
 function wholeEventsLength(bytes: Buffer): number {
-  return Math.max(0, ...['\n\n', '\r\n\r\n'].map((terminator) => {
-    const at = bytes.lastIndexOf(terminator);
-    return at === -1 ? 0 : at + terminator.length;
+  return Math.max(0, ...EMPTY_LINE_ENDS.map((end) => {
+    const at = bytes.lastIndexOf(end);
+    return at === -1 ? 0 : at + end.length;
   }));
 }
 
+/** Id that a line sets, or `null` for any other line. */
+function idOfLine(line: string): string | null {
+  if (line === 'id') return '';
+  return line.startsWith('id:') ? line.slice(line.startsWith('id: ') ? 4 : 3) : null;
+}
+
+/** Id that the last of the lines that have one sets, or `null`. */
+function lastIdOf(events: Buffer): string | null {
+  for (const line of events.toString('utf8').split(/\r\n|\n|\r/).reverse()) {
+    const id = idOfLine(line);
+    if (id !== null) return id;
+  }
+  return null;
+}
+
 /** Number of bytes in which an empty line, and with it the end of an event, can be recognized. */
 const TERMINATOR_BYTES = 4;
 
@@ -35,7 +56,8 @@
 
   /** Whether the bytes so far end inside an event. */
   public get isInsideEvent(): boolean {
-    return this.tail.length > 0 && !/(?:\n\n|\n\r\n|\r\r)$/.test(this.tail.toString('latin1'));
+    const tail = this.tail.toString('latin1');
+    return tail !== '' && !EMPTY_LINE_ENDS.some((end) => tail.endsWith(end));
   }
 
   public push(chunk: Buffer): void {
@@ -67,8 +89,7 @@
     const length = wholeEventsLength(bytes);
     const whole = bytes.subarray(0, length);
     this.incompleteEvent = bytes.subarray(length);
-    const ids = [...whole.toString('utf8').matchAll(/^id: ?([^\r\n]*)/gm)];
-    this.lastEventId = ids.at(-1)?.[1] ?? this.lastEventId;
+    this.lastEventId = lastIdOf(whole) ?? this.lastEventId;
     if (this.incompleteEvent.length <= MAX_EVENT_BYTES) return whole;
     this.oversized = true;
     return Buffer.concat([whole, this.flush()]);
--- a/test/resume.test.ts
+++ b/test/resume.test.ts
@@ -153,6 +153,24 @@
   });
 });
 
+/** Characters that end a line for some libraries, but not in an event stream. */
+const OTHER_SEPARATORS = ['\u2028', '\u2029', '\u0085', '\u000b', '\u000c', '\u001e'];
+
+describe('the text of a model that looks like a field of an event', () => {
+  // Guards against a stream that goes on after an id that stands in the text, so that events are missing.
+  it.each(OTHER_SEPARATORS)('after the character %j does not move the point at which a stream goes on', async (separator) => {
+    const events = [event(1), event(2), event(3, `text${separator}id: 6`), event(4), event(5)];
+    respond = (res, call, run) => {
+      startStream(res);
+      const from = Number(call.headers['last-event-id'] ?? 0);
+      if (run > 1) res.end(events.slice(from).join(''));
+      else res.write(events.slice(0, 3).join(''), () => setTimeout(() => res.destroy(), 20));
+    };
+    const answer = await talk();
+    expect([answer.body, answer.broken]).toEqual([events.join(''), false]);
+  });
+});
+
 describe('a stream that may not be resumed', () => {
   // Guards against a second run of a call that must run at most once.
   it('breaks off when its engine fails', async () => {
@@ -271,6 +289,16 @@
     }), { seed: 1, numRuns: 500 });
   });
 
+  it('takes the id from lines only, whatever ends them', () => {
+    const line = fc.constantFrom('id: 7', 'id:12', 'id', ': id: 3', 'data: id: 4', `data: ${OTHER_SEPARATORS.join('id: 5')}id: 6`, '');
+    fc.assert(fc.property(fc.array(line), fc.constantFrom('\n', '\r\n', '\r'), (lines, end) => {
+      const splitter = new EventSplitter();
+      const passed = splitter.push(Buffer.from(lines.map((text) => `${text}${end}`).join(''))).toString();
+      const ids = passed.split(end).map((text) => /^id(?:: ?(.*))?$/s.exec(text)).filter((match) => match !== null);
+      expect(splitter.lastEventId).toBe(ids.length === 0 ? null : ids.at(-1)?.[1] ?? '');
+    }), { seed: 3, numRuns: 500 });
+  });
+
   it('passes on an event over the size limit in pieces and reports that', () => {
     const splitter = new EventSplitter();
     expect(splitter.push(Buffer.alloc(300_000, 'x')).length).toBe(300_000);
