Examine all parts of a prompt when servers end under it

Change: all parts are, up to 1,024 of a prompt; the state is bounded by 16,384 parts of all ends. Parts of the same calls are compared by their place only, as comparing each with each took 2.9 s for 1,000 parts. Log lines name 24 parts at most. Gateways of before and after reject each other's longer runs while both are there. Ruled out: a larger bound alone, which a sender reaches too, and which makes the decision slow.

--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -4,6 +4,7 @@
 import type { Occupancy, OpenCalls } from './occupancy.js';
 import { isProven, OpenRuns } from './openruns.js';
 import type { PromptObserver, Run, RunsListener } from './openruns.js';
+import { describeParts } from './placement.js';
 import type { Candidate } from './placement.js';
 import type { ServerRecord, ServerRegistry } from './serverregistry.js';
 
@@ -228,7 +229,8 @@
       born: record.bornAt,
       planned: isPlanned,
       proven: runs.length - unproven.length,
-      unproven: unproven.slice(0, MAX_LOGGED_RUNS).map(({ request, parts }) => `${request ?? ''}:${parts.join(',')}`).join(' '),
+      unproven: unproven.slice(0, MAX_LOGGED_RUNS).map(({ request, parts }) => `${request ?? ''}:${describeParts(parts, ',')}`)
+        .join(' '),
     });
     if (!isPlanned) this.prompts.recordEnd(record, runs);
   }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -33,6 +33,16 @@
   return generation === null ? [] : generation.parts.slice(0, -1).map(({ id }) => id);
 }
 
+/** Largest number of parts of a prompt in a log line. */
+const MAX_LOGGED_PARTS = 24;
+
+/** Ids of prompt parts for a log line, with the number of those that are left out. */
+export function describeParts(ids: readonly string[], separator: string): string {
+  const omitted = ids.length - MAX_LOGGED_PARTS;
+  const shown = omitted <= 0 ? ids : [...ids.slice(0, MAX_LOGGED_PARTS), `+${omitted}`];
+  return shown.join(separator);
+}
+
 /**
  * Number of calls by which a server in the gateway's own failure domain may be busier than a remote one and still be
  * chosen, because traffic between failure domains is expensive.
--- a/src/gateway/quarantine/evidence.ts
+++ b/src/gateway/quarantine/evidence.ts
@@ -51,8 +51,14 @@
 /** Largest number of suspect runs of one end. */
 export const MAX_RUNS = 16;
 
+/** Largest number of parts of one prompt that are suspects, from its beginning. */
+export const MAX_KEYS_PER_RUN = 1_024;
+
+/** Largest number of suspect parts of all ends together; the oldest ends are dropped. */
+export const MAX_KEYS = 16_384;
+
 /** Largest number of parts whose state is kept. */
-export const MAX_PARTS = 512;
+export const MAX_PARTS = 2_048;
 
 /** Time in ms after which an end is forgotten. */
 const END_TTL_MS = 300_000;
@@ -91,8 +97,8 @@
 
   private readonly parts = new Map<string, PartState>();
 
-  /** Keys of the parts that an end concerns. */
-  private suspects: ReadonlySet<string> = new Set();
+  /** Times of the ends that concern a part, by its key. */
+  private suspects: ReadonlyMap<string, readonly number[]> = new Map();
 
   /** State of a part, or that of one of which nothing is known. */
   public part(key: string): PartState {
@@ -158,10 +164,8 @@
   /** Forgets what is old, and the oldest where there is too much. */
   public expire(now: number): void {
     for (const [incarnation, { at }] of this.ends) if (now - at > END_TTL_MS) this.ends.delete(incarnation);
-    while (this.ends.size > MAX_ENDS) this.dropOldestEnd();
-    this.suspects = new Set([...this.ends.values()].flatMap(({ runs }) => (
-      [...runs.values()].flatMap(({ keys }) => keys)
-    )));
+    while (this.ends.size > MAX_ENDS || (this.ends.size > 1 && this.countKeys() > MAX_KEYS)) this.dropOldestEnd();
+    this.suspects = this.findSuspects();
     for (const [key, part] of this.parts) {
       const isKept = part.orders > 0 || this.suspects.has(key)
         || (isQuarantined(part) && now - Math.max(part.quarantinedAt, part.trialAt) < QUARANTINE_TTL_MS);
@@ -206,9 +210,25 @@
   private isNewProof(key: string, knownAt: number, provenAt: number): boolean {
     if (provenAt <= knownAt) return false;
     if (knownAt === -Infinity || this.part(key).quarantinedAt > knownAt) return true;
-    return [...this.ends.values()].some(({ at, runs }) => (
-      at > knownAt && at <= provenAt && [...runs.values()].some(({ keys }) => keys.includes(key))
-    ));
+    return this.suspects.get(key)?.some((at) => at > knownAt && at <= provenAt) ?? false;
+  }
+
+  private countKeys(): number {
+    let count = 0;
+    for (const { runs } of this.ends.values()) for (const { keys } of runs.values()) count += keys.length;
+    return count;
+  }
+
+  private findSuspects(): ReadonlyMap<string, readonly number[]> {
+    const suspects = new Map<string, number[]>();
+    for (const { at, runs } of this.ends.values()) {
+      for (const key of new Set([...runs.values()].flatMap(({ keys }) => keys))) {
+        const times = suspects.get(key);
+        if (times === undefined) suspects.set(key, [at]);
+        else times.push(at);
+      }
+    }
+    return suspects;
   }
 
   private setPart(key: string, part: PartState): void {
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -5,13 +5,13 @@
 import type { Run } from '../openruns.js';
 import type { ServerRecord } from '../serverregistry.js';
 import {
-  Evidence, isQuarantined, MAX_RUNS, nextTrialAt, Override,
+  Evidence, isQuarantined, MAX_KEYS_PER_RUN, MAX_RUNS, nextTrialAt, Override,
 } from './evidence.js';
 import type { News, PartState } from './evidence.js';
 import type { SuspectRun } from './verdict.js';
 
 /** Largest number of parts that were seen to work and are remembered. */
-const MAX_PROVEN = 8_192;
+const MAX_PROVEN = 16_384;
 
 /**
  * Time in ms after the end of a server within which an answer shows that only connections had broken. Later, the server
@@ -19,9 +19,6 @@
  */
 const MAX_REFUTATION_MS = 1_000;
 
-/** Largest number of parts of one prompt that are considered, from its beginning. */
-const MAX_KEYS_PER_RUN = 8;
-
 /** Dependencies of {@link Quarantine}. */
 export interface QuarantineDependencies {
   readonly clock: Clock;
@@ -127,8 +124,10 @@
       this.proven.set(key, now);
       if (this.evidence.concerns(key)) proofs.set(key, { ...this.evidence.part(key), provenAt: now });
     }
-    const [oldest] = this.proven.keys();
-    if (this.proven.size > MAX_PROVEN && oldest !== undefined) this.proven.delete(oldest);
+    for (const oldest of this.proven.keys()) {
+      if (this.proven.size <= MAX_PROVEN) break;
+      this.proven.delete(oldest);
+    }
     if (proofs.size > 0) this.learn({ ends: new Map(), parts: proofs });
   }
 
--- a/src/gateway/quarantine/verdict.ts
+++ b/src/gateway/quarantine/verdict.ts
@@ -43,6 +43,8 @@
 interface Candidate {
   readonly key: string;
   readonly ends: readonly ServerEnd[];
+  /** Position of the part in each call of these ends that has it. */
+  readonly positions: ReadonlyMap<SuspectRun, number>;
 }
 
 /** Occurrences of each part, in the order of the ends. */
@@ -73,29 +75,64 @@
   return counted;
 }
 
-/** Whether each call with `key` has `other` before it, so that at least as many requests have `other`. */
-function isNarrower({ key, ends }: Candidate, { key: other }: Candidate): boolean {
-  return ends.every(({ runs }) => runs.every(({ keys }) => {
-    const index = keys.indexOf(key);
-    const otherIndex = keys.indexOf(other);
-    return index === -1 || (otherIndex !== -1 && otherIndex < index);
-  }));
+/** Whether each call with the part has the other one before it, so that at least as many requests have the other. */
+function isNarrower({ positions }: Candidate, { positions: others }: Candidate): boolean {
+  return [...positions].every(([run, position]) => (others.get(run) ?? Infinity) < position);
+}
+
+/** Positions of the given parts in the calls that were open at the given ends. */
+function positionsByKey(
+  ends: readonly ServerEnd[],
+  wanted: ReadonlySet<string>,
+): ReadonlyMap<string, ReadonlyMap<SuspectRun, number>> {
+  const byKey = new Map([...wanted].map((key) => [key, new Map<SuspectRun, number>()]));
+  for (const run of ends.flatMap(({ runs }) => runs)) {
+    run.keys.forEach((key, position) => {
+      const positions = byKey.get(key);
+      if (positions !== undefined && !positions.has(run)) positions.set(run, position);
+    });
+  }
+  return byKey;
 }
 
 function findCandidates(ends: readonly ServerEnd[], parts: ReadonlyMap<string, PartRecord>): readonly Candidate[] {
   const newestEndAt = ends.at(-1)?.at ?? -Infinity;
-  return [...occurrencesByKey(ends)].flatMap(([key, occurrences]) => {
+  const countedByKey = new Map<string, readonly ServerEnd[]>();
+  for (const [key, occurrences] of occurrencesByKey(ends)) {
     const provenAt = parts.get(key)?.provenAt ?? -Infinity;
     const needed = newestEndAt - provenAt < PROOF_TTL_MS ? ENDS_OF_PROVEN : ENDS_OF_UNPROVEN;
     const counted = countedEnds(occurrences, provenAt);
-    return counted.length >= needed ? [{ key, ends: counted }] : [];
+    if (counted.length >= needed) countedByKey.set(key, counted);
+  }
+  const positions = positionsByKey(ends, new Set(countedByKey.keys()));
+  return [...countedByKey].map(([key, counted]) => {
+    const isCounted = new Set(counted.flatMap(({ runs }) => runs));
+    const inCounted = [...positions.get(key) ?? []].filter(([run]) => isCounted.has(run));
+    return { key, ends: counted, positions: new Map(inCounted) };
   });
 }
 
+/**
+ * Of the candidates that are parts of the same calls, the one that stands last in them. A long prompt that comes twice
+ * makes all its parts candidates, and comparing each with each would take seconds.
+ */
+function lastOfSameCalls(candidates: readonly Candidate[]): readonly Candidate[] {
+  const numbers = new Map<SuspectRun, number>();
+  const bySignature = new Map<string, Candidate>();
+  for (const candidate of candidates) {
+    const runs = [...candidate.positions.keys()];
+    for (const run of runs) if (!numbers.has(run)) numbers.set(run, numbers.size);
+    const signature = runs.map((run) => numbers.get(run)).join();
+    const known = bySignature.get(signature);
+    if (known === undefined || isNarrower(candidate, known)) bySignature.set(signature, candidate);
+  }
+  return [...bySignature.values()];
+}
+
 /** The candidates that explain most ends; of nested parts, only the narrowest one. */
 function likeliestOf(candidates: readonly Candidate[]): readonly Candidate[] {
   const most = Math.max(...candidates.map(({ ends }) => ends.length));
-  const likeliest = candidates.filter(({ ends }) => ends.length === most);
+  const likeliest = lastOfSameCalls(candidates.filter(({ ends }) => ends.length === most));
   return likeliest.filter((candidate) => (
     !likeliest.some((other) => other !== candidate && isNarrower(other, candidate))
   ));
--- a/src/gateway/quarantine/wire.ts
+++ b/src/gateway/quarantine/wire.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import { pack, safeUnpack } from '../packing.js';
 import {
-  MAX_ENDS, MAX_PARTS, MAX_RUNS, Override,
+  MAX_ENDS, MAX_KEYS_PER_RUN, MAX_PARTS, MAX_RUNS, Override,
 } from './evidence.js';
 import type { EndState, News, PartState } from './evidence.js';
 
@@ -18,7 +18,7 @@
 
 const keySchema = z.string().max(300);
 
-const runSchema = z.tuple([z.string().max(200), z.number(), z.array(keySchema).max(16)]);
+const runSchema = z.tuple([z.string().max(200), z.number(), z.array(keySchema).max(MAX_KEYS_PER_RUN)]);
 
 /** Incarnation, age of its end, whether that is refuted, and its runs with request id, age and keys. */
 const endSchema = z.tuple([z.string().max(300), z.number(), z.boolean(), z.array(runSchema).max(MAX_RUNS)]);
--- a/src/gateway/report.ts
+++ b/src/gateway/report.ts
@@ -3,6 +3,7 @@
 import type { Route } from './configuration.js';
 import type { Call } from './codec.js';
 import { refusalAnswer } from './outcome.js';
+import { describeParts } from './placement.js';
 import type { Refusal } from './outcome.js';
 import type { Delivery, Trace } from './callcontext.js';
 
@@ -54,7 +55,8 @@
   const fields = {
     request: call?.id,
     route: route?.name,
-    parts: call?.generation?.parts.map(({ id }) => id).join(' '),
+    parts: call?.generation === undefined || call.generation === null
+      ? undefined : describeParts(call.generation.parts.map(({ id }) => id), ' '),
     deadline_ms: call?.deadlineMs ?? undefined,
     version: context.version,
     servers_age_ms: Math.round(context.recordsAgeMs),
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -118,6 +118,7 @@
   it('list the parts of a prompt with their tokens, or none if one is malformed', () => {
     expect(parsePromptParts('5c1e:800, 91bd:410')).toEqual([{ id: '5c1e', tokens: 800 }, { id: '91bd', tokens: 410 }]);
     expect(parsePromptParts('5c1e')).toBeNull();
+    expect(parsePromptParts(Array.from({ length: 300 }, () => '5c1e:8').join(','))).toHaveLength(300);
   });
 });
 
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -117,6 +117,22 @@
     expect(deadlyCalls() - before).toBeLessThanOrEqual(3);
   });
 
+  // Guards against a part that is never found because it stands late in a long prompt.
+  it.each([9, 40, 300])('is found as the last of %i shared parts', async (count) => {
+    const prompt = [...Array.from({ length: count - 1 }, (_, index) => (0x5c1e00 + index).toString(16)), DEADLY_PART];
+    for (let call = 0; call < 100 && crashes() < 5; call += 1) {
+      await ask(call, prompt);
+      await pause(20);
+    }
+    await pause(1_000);
+    const before = deadlyCalls();
+    for (let call = 0; call < 12; call += 1) {
+      expect((await ask(call, prompt)).status).toBe(503);
+      expect((await ask(call, prompt.slice(0, -1))).status).toBe(200);
+    }
+    expect(deadlyCalls() - before).toBe(0);
+  });
+
   // Guards against sound requests that are kept out with the one that crashes engines.
   it('does not keep out requests that share its other parts', async () => {
     for (let call = 0; call < 20; call += 1) {
--- a/test/quarantineexchange.test.ts
+++ b/test/quarantineexchange.test.ts
@@ -6,7 +6,7 @@
 import type { QuarantineGroup } from '../src/emulator/quarantinegroup.js';
 import { CountingMeter, RecordingLog } from '../src/emulator/recording.js';
 import {
-  MAX_ENDS, MAX_PARTS, MAX_RUNS, Override,
+  MAX_ENDS, MAX_KEYS, MAX_KEYS_PER_RUN, MAX_PARTS, MAX_RUNS, Override,
 } from '../src/gateway/quarantine/evidence.js';
 import { partKey, Quarantine } from '../src/gateway/quarantine/index.js';
 import { packNews, unpackDatagram } from '../src/gateway/quarantine/wire.js';
@@ -16,11 +16,12 @@
 /** Bound of the deployment with the shortest one, in ms. */
 const CONTACT_MS = 3_000;
 
-/** Lets two gateways each see one server end under the part. */
-async function crashTwice({ clock, nodes }: QuarantineGroup): Promise<void> {
-  nodes[0]!.quarantine.recordEnd(engineRecord('s1'), [openRun(['first', 'dead'], clock.monotonic() - 5)]);
+/** Lets two gateways each see one server end under the part, which stands last in prompts of `parts` shared parts. */
+async function crashTwice({ clock, nodes }: QuarantineGroup, parts = 2): Promise<void> {
+  const prompt = [...Array.from({ length: parts - 1 }, (_, index) => `5c1e${index}`), 'dead'];
+  nodes[0]!.quarantine.recordEnd(engineRecord('s1'), [openRun(prompt, clock.monotonic() - 5)]);
   await clock.advance(200);
-  nodes.at(-1)!.quarantine.recordEnd(engineRecord('s2'), [openRun(['first', 'dead'], clock.monotonic() - 5)]);
+  nodes.at(-1)!.quarantine.recordEnd(engineRecord('s2'), [openRun(prompt, clock.monotonic() - 5)]);
 }
 
 describe('QuarantineExchange', () => {
@@ -33,6 +34,16 @@
     expect(group.blockedAt('dead')).toBe(count);
   });
 
+  // Guards against prompts whose many parts fit into no datagram, so that no gateway learns of both ends.
+  it.each([[6, 40], [40, 300]])('tells %i gateways of the last of %i parts within the bound of contact', async (count, parts) => {
+    const group = createQuarantineGroup(count);
+    await group.clock.advance(500);
+    await crashTwice(group, parts);
+    await group.clock.advance(CONTACT_MS);
+    expect(group.blockedAt('dead')).toBe(count);
+    expect(group.blockedAt('5c1e0')).toBe(0);
+  });
+
   // Guards against messages that grow with the square of the gateways.
   it('sends as many datagrams for each gateway in a large group as in a small one', async () => {
     const perGateway: number[] = [];
@@ -195,6 +206,21 @@
     expect(parts.size).toBeLessThanOrEqual(MAX_PARTS);
   });
 
+  it('keeps its state bounded however many parts prompts have', async () => {
+    const { clock, quarantine } = alone();
+    for (let index = 0; index < 100; index += 1) {
+      quarantine.recordEnd(engineRecord(`s${index}`), [
+        openRun(Array.from({ length: 2_000 }, (_, part) => `p${index}-${part}`), clock.monotonic()),
+      ]);
+      await clock.advance(10);
+    }
+    const runs = [...quarantine.all().ends.values()].flatMap((end) => [...end.runs.values()]);
+    const keys = runs.map((run) => run.keys.length);
+    expect(Math.max(...keys)).toBeLessThanOrEqual(MAX_KEYS_PER_RUN);
+    expect(keys.reduce((sum, count) => sum + count, 0)).toBeLessThanOrEqual(MAX_KEYS);
+    expect(keys.length).toBeGreaterThan(1);
+  });
+
   it('forgets a part that nothing has asked for in a quarter of an hour', async () => {
     const { clock, quarantine } = alone();
     quarantine.recordEnd(engineRecord('s1'), [openRun(['dead'], 0)]);
--- a/test/quarantineverdict.test.ts
+++ b/test/quarantineverdict.test.ts
@@ -34,6 +34,15 @@
     expect(findCauses(ends, NOTHING_KNOWN)).toEqual(['dead']);
   });
 
+  // Guards against a decision on long prompts that stops the process for seconds.
+  it('names the last of 1,000 parts of the same prompts, soon', () => {
+    const prompt = Array.from({ length: 1_000 }, (_, index) => `p${index}`);
+    const ends = [100, 200, 300, 400].map((at) => end(at, [[...prompt, `own${at}`], [`other${at}`]]));
+    const startedAt = performance.now();
+    expect(findCauses(ends, NOTHING_KNOWN)).toEqual(['p999']);
+    expect(performance.now() - startedAt).toBeLessThan(200);
+  });
+
   it('names the wider part where the narrower ones differ', () => {
     const ends = [end(100, [['dead', 'x']]), end(200, [['dead', 'y']])];
     expect(findCauses(ends, NOTHING_KNOWN)).toEqual(['dead']);
