Let no stream without length look whole when the gateway ends

Cause: the operating system closes the connections of an ended process in the ordinary way, which is how such an answer ends. Change: the empty line after the last event is held until more follows, other bodies without length up to 64 KB until their end. At the end of a planned stop the gateway ends its calls itself: 503 where nothing was sent, 502 where no answer has begun, and a reset for answers without length. Evidence: test/gatewayends.test.ts; its four cases of ends failed before. Ruled out: chunks to the caller.

--- a/src/gateway/callcontext.ts
+++ b/src/gateway/callcontext.ts
@@ -48,6 +48,7 @@
   Timeout = 'timeout',
   Quarantined = 'a part of the prompt is in quarantine',
   Failed = 'the call failed unexpectedly',
+  Stopped = 'the grace period is over',
 }
 
 /** What the caller received. */
--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -1,7 +1,9 @@
 import type { Clock } from '../core/interfaces/index.js';
 import type { AnswerHead } from './codec.js';
-import { EventBoundary, isEventStream } from './events.js';
-import type { ResumableStream } from './events.js';
+import {
+  EventBoundary, HeldEventEnd, HeldWholeBody, isEventStream,
+} from './events.js';
+import type { HeldBody, ResumableStream } from './events.js';
 import type { Refusal } from './outcome.js';
 import type { BodySink, Upstream } from './upstream.js';
 import type { Delivery, CallContext } from './callcontext.js';
@@ -19,6 +21,12 @@
   return null;
 }
 
+/** How a body without length is held; `null` for one whose framing shows where it ends. */
+function heldBodyOf(head: AnswerHead): HeldBody | null {
+  if (!head.endsWithConnection) return null;
+  return isEventStream(head) ? new HeldEventEnd() : new HeldWholeBody();
+}
+
 /** Options of {@link deliver}. */
 export interface DeliveryOptions {
   readonly clock: Clock;
@@ -45,6 +53,7 @@
     let upstream = answer;
     let lastChunkAt = 0;
     const boundary = isEventStream(head) ? new EventBoundary() : null;
+    const held = heldBodyOf(head);
     const onDrain = (): void => upstream.resume();
     const sendHead = (): void => {
       if (res.headersSent || res.destroyed) return;
@@ -82,14 +91,16 @@
     const sink: BodySink = {
       push: (chunk) => {
         boundary?.push(chunk);
-        return writeChunk(stream === null ? chunk : stream.splitter.push(chunk));
+        const bytes = stream === null ? chunk : stream.splitter.push(chunk);
+        return writeChunk(held === null || bytes.length === 0 ? bytes : held.push(bytes));
       },
       end: () => {
         if (boundary?.isInsideEvent === true) {
           sink.failed('the stream ended inside an event');
           return;
         }
-        if (stream !== null) writeChunk(stream.splitter.flush());
+        const rest = stream === null ? Buffer.alloc(0) : stream.splitter.flush();
+        writeChunk(held === null ? rest : Buffer.concat([held.push(rest), held.flush()]));
         sendHead();
         res.end();
         finish({ type: 'delivered', status: head.status });
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -70,6 +70,59 @@
   }
 }
 
+/** Passes on the body of an answer without length, so that a caller can tell whether this process has cut it. */
+export interface HeldBody {
+  /** Takes a chunk and returns the bytes that may be passed on now; may be empty. */
+  push(chunk: Buffer): Buffer;
+  /** Removes and returns the bytes that are held, once the answer has ended. */
+  flush(): Buffer;
+}
+
+/**
+ * Holds the end of the last event of a stream until more follows or the stream ends. If this process ends before, the
+ * operating system closes the connection to the caller in the ordinary way, inside an event.
+ */
+export class HeldEventEnd implements HeldBody {
+  private held: Buffer = Buffer.alloc(0);
+
+  public push(chunk: Buffer): Buffer {
+    const bytes = Buffer.concat([this.held, chunk]);
+    const end = EMPTY_LINE_ENDS.find((empty) => bytes.subarray(-empty.length).toString('latin1') === empty);
+    // The whole empty line: a caller may take its CR alone for one.
+    const length = end === undefined ? 0 : end.length - 1;
+    this.held = bytes.subarray(bytes.length - length);
+    return bytes.subarray(0, bytes.length - length);
+  }
+
+  public flush(): Buffer {
+    const { held } = this;
+    this.held = Buffer.alloc(0);
+    return held;
+  }
+}
+
+/** Largest body without length, in bytes, that is held until its end. */
+const MAX_HELD_BYTES = 65_536;
+
+/** Holds a body that is no stream until its end, so that its bytes and the close leave this process together. */
+export class HeldWholeBody implements HeldBody {
+  private chunks: Buffer[] = [];
+
+  private size = 0;
+
+  public push(chunk: Buffer): Buffer {
+    this.chunks.push(chunk);
+    this.size += chunk.length;
+    return this.size > MAX_HELD_BYTES ? this.flush() : Buffer.alloc(0);
+  }
+
+  public flush(): Buffer {
+    const bytes = Buffer.concat(this.chunks);
+    this.chunks = [];
+    return bytes;
+  }
+}
+
 /**
  * Splits a stream into complete events without changing the bytes that the server sent. A parser would return the
  * fields of the events, and events that are written from them may differ from the server's bytes.
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -62,6 +62,9 @@
 export class Forwarder implements Disposable {
   private activeCalls = 0;
 
+  /** Aborts the calls that are served now. */
+  private readonly served = new Set<AbortController>();
+
   private readonly retriedCalls = new RetriedCallDetector();
 
   private readonly slotAllocator: SlotAllocator;
@@ -81,6 +84,11 @@
     return this.activeCalls;
   }
 
+  /** Ends all calls at the end of a planned stop; those that were not sent are refused, and no answer looks whole. */
+  public cutOff(): void {
+    for (const ended of [...this.served]) ended.abort(AbortReason.Stopped);
+  }
+
   public dispose(): void {
     this.slotAllocator.dispose();
     this.quarantineGate.dispose();
@@ -151,6 +159,7 @@
       return refused({ code: 'stopping', retryAfterMs: OTHER_GATEWAY_RETRY_MS });
     }
     const ended = new AbortController();
+    this.served.add(ended);
     const onCallerLeft = (): void => {
       if (!res.writableFinished) ended.abort(AbortReason.CallerLeft);
     };
@@ -178,6 +187,7 @@
       ended.abort(AbortReason.Failed);
       throw err;
     } finally {
+      this.served.delete(ended);
       timer.dispose();
       watch.dispose();
       res.off('close', onCallerLeft);
@@ -306,6 +316,11 @@
       const refusal = trace.countedSends > 0 ? null : this.quarantineGate.refusalOf(context);
       return refused(refusal ?? { code: 'outcome_unknown', message: AbortReason.Quarantined });
     }
+    if (ended.reason === AbortReason.Stopped) {
+      return refused(trace.countedSends > 0
+        ? { code: 'outcome_unknown', message: AbortReason.Stopped }
+        : { code: 'stopping', retryAfterMs: OTHER_GATEWAY_RETRY_MS });
+    }
     // A call of which only the prefill was sent was not executed.
     return refused(trace.countedSends > 0 ? { code: 'timeout' } : { code: 'expired', retryAfterMs: RETRY_AFTER_MS });
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -84,6 +84,9 @@
 /** Time in ms before the end of the grace period at which the process must have stopped. */
 const EXIT_BEFORE_MS = 400;
 
+/** Time in ms in which the answers to the calls that are cut off leave the process. */
+const CUT_OFF_MS = 50;
+
 /** Largest number of tasks and calls that listen for the stop signal at the same time without a warning. */
 const MAX_STOP_LISTENERS = 200;
 
@@ -286,6 +289,9 @@
     await sleep(clock, Math.min(TTL_FACTOR * this.settings.directory.keep, grace - CLOSE_BEFORE_MS));
     if (this.listener !== null) await withTimeout(clock, Math.max(1, leftMs() - EXIT_BEFORE_MS), this.listener.close());
     void this.membership.depart();
+    this.forwarder.cutOff();
+    // The last answers leave the process in the next turns of the event loop.
+    await sleep(clock, CUT_OFF_MS);
     log.info('stopped', { running: this.forwarder.running, took_ms: Math.round(clock.monotonic() - startedAt) });
     this.stop.abort();
     this.disposables.dispose();
--- /dev/null
+++ b/test/gatewayends.test.ts
@@ -0,0 +1,99 @@
+import { mkdtempSync } from 'node:fs';
+import type { ServerResponse } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { setTimeout as wait } from 'node:timers/promises';
+import {
+  afterAll, afterEach, beforeAll, beforeEach, describe, expect, it,
+} from 'vitest';
+import { bundleProgram } from '../src/demo/bundle.js';
+import { ServerStandIn } from '../src/emulator/backend.js';
+import { StoreStandIn } from '../src/emulator/platformstore.js';
+import { sendCall } from '../src/emulator/sendcall.js';
+import type { Answer } from '../src/emulator/sendcall.js';
+import { GatewayProcess } from '../src/soak/processes.js';
+import { configuration } from './support/gateway.js';
+
+const root = fileURLToPath(new URL('..', import.meta.url));
+
+const EVENT_PERIOD_MS = 20;
+
+let directory: string;
+let program: string;
+let store: StoreStandIn;
+let server: ServerStandIn;
+let gateway: GatewayProcess;
+let events = 0;
+
+/** Streams events without length and without chunks, so that only the close of the connection ends them. */
+function streamWithoutLength(res: ServerResponse): void {
+  res.useChunkedEncodingByDefault = false;
+  res.shouldKeepAlive = false;
+  res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', 'Content-Type': 'text/event-stream' });
+  let event = 0;
+  const timer = setInterval(() => {
+    event += 1;
+    res.write(`id: ${event}\ndata: text\n\n`);
+    if (event < events) return;
+    clearInterval(timer);
+    res.end();
+  }, EVENT_PERIOD_MS);
+  res.on('close', () => clearInterval(timer));
+}
+
+beforeAll(async () => {
+  directory = mkdtempSync(join(tmpdir(), 'catkinscale-ends-'));
+  program = await bundleProgram(root, directory);
+  store = new StoreStandIn();
+  await store.start();
+  server = new ServerStandIn('i-1', (res) => streamWithoutLength(res));
+  await server.start();
+  store.put('servers/i-1', server.serverRecord('ledger', { slots: 64 }));
+  store.put('servers/e-1', server.serverRecord('engine', { slots: 64, stage: 'decode' }));
+  const base = JSON.parse(configuration()) as { routes: object[] };
+  const routes = base.routes.map((route) => ({ ...route, 'timeout-ms': 20_000 }));
+  store.put('op/config', JSON.stringify({ ...base, routes }));
+}, 60_000);
+
+afterAll(() => {
+  server.stop();
+  store.stop();
+});
+
+beforeEach(async () => {
+  gateway = new GatewayProcess('127.0.42.1', {
+    program, directory, store: store.address, seeds: [],
+  });
+  await gateway.start();
+});
+
+afterEach(() => gateway.dispose());
+
+/** Whether an answer looks complete to its caller although events are missing. */
+function looksWhole({ status, body, broken }: Answer): boolean {
+  return status === 200 && !broken && /\n\n$/.test(body) && !body.includes(`id: ${events}\n`);
+}
+
+describe.each(['/talk/x', '/long/x'])('a stream without length on %s', (path) => {
+  const talk = () => sendCall(gateway.callerAddress, path, {
+    method: 'POST', body: 'p', headers: { connection: 'close', 'catkinscale-token-count': '100,90' },
+  });
+
+  it('is passed on whole', async () => {
+    events = 5;
+    const answer = await talk();
+    expect(answer).toMatchObject({ status: 200, broken: false });
+    expect(answer.body.match(/id: /g)).toHaveLength(events);
+  });
+
+  // Guards against a stream that the end of the gateway cuts and that looks complete to its caller.
+  it.each(['SIGKILL', 'SIGTERM'] as const)('does not look whole when %s ends the gateway before it', async (signal) => {
+    events = 2_000;
+    const answers = Array.from({ length: 20 }, talk);
+    await wait(400);
+    await gateway.terminate(signal);
+    const whole = (await Promise.all(answers)).filter(looksWhole);
+    expect(whole.map(({ body }) => body.length)).toEqual([]);
+  }, 20_000);
+});
