Do not let SIGHUP end a gateway that starts

SIGHUP before the listeners were open ended the process by the signal. Cause: only SIGTERM and SIGINT had a listener from the launcher's first line on. Change: the launcher and the command listen for SIGHUP from the start.

--- a/scripts/launcher.cjs
+++ b/scripts/launcher.cjs
@@ -3,6 +3,9 @@
 const { join } = require('node:path');
 const { Script } = require('node:vm');
 
+// The settings may change while the program loads, which has not read them yet.
+process.on('SIGHUP', () => {});
+
 // A stop signal while the program loads ends it in order. These listeners stay, because a signal that has been received
 // but not handled yet would be lost with them; once the program has its own, they do nothing.
 for (const signal of ['SIGTERM', 'SIGINT']) {
--- a/src/cli/gateway.ts
+++ b/src/cli/gateway.ts
@@ -23,6 +23,8 @@
 /** Runs one gateway on the platform until SIGTERM or SIGINT stops it. */
 export async function runGateway(file: string): Promise<Outcome> {
   const stop = listenForStopSignal();
+  let onReload = (): void => {};
+  process.on('SIGHUP', () => onReload());
   const text = safeReadText(file);
   if (!text.success) return invalid(ExitCode.Usage, text.error);
   const settings = safeParseGatewaySettings(text.data, file);
@@ -58,11 +60,11 @@
   if (!started.success) return failed(ExitCode.Refused, started.error.message);
   // A call or a loop that throws ends alone. Here, callbacks of timers and sockets do, so that no other call is cut.
   process.on('uncaughtException', (err) => reportUnexpected({ log, meter }, 'callback', err));
-  process.on('SIGHUP', () => {
+  onReload = () => {
     const reread = safeReadText(file);
     const changed = reread.success && reread.data !== text.data;
     log.info('reload', { changed, applied: false, reason: 'settings apply at the next start' });
-  });
+  };
   await stop.wait;
   await gateway.drain();
   peers.data.destroy();
--- a/test/stopsignal.test.ts
+++ b/test/stopsignal.test.ts
@@ -31,6 +31,9 @@
 grace = 1 s
 `;
 
+/** Time in ms between two signals. */
+const SIGNAL_GAP_MS = 30;
+
 let launcher: string;
 let directory: string;
 
@@ -41,10 +44,11 @@
   copyFileSync(join(root, 'scripts/launcher.cjs'), launcher);
 });
 
-/** Exit code and output of a gateway that is stopped some time after its launcher has begun. */
-async function stopAfter(
+/** Exit code and output of a gateway that gets signals one after another, the first one some time after its start. */
+async function signalAfter(
   delayMs: number,
   index: number,
+  signals: readonly NodeJS.Signals[],
 ): Promise<{ readonly code: number | null; readonly output: string }> {
   const settings = join(directory, `gateway-${index}.ini`);
   writeFileSync(settings, settingsOf(`127.0.0.${100 + index}`));
@@ -62,15 +66,27 @@
     });
   });
   await wait(delayMs);
-  child.kill('SIGTERM');
+  for (const signal of signals) {
+    child.kill(signal);
+    await wait(SIGNAL_GAP_MS);
+  }
   return { code: await exited, output };
 }
 
 describe('a stop signal while a gateway starts', () => {
   // Guards against a process that a signal ends without a log line, because it has no listener for it yet.
   it('ends the process in order at any moment', async () => {
-    const stopped = await Promise.all(MOMENTS_MS.map(stopAfter));
+    const stopped = await Promise.all(MOMENTS_MS.map((delayMs, index) => signalAfter(delayMs, index, ['SIGTERM'])));
     expect(stopped.map(({ code }) => code)).toEqual(MOMENTS_MS.map(() => 0));
     for (const { output } of stopped) expect(output).toMatch(/"message":"stopped"/);
   }, 60_000);
 });
+
+describe('a signal for changed settings while a gateway starts', () => {
+  // Guards against a process that ends by itself because the settings file has changed while it started.
+  it('does not end the process at any moment', async () => {
+    const signals = ['SIGHUP', 'SIGHUP', 'SIGTERM'] as const;
+    const stopped = await Promise.all(MOMENTS_MS.map((delayMs, index) => signalAfter(delayMs, 20 + index, signals)));
+    expect(stopped.map(({ code }) => code)).toEqual(MOMENTS_MS.map(() => 0));
+  }, 60_000);
+});
