Check that orders at a stopping gateway get their answers

Tried with a gateway as a process: 40 callers send orders on kept connections from before SIGTERM until the process is gone, with work of 86 and 688 ms and deadlines of 300 and 1,500 ms.

--- a/src/emulator/sendcall.ts
+++ b/src/emulator/sendcall.ts
@@ -16,9 +16,11 @@
   readonly method?: string;
   readonly headers?: Record<string, string>;
   readonly body?: string;
+  /** Connections to use; those that all calls share by default. */
+  readonly agent?: Agent;
 }
 
-const agent = new Agent({ keepAlive: true });
+const sharedAgent = new Agent({ keepAlive: true });
 
 let lastRequestNumber = 0;
 
@@ -35,7 +37,7 @@
       host,
       port,
       path,
-      agent,
+      agent: opts.agent ?? sharedAgent,
       method: opts.method ?? 'GET',
       headers: { host: 'shop.example', 'catkinscale-request-id': `id${lastRequestNumber}`, ...opts.headers },
     }, (res) => {
--- a/test/gatewayends.test.ts
+++ b/test/gatewayends.test.ts
@@ -1,4 +1,5 @@
 import { mkdtempSync } from 'node:fs';
+import { Agent } from 'node:http';
 import type { ServerResponse } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -8,7 +9,8 @@
   afterAll, afterEach, beforeAll, beforeEach, describe, expect, it,
 } from 'vitest';
 import { bundleProgram } from '../src/demo/bundle.js';
-import { ServerStandIn } from '../src/emulator/backend.js';
+import { sendSignedResponse, ServerStandIn } from '../src/emulator/backend.js';
+import type { ReceivedCall } from '../src/emulator/backend.js';
 import { StoreStandIn } from '../src/emulator/platformstore.js';
 import { sendCall } from '../src/emulator/sendcall.js';
 import type { Answer } from '../src/emulator/sendcall.js';
@@ -25,6 +27,7 @@
 let server: ServerStandIn;
 let gateway: GatewayProcess;
 let events = 0;
+let respond: (res: ServerResponse, call: ReceivedCall) => void;
 
 /** Streams events without length and without chunks, so that only the close of the connection ends them. */
 function streamWithoutLength(res: ServerResponse): void {
@@ -47,7 +50,7 @@
   program = await bundleProgram(root, directory);
   store = new StoreStandIn();
   await store.start();
-  server = new ServerStandIn('i-1', (res) => streamWithoutLength(res));
+  server = new ServerStandIn('i-1', (res, call) => respond(res, call));
   await server.start();
   store.put('servers/i-1', server.serverRecord('ledger', { slots: 64 }));
   store.put('servers/e-1', server.serverRecord('engine', { slots: 64, stage: 'decode' }));
@@ -62,6 +65,7 @@
 });
 
 beforeEach(async () => {
+  respond = streamWithoutLength;
   gateway = new GatewayProcess('127.0.42.1', {
     program, directory, store: store.address, seeds: [],
   });
@@ -70,6 +74,32 @@
 
 afterEach(() => gateway.dispose());
 
+/** Time in ms that the server of the orders works on one of them. */
+const WORK_MS = 86;
+
+/** Time in ms for which callers send after the signal; the grace period is shorter. */
+const SENDING_MS = 4_500;
+
+/** Sends orders one after another on one connection, also until the gateway is gone, and returns those that ran. */
+async function sendOrders(arrived: ReadonlySet<string>, name: string, deadlineMs: number): Promise<readonly string[]> {
+  const cut: string[] = [];
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const endsAt = performance.now() + SENDING_MS;
+  for (let sent = 0; performance.now() < endsAt; sent += 1) {
+    const id = `${name}-${sent}`;
+    const { status, broken } = await sendCall(gateway.callerAddress, '/order/x', {
+      method: 'POST',
+      body: 'x',
+      agent,
+      headers: { 'catkinscale-request-id': id, 'catkinscale-deadline-ms': String(deadlineMs) },
+    });
+    if (arrived.has(id) && (status === 0 || broken)) cut.push(id);
+    if (status === 0) await wait(20);
+  }
+  agent.destroy();
+  return cut;
+}
+
 /** Whether an answer looks complete to its caller although events are missing. */
 function looksWhole({ status, body, broken }: Answer): boolean {
   return status === 200 && !broken && /\n\n$/.test(body) && !body.includes(`id: ${events}\n`);
@@ -97,3 +127,21 @@
     expect(whole.map(({ body }) => body.length)).toEqual([]);
   }, 20_000);
 });
+
+describe('an order at a gateway that stops as planned', () => {
+  // Guards against orders that are taken late in the grace period, passed on and cut at its end.
+  it('gets its answer if it was passed on, whenever it was sent', async () => {
+    const arrived = new Set<string>();
+    respond = (res, { headers }) => {
+      arrived.add(String(headers['catkinscale-request-id']));
+      setTimeout(() => sendSignedResponse(res, 'done'), WORK_MS * (arrived.size % 10 === 0 ? 8 : 1));
+    };
+    const callers = Array.from({ length: 40 }, (_, index) => (
+      sendOrders(arrived, `c${index}`, index % 4 === 0 ? 300 : 1_500)
+    ));
+    await wait(300);
+    await gateway.terminate('SIGTERM');
+    expect((await Promise.all(callers)).flat()).toEqual([]);
+    expect(arrived.size).toBeGreaterThan(100);
+  }, 20_000);
+});
