--- a/src/soak/processes.ts
+++ b/src/soak/processes.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import { openSync, writeFileSync } from 'node:fs';
+import { openSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { setTimeout as wait } from 'node:timers/promises';
 import { LinkProxy } from '../emulator/linkproxy.js';
@@ -103,6 +103,12 @@
     return (await fetch(`http://${this.ip}:${PORTS.metrics}/dump`)).json();
   }
 
+  /** Largest memory of the process so far, in bytes. */
+  public peakMemoryBytes(): number {
+    const status = readFileSync(`/proc/${this.child?.pid}/status`, 'utf8');
+    return Number(/^VmHWM:\s+(\d+) kB/m.exec(status)?.[1] ?? NaN) * 1_024;
+  }
+
   /** Kills the process and stops the proxy. */
   public dispose(): void {
     this.child?.kill('SIGKILL');
