--- a/src/emulator/backend.ts
+++ b/src/emulator/backend.ts
@@ -15,7 +15,16 @@
 /** JSON record under which a backend server is registered in the store; `changes` replaces or adds fields. */
 export function createServerRecord(address: string, service: string, changes: object = {}): string {
   return JSON.stringify({
-    service, address, zone: 'regina', slots: 4, state: 'ready', born: 1, sequence: 1, ...changes,
+    service,
+    address,
+    zone: 'regina',
+    version: 'v1',
+    slots: 4,
+    state: 'ready',
+    'cold-remaining-ms': 0,
+    born: 1,
+    sequence: 1,
+    ...changes,
   });
 }
 
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -6,7 +6,9 @@
 } from 'vitest';
 import { sendCall } from '../src/emulator/sendcall.js';
 import type { Answer, SendCallOptions } from '../src/emulator/sendcall.js';
-import { sendNotExecuted, ServerStandIn, sendSignedResponse } from '../src/emulator/backend.js';
+import {
+  createServerRecord, sendNotExecuted, ServerStandIn, sendSignedResponse,
+} from '../src/emulator/backend.js';
 import type { ReceivedCall } from '../src/emulator/backend.js';
 import { listenOnFreePort } from '../src/emulator/listen.js';
 import { StoreStandIn } from '../src/emulator/platformstore.js';
@@ -119,9 +121,7 @@
       socket.on('end', () => ends.push('closed'));
       socket.on('error', (err: NodeJS.ErrnoException) => ends.push(err.code ?? ''));
     });
-    store.put('servers/i-silent', JSON.stringify({
-      service: 'silent', address: await listenOnFreePort(silent), zone: 'regina', slots: 4, state: 'ready', born: 1,
-    }));
+    store.put('servers/i-silent', createServerRecord(await listenOnFreePort(silent), 'silent'));
     const { routes, ...rest } = JSON.parse(configuration({}, ids + 2)) as { routes: { name: string }[] };
     const changed = routes.map((route) => (route.name === 'order' ? { ...route, service: 'silent' } : route));
     const services = [{ name: 'ledger' }, { name: 'engine', engine: { slots: 4 } }, { name: 'silent' }];
--- a/test/leavingservers.test.ts
+++ b/test/leavingservers.test.ts
@@ -3,6 +3,7 @@
   afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import { LinkProxy } from '../src/emulator/linkproxy.js';
+import { createServerRecord } from '../src/emulator/backend.js';
 import { StoreStandIn } from '../src/emulator/platformstore.js';
 import { configuration, startGateway } from './support/gateway.js';
 import type { RunningGateway } from './support/gateway.js';
@@ -24,9 +25,7 @@
 
 const STAYING = 'i-stays';
 
-const ENTRY = JSON.stringify({
-  service: 'ledger', address: '127.0.0.1:1', zone: 'regina', slots: 6, state: 'ready', born: 1, sequence: 1,
-});
+const ENTRY = createServerRecord('127.0.0.1:1', 'ledger');
 
 let store: StoreStandIn;
 /** Connection to the store that a test can interrupt. */
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -7,6 +7,7 @@
   readCall, readHead, parsePromptParts, sendHeaders,
 } from '../platform/requests.js';
 import { Role } from '../src/core/interfaces/index.js';
+import { createServerRecord } from '../src/emulator/backend.js';
 import { CallKind } from '../src/gateway/configuration.js';
 import { Execution } from '../src/gateway/codec.js';
 import type { Call } from '../src/gateway/codec.js';
@@ -27,9 +28,7 @@
   return parsed.data;
 }
 
-const SERVER = JSON.stringify({
-  service: 'engine', address: '10.0.0.1:80', zone: 'regina', slots: 4, state: 'ready', born: 5, stage: 'decode',
-});
+const SERVER = createServerRecord('10.0.0.1:80', 'engine', { born: 5, stage: 'decode' });
 
 const ROUTE = {
   name: 'r', host: 'h', 'path-prefix': '/a/', kind: 'streaming', 'timeout-ms': 1000, 'target-latency-ms': 150,
@@ -63,6 +62,10 @@
     fc.assert(fc.property(fc.oneof(fc.string(), fc.json()), (text) => {
       expect(readServer('servers/x', text).success).toBe(false);
     }), SEED);
+    for (const field of Object.keys(JSON.parse(SERVER) as object).filter((name) => name !== 'stage')) {
+      const lacking = JSON.stringify({ ...JSON.parse(SERVER), [field]: undefined });
+      expect([field, readServer('servers/x', lacking).success]).toEqual([field, false]);
+    }
     for (const wrong of [{ state: 'odd' }, { slots: '4' }, { address: 'host:80' }, { service: 7 }]) {
       expect(readServer('servers/x', JSON.stringify({ ...JSON.parse(SERVER), ...wrong })).success).toBe(false);
     }
