Let gateways agree on a verdict by its number, not by times

Cause: a part was in quarantine if its quarantine was later than its last proof. Times shift with each message, so that two gateways with the same evidence moved each other's times past each other's proofs again and again. Change: each verdict on a part has a number, odd for a quarantine and even for a release, and the highest one holds. A proof releases a part only if it is newer than the last end under it, and a new quarantine needs new ends after it. A part whose ends are forgotten is still released by a proof (second test). Ruled out: a limit on the lines, which leaves the swinging refusals. Gateways of before and after reject each other's states while both are there.

--- a/src/emulator/quarantinegroup.ts
+++ b/src/emulator/quarantinegroup.ts
@@ -31,6 +31,8 @@
   add(): QuarantineNode;
   /** Number of gateways that keep a part from the engines of `engine`. */
   blockedAt(part: string): number;
+  /** Number of log lines of an event, of all gateways. */
+  lines(event: string): number;
 }
 
 /** Record of an engine of the service `engine`. */
@@ -59,11 +61,12 @@
 function createDatagrams(clock: Clock, ip: string, meter: CountingMeter, group: {
   readonly receivers: Map<string, (message: Uint8Array) => void>;
   readonly isLost: (from: string, to: string) => boolean;
+  readonly delayMs: () => number;
 }) {
   return {
     send: (to: string, message: Uint8Array): void => {
       meter.count('sent');
-      if (!group.isLost(ip, to)) clock.after(DATAGRAM_MS, () => group.receivers.get(to)?.(message));
+      if (!group.isLost(ip, to)) clock.after(group.delayMs(), () => group.receivers.get(to)?.(message));
     },
     onMessage: (listener: (message: Uint8Array) => void) => {
       group.receivers.set(ip, listener);
@@ -72,8 +75,14 @@
   };
 }
 
-/** Starts `count` gateways; `loss` is the share of datagrams that are lost, 0 by default. */
-export function createQuarantineGroup(count: number, { loss = 0 } = {}): QuarantineGroup {
+/**
+ * Starts `count` gateways; `loss` is the share of datagrams that are lost, 0 by default, and `maxDelayMs` the longest
+ * time in which one arrives.
+ */
+export function createQuarantineGroup(
+  count: number,
+  { loss = 0, maxDelayMs = DATAGRAM_MS } = {},
+): QuarantineGroup {
   const clock = new SimulatedClock();
   const network = new EmulatedNetwork(clock);
   const members = new EmulatedMembers();
@@ -83,6 +92,7 @@
   const transport = {
     receivers: new Map<string, (message: Uint8Array) => void>(),
     isLost: (from: string, to: string) => isolated.has(from) || isolated.has(to) || losses.float() < loss,
+    delayMs: () => DATAGRAM_MS + (maxDelayMs - DATAGRAM_MS) * losses.float(),
   };
   const nodes: QuarantineNode[] = [];
   const add = (): QuarantineNode => {
@@ -117,5 +127,6 @@
     isolated,
     add,
     blockedAt: (part) => nodes.filter(({ quarantine }) => quarantine.findBlocked('engine', [part]) !== null).length,
+    lines: (event) => log.lines.filter((line) => line.event === event).length,
   };
 }
--- a/src/gateway/quarantine/evidence.ts
+++ b/src/gateway/quarantine/evidence.ts
@@ -15,6 +15,11 @@
 export interface PartState {
   /** When an answer on it last went on or was complete; `-Infinity` where none is known. */
   readonly provenAt: number;
+  /**
+   * Number of verdicts on the part: odd while it is in quarantine, even once it was released. Gateways agree on the
+   * highest one; times can't decide, because they shift with each message.
+   */
+  readonly verdict: number;
   /** When it was taken for the cause of servers' ends; `-Infinity` where it never was. */
   readonly quarantinedAt: number;
   /** Number of calls that were let through to find out whether it works again. */
@@ -42,9 +47,20 @@
 }
 
 const UNKNOWN_PART: PartState = {
-  provenAt: -Infinity, quarantinedAt: -Infinity, trials: 0, trialAt: -Infinity, override: Override.None, orders: 0,
+  provenAt: -Infinity,
+  verdict: 0,
+  quarantinedAt: -Infinity,
+  trials: 0,
+  trialAt: -Infinity,
+  override: Override.None,
+  orders: 0,
 };
 
+/** Verdict after the release of a part; the same one where it is not in quarantine. */
+export function releasedVerdict({ verdict }: PartState): number {
+  return verdict + (verdict % 2);
+}
+
 /** Largest number of ends that are kept; the oldest ones are dropped. */
 export const MAX_ENDS = 128;
 
@@ -70,11 +86,11 @@
 const TRIAL_DELAYS_MS = [30_000, 120_000, 300_000];
 
 /** Whether a part is kept from servers. */
-export function isQuarantined({ provenAt, quarantinedAt, override }: PartState): boolean {
+export function isQuarantined({ verdict, override }: PartState): boolean {
   switch (override) {
     case Override.Block: return true;
     case Override.Allow: return false;
-    case Override.None: return quarantinedAt > provenAt;
+    case Override.None: return verdict % 2 === 1;
     default: return assertNever(override);
   }
 }
@@ -140,12 +156,13 @@
       refuted ? [] : [{ incarnation, at, runs: [...runs.values()] }]
     ));
     const records = new Map<string, PartRecord>([...this.parts].map(([key, part]) => (
-      [key, { provenAt: part.provenAt, isQuarantined: isQuarantined(part) }]
+      [key, { provenAt: part.provenAt, isQuarantined: isQuarantined(part) || part.verdict % 2 === 1 }]
     )));
     const judged = new Map<string, PartState>();
     for (const key of findCauses(ends, records)) {
       if (this.part(key).override !== Override.None) continue;
-      judged.set(key, { ...this.part(key), quarantinedAt: now });
+      const part = this.part(key);
+      judged.set(key, { ...part, verdict: part.verdict + 1, quarantinedAt: now });
     }
     for (const [key, part] of judged) this.setPart(key, part);
     return judged;
@@ -191,16 +208,19 @@
     const known = this.part(key);
     const order = part.orders > known.orders ? part : known;
     const trial = part.trials > known.trials ? part : known;
+    const judged = part.verdict > known.verdict ? part : known;
+    const provenAt = this.isNewProof(key, known.provenAt, part.provenAt) ? part.provenAt : known.provenAt;
     const merged: PartState = {
-      provenAt: this.isNewProof(key, known.provenAt, part.provenAt) ? part.provenAt : known.provenAt,
-      // The time grows by the travel time with each message, so it is taken over only where it matters.
-      quarantinedAt: isQuarantined(known) ? known.quarantinedAt : Math.max(known.quarantinedAt, part.quarantinedAt),
+      provenAt,
+      verdict: provenAt > this.lastEndAt(key, judged) ? releasedVerdict(judged) : judged.verdict,
+      quarantinedAt: judged.quarantinedAt,
       trials: trial.trials,
       trialAt: trial.trialAt,
       override: order.override,
       orders: order.orders,
     };
-    const isNew = merged.provenAt !== known.provenAt || isQuarantined(merged) !== isQuarantined(known)
+    const isJudged = merged.verdict !== known.verdict && (isQuarantined(merged) || this.concerns(key));
+    const isNew = merged.provenAt !== known.provenAt || isJudged
       || merged.trials !== known.trials || merged.orders !== known.orders;
     if (isNew) this.setPart(key, merged);
     return isNew ? merged : null;
@@ -209,10 +229,15 @@
   /** Whether a proof is the first one, or was made after an end that the known one does not answer. */
   private isNewProof(key: string, knownAt: number, provenAt: number): boolean {
     if (provenAt <= knownAt) return false;
-    if (knownAt === -Infinity || this.part(key).quarantinedAt > knownAt) return true;
+    if (knownAt === -Infinity) return true;
     return this.suspects.get(key)?.some((at) => at > knownAt && at <= provenAt) ?? false;
   }
 
+  /** When a server last ended under a part, or when the part was judged if its ends are forgotten. */
+  private lastEndAt(key: string, { quarantinedAt }: PartState): number {
+    return Math.max(...this.suspects.get(key) ?? [quarantinedAt]);
+  }
+
   private countKeys(): number {
     let count = 0;
     for (const { runs } of this.ends.values()) for (const { keys } of runs.values()) count += keys.length;
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -5,7 +5,7 @@
 import type { Run } from '../openruns.js';
 import type { ServerRecord } from '../serverregistry.js';
 import {
-  Evidence, isQuarantined, MAX_KEYS_PER_RUN, MAX_RUNS, nextTrialAt, Override,
+  Evidence, isQuarantined, MAX_KEYS_PER_RUN, MAX_RUNS, nextTrialAt, Override, releasedVerdict,
 } from './evidence.js';
 import type { News, PartState } from './evidence.js';
 import type { SuspectRun } from './verdict.js';
@@ -138,7 +138,11 @@
     const orders = part.orders + 1;
     const ordered: PartState = override === null
       ? {
-        ...part, orders, override: Override.None, provenAt: this.deps.clock.monotonic(),
+        ...part,
+        orders,
+        override: Override.None,
+        provenAt: this.deps.clock.monotonic(),
+        verdict: releasedVerdict(part),
       }
       : { ...part, orders, override };
     this.learn({ ends: new Map(), parts: new Map([[key, ordered]]) });
--- a/src/gateway/quarantine/wire.ts
+++ b/src/gateway/quarantine/wire.ts
@@ -23,8 +23,10 @@
 /** Incarnation, age of its end, whether that is refuted, and its runs with request id, age and keys. */
 const endSchema = z.tuple([z.string().max(300), z.number(), z.boolean(), z.array(runSchema).max(MAX_RUNS)]);
 
-/** Key, ages of proof and quarantine, number of trials, age of the last one, override and number of orders. */
-const partSchema = z.tuple([keySchema, ageSchema, ageSchema, countSchema, ageSchema, z.enum(Override), countSchema]);
+/** Key, age of the proof, verdict, age of the quarantine, trials, age of the last one, override and orders. */
+const partSchema = z.tuple([
+  keySchema, ageSchema, countSchema, ageSchema, countSchema, ageSchema, z.enum(Override), countSchema,
+]);
 
 /** What one gateway tells another. */
 export const newsSchema = z.object({
@@ -62,9 +64,9 @@
 
 function encodePart([key, part]: readonly [string, PartState], now: number): WireNews['parts'][0] {
   const {
-    provenAt, quarantinedAt, trials, trialAt, override, orders,
+    provenAt, verdict, quarantinedAt, trials, trialAt, override, orders,
   } = part;
-  return [key, toAge(provenAt, now), toAge(quarantinedAt, now), trials, toAge(trialAt, now), override, orders];
+  return [key, toAge(provenAt, now), verdict, toAge(quarantinedAt, now), trials, toAge(trialAt, now), override, orders];
 }
 
 /** Encodes news at a monotonic time in ms. */
@@ -80,8 +82,9 @@
       refuted,
       runs: new Map(runs.map(([request, sentAge, keys]) => [request, { sentAt: now - sentAge, keys }])),
     }])),
-    parts: new Map(parts.map(([key, provenAge, quarantinedAge, trials, trialAge, override, orders]) => [key, {
+    parts: new Map(parts.map(([key, provenAge, verdict, quarantinedAge, trials, trialAge, override, orders]) => [key, {
       provenAt: toTime(provenAge, now),
+      verdict,
       quarantinedAt: toTime(quarantinedAge, now),
       trials,
       trialAt: toTime(trialAge, now),
--- a/test/quarantineexchange.test.ts
+++ b/test/quarantineexchange.test.ts
@@ -123,6 +123,27 @@
   });
 });
 
+describe('a part that is proven to work while servers end under it', () => {
+  // Guards against a verdict that swings with each proof and message, and against log lines that swing with it.
+  it('changes its state only as often as there are new ends', async () => {
+    const group = createQuarantineGroup(6, { maxDelayMs: 40 });
+    await group.clock.advance(500);
+    const ENDS = 10;
+    for (let turn = 0; turn < 400; turn += 1) {
+      const now = group.clock.monotonic();
+      const node = group.nodes[turn % 6]!.quarantine;
+      if (turn % 40 < ENDS / 2 && turn < 80) {
+        node.recordEnd(engineRecord(`s${turn}`), [openRun(['first', 'sound'], now - 1, `r${turn}`)]);
+      }
+      if (turn > 20) group.nodes[(turn + 3) % 6]!.quarantine.recordProof(engineRecord('e'), openRun(['first', 'sound'], now));
+      await group.clock.advance(25);
+    }
+    expect(group.blockedAt('sound')).toBe(0);
+    const changes = group.lines('part_quarantined') + group.lines('part_released');
+    expect(changes).toBeLessThanOrEqual(ENDS * group.nodes.length);
+  });
+});
+
 describe('Trials', () => {
   // Guards against gateways that each try a part by themselves.
   it('lets one call of all gateways try a part, and none for a longer time after a further end', async () => {
@@ -221,6 +242,20 @@
     expect(keys.length).toBeGreaterThan(1);
   });
 
+  // Guards against a part that stays in quarantine for good because the ends that it was judged by are forgotten.
+  it('releases a part that is proven long after the last end', async () => {
+    const { clock, quarantine } = alone();
+    for (const server of ['s1', 's2']) {
+      quarantine.recordEnd(engineRecord(server), [openRun(['dead'], clock.monotonic())]);
+      await clock.advance(10);
+    }
+    await clock.advance(400_000);
+    quarantine.expire();
+    expect(quarantine.findBlocked('engine', ['dead'])).toBe(DEAD);
+    quarantine.recordProof(engineRecord('s3'), openRun(['dead'], clock.monotonic()));
+    expect(quarantine.findBlocked('engine', ['dead'])).toBeNull();
+  });
+
   it('forgets a part that nothing has asked for in a quarter of an hour', async () => {
     const { clock, quarantine } = alone();
     quarantine.recordEnd(engineRecord('s1'), [openRun(['dead'], 0)]);
