Blame the whole prompt of a request that comes again and again

Cause: only parts that requests share were suspects, so that the narrowest sound one was blamed for what the whole prompt does. Change: the whole prompt is a suspect, the narrowest one. Its repeated ends count once for its parts, which then need one end more, so that a part in several repeated requests is found by the fifth end. Evidence: test/quarantineverdict.test.ts (repeated prompt; shared part) and test/quarantine.test.ts (a deadly last part and a deadly only part through gateways) are new. Ruled out: the last part as a further suspect, which explains nothing where parts repeat in another order and misses prompts without parts.

--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -35,8 +35,8 @@
   const order = Object.entries(PART_ORDERS).find(([known]) => known === name)?.[1];
   const service = url.searchParams.get('service') ?? '';
   const part = url.searchParams.get('part') ?? '';
-  if (order === undefined || service === '' || !/^[0-9a-f]{1,64}$/i.test(part)) {
-    sendJson(res, 400, { error: { message: 'expected block, allow or clear, a service and a hexadecimal part' } });
+  if (order === undefined || service === '' || !/^\*?[0-9a-f]{1,64}$/i.test(part)) {
+    sendJson(res, 400, { error: { message: 'expected block, allow or clear, a service and a part in hexadecimal, or * and the id of a whole prompt' } });
     return;
   }
   const key = partKey(service, part.toLowerCase());
--- a/src/gateway/openruns.ts
+++ b/src/gateway/openruns.ts
@@ -16,7 +16,7 @@
 /** Call that a server works on. */
 export interface Run {
   readonly request: string | null;
-  /** Ids of the prompt parts that other requests may share. */
+  /** Ids of the prompt parts that other requests may share, and then of the whole prompt. */
   readonly parts: readonly string[];
   /** Monotonic time in ms at which the call was written; `null` while it is not. */
   sentAt: number | null;
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,7 +1,9 @@
+import { createHash } from 'node:crypto';
 import { Role } from '../core/interfaces/index.js';
 import { lowestByRendezvous } from '../core/rendezvous.js';
-import type { Generation } from './codec.js';
+import type { Call, Generation } from './codec.js';
 import type { PromptSize } from './engineestimates.js';
+import { WHOLE_PROMPT_MARK } from './quarantine/index.js';
 import type { ServerRecord } from './serverregistry.js';
 
 /** Backend server that may be chosen for a call, with its load and its limit. */
@@ -28,11 +30,26 @@
   return generation.parts.at(-2)?.id ?? generation.parts.at(-1)?.id ?? null;
 }
 
+/** Length of the id of a whole prompt, without its mark. */
+const WHOLE_ID_CHARACTERS = 16;
+
 /** Ids of the prompt parts that other requests may share: all but the last one. */
 export function sharedPartIds(generation: Generation | null): readonly string[] {
   return generation === null ? [] : generation.parts.slice(0, -1).map(({ id }) => id);
 }
 
+/**
+ * Ids of what may crash the engine of a call: the parts of its prompt that other requests may share, and then the whole
+ * prompt. Of a prompt without parts, the target and the body stand for the whole. None where no text is generated.
+ */
+export function suspectIds({ generation, target }: Call, body: Buffer | null): readonly string[] {
+  if (generation === null) return [];
+  const hash = createHash('sha256').update(generation.model ?? '');
+  if (generation.parts.length === 0) hash.update(`\n${target}\n`).update(body ?? '');
+  else for (const { id } of generation.parts) hash.update(`,${id}`);
+  return [...sharedPartIds(generation), `${WHOLE_PROMPT_MARK}${hash.digest('hex').slice(0, WHOLE_ID_CHARACTERS)}`];
+}
+
 /** Largest number of parts of a prompt in a log line. */
 const MAX_LOGGED_PARTS = 24;
 
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -8,6 +8,7 @@
   Evidence, isQuarantined, MAX_KEYS_PER_RUN, MAX_RUNS, nextTrialAt, Override, releasedVerdict,
 } from './evidence.js';
 import type { News, PartState } from './evidence.js';
+import { WHOLE_PROMPT_MARK } from './verdict.js';
 import type { SuspectRun } from './verdict.js';
 
 /** Largest number of parts that were seen to work and are remembered. */
@@ -37,6 +38,11 @@
   return `${service}/${part}`;
 }
 
+/** Ids of a run that are examined: as many parts from the beginning as fit, and the whole prompt, which stands last. */
+function examinedIds(parts: readonly string[]): readonly string[] {
+  return [...parts.slice(0, -1).slice(0, MAX_KEYS_PER_RUN - 1), ...parts.slice(-1)];
+}
+
 function incarnationOf({ id, bornAt }: ServerRecord): string {
   return `${id}@${bornAt}`;
 }
@@ -71,6 +77,11 @@
     return { dispose: () => this.newsListeners.delete(listener) };
   }
 
+  /** Whether anything is in quarantine. */
+  public get hasBlocked(): boolean {
+    return this.blocked.size > 0;
+  }
+
   /** Key of a part in quarantine among those of a prompt, or `null`. */
   public findBlocked(service: string, parts: readonly string[]): string | null {
     if (this.blocked.size === 0) return null;
@@ -97,7 +108,7 @@
     const suspects = new Map<string, SuspectRun>();
     for (const run of runs) {
       if (isProven(run) || run.sentAt === null || run.parts.length === 0 || suspects.size === MAX_RUNS) continue;
-      const keys = run.parts.slice(0, MAX_KEYS_PER_RUN).map((part) => partKey(record.service, part));
+      const keys = examinedIds(run.parts).map((part) => partKey(record.service, part));
       suspects.set(run.request ?? '', { keys, sentAt: run.sentAt });
     }
     if (suspects.size === 0) return;
@@ -119,9 +130,13 @@
   public recordProof({ service }: ServerRecord, { parts }: Run): void {
     const now = this.deps.clock.monotonic();
     const proofs = new Map<string, PartState>();
-    for (const key of parts.slice(0, MAX_KEYS_PER_RUN).map((part) => partKey(service, part))) {
-      this.proven.delete(key);
-      this.proven.set(key, now);
+    for (const part of examinedIds(parts)) {
+      const key = partKey(service, part);
+      // Hardly any whole prompt comes twice, and they would push out the parts.
+      if (!part.startsWith(WHOLE_PROMPT_MARK)) {
+        this.proven.delete(key);
+        this.proven.set(key, now);
+      }
       if (this.evidence.concerns(key)) proofs.set(key, { ...this.evidence.part(key), provenAt: now });
     }
     for (const oldest of this.proven.keys()) {
--- a/src/gateway/quarantine/verdict.ts
+++ b/src/gateway/quarantine/verdict.ts
@@ -1,6 +1,6 @@
 /** Call that was open at a server when it ended, and whose answer had not gone on. */
 export interface SuspectRun {
-  /** Keys of the prompt parts that other requests may share, in the order of the prompt. */
+  /** Keys of the prompt parts that other requests may share, in their order, and then of the whole prompt. */
   readonly keys: readonly string[];
   /** Monotonic time in ms at which the call was written. */
   readonly sentAt: number;
@@ -30,6 +30,12 @@
 /** The same for a part that was seen to work a short time before. */
 const ENDS_OF_PROVEN = 4;
 
+/** Further ends that a part needs where one whole prompt was open at several of its ends, which that one explains. */
+const ENDS_BESIDE_REPEATED_PROMPT = 1;
+
+/** First character of the id of a whole prompt; those of its parts are hexadecimal. */
+export const WHOLE_PROMPT_MARK = '*';
+
 /** Time in ms for which a proof makes it unlikely that a part crashes servers. */
 const PROOF_TTL_MS = 60_000;
 
@@ -75,6 +81,28 @@
   return counted;
 }
 
+function isWholePrompt(key: string): boolean {
+  return key.startsWith(WHOLE_PROMPT_MARK, key.lastIndexOf('/') + 1);
+}
+
+/** Of the ends under a part, those at which no whole prompt was open that was open with it at an earlier one. */
+function endsOfNewPrompts(ends: readonly ServerEnd[], positions: Candidate['positions']): readonly ServerEnd[] {
+  const seen = new Set<string>();
+  return ends.filter(({ runs }) => {
+    const prompts = runs.filter((run) => positions.has(run)).map(({ keys }) => keys.at(-1) ?? '').filter(isWholePrompt);
+    const isNew = !prompts.some((prompt) => seen.has(prompt));
+    for (const prompt of prompts) seen.add(prompt);
+    return isNew;
+  });
+}
+
+/** Whether a part is suspect although whole prompts with it may explain its ends. */
+function isSuspectBesidePrompts({ key, ends, positions }: Candidate, needed: number): boolean {
+  if (isWholePrompt(key)) return true;
+  const distinct = endsOfNewPrompts(ends, positions).length;
+  return distinct >= needed + (distinct < ends.length ? ENDS_BESIDE_REPEATED_PROMPT : 0);
+}
+
 /** Whether each call with the part has the other one before it, so that at least as many requests have the other. */
 function isNarrower({ positions }: Candidate, { positions: others }: Candidate): boolean {
   return [...positions].every(([run, position]) => (others.get(run) ?? Infinity) < position);
@@ -98,18 +126,21 @@
 function findCandidates(ends: readonly ServerEnd[], parts: ReadonlyMap<string, PartRecord>): readonly Candidate[] {
   const newestEndAt = ends.at(-1)?.at ?? -Infinity;
   const countedByKey = new Map<string, readonly ServerEnd[]>();
+  const neededByKey = new Map<string, number>();
   for (const [key, occurrences] of occurrencesByKey(ends)) {
     const provenAt = parts.get(key)?.provenAt ?? -Infinity;
     const needed = newestEndAt - provenAt < PROOF_TTL_MS ? ENDS_OF_PROVEN : ENDS_OF_UNPROVEN;
     const counted = countedEnds(occurrences, provenAt);
-    if (counted.length >= needed) countedByKey.set(key, counted);
+    if (counted.length < needed) continue;
+    countedByKey.set(key, counted);
+    neededByKey.set(key, needed);
   }
   const positions = positionsByKey(ends, new Set(countedByKey.keys()));
   return [...countedByKey].map(([key, counted]) => {
     const isCounted = new Set(counted.flatMap(({ runs }) => runs));
     const inCounted = [...positions.get(key) ?? []].filter(([run]) => isCounted.has(run));
     return { key, ends: counted, positions: new Map(inCounted) };
-  });
+  }).filter((candidate) => isSuspectBesidePrompts(candidate, neededByKey.get(candidate.key) ?? Infinity));
 }
 
 /**
@@ -149,10 +180,20 @@
 ): readonly string[] {
   const causes = new Set<string>();
   const isCause = (key: string): boolean => causes.has(key) || parts.get(key)?.isQuarantined === true;
-  let unexplained = [...ends].sort((left, right) => left.at - right.at);
+  const explains = (isExplained: (key: string) => boolean) => ({ runs }: ServerEnd): boolean => (
+    runs.some(({ keys }) => keys.some(isExplained))
+  );
+  const explainsByPart = explains((key) => isCause(key) && !isWholePrompt(key));
+  const explainsByAny = explains(isCause);
+  // An end that a whole prompt explains still counts for the parts that this prompt shares with others.
+  let unexplainedByParts = [...ends].sort((left, right) => left.at - right.at);
   while (true) {
-    unexplained = unexplained.filter(({ runs }) => !runs.some(({ keys }) => keys.some(isCause)));
-    const likeliest = likeliestOf(findCandidates(unexplained, parts));
+    unexplainedByParts = unexplainedByParts.filter((end) => !explainsByPart(end));
+    const unexplained = unexplainedByParts.filter((end) => !explainsByAny(end));
+    const likeliest = likeliestOf([
+      ...findCandidates(unexplained, parts).filter(({ key }) => isWholePrompt(key)),
+      ...findCandidates(unexplainedByParts, parts).filter(({ key }) => !isWholePrompt(key)),
+    ]);
     const certain = likeliest.filter((candidate) => (
       candidate.ends.length >= ENDS_OF_AMBIGUOUS
       || !likeliest.some((other) => other !== candidate && other.ends.some((end) => candidate.ends.includes(end)))
--- a/src/gateway/quarantinegate.ts
+++ b/src/gateway/quarantinegate.ts
@@ -1,7 +1,7 @@
 import type { Disposable, Meter } from '../core/interfaces/index.js';
 import type { CallContext } from './callcontext.js';
 import type { Refusal } from './outcome.js';
-import { sharedPartIds } from './placement.js';
+import { suspectIds } from './placement.js';
 import type { Quarantine, QuarantineExchange, Trials } from './quarantine/index.js';
 
 /** Longest retry delay in ms that is stated for a call on a part in quarantine. */
@@ -45,7 +45,7 @@
 
   /** Refusal of a call on a part in quarantine, unless the call is to try it; `null` for all others. */
   public async admit(context: CallContext): Promise<Refusal | null> {
-    if (sharedPartIds(context.call.generation).length === 0) return null;
+    if (context.call.generation === null) return null;
     await this.deps.exchange.whenSynchronized();
     const key = this.findBlocked(context);
     if (key === null) return null;
@@ -76,8 +76,9 @@
     };
   }
 
-  private findBlocked({ call: { generation }, service }: CallContext): string | null {
-    return this.deps.quarantine.findBlocked(service.name, sharedPartIds(generation));
+  private findBlocked({ call, body, service }: CallContext): string | null {
+    if (!this.deps.quarantine.hasBlocked) return null;
+    return this.deps.quarantine.findBlocked(service.name, suspectIds(call, body));
   }
 
   private abortBlocked(keys: ReadonlySet<string>): void {
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -8,7 +8,7 @@
 import type { BackendFleet, BackendServer } from './fleet.js';
 import type { PromptObserver } from './openruns.js';
 import type { Refusal } from './outcome.js';
-import { promptSize, sharedPartIds } from './placement.js';
+import { promptSize, suspectIds } from './placement.js';
 import type { ReservedServer, SlotAllocator } from './slotallocator.js';
 import { Upstream } from './upstream.js';
 import type { SendOutcome } from './upstream.js';
@@ -166,7 +166,7 @@
     context.trace.sends.push(trace);
     // A prefill writes no answer.
     const run = work.type === 'prefill'
-      ? null : backend.runs.create(context.call.id, sharedPartIds(context.call.generation));
+      ? null : backend.runs.create(context.call.id, suspectIds(context.call, context.body));
     const upstream = new Upstream(context.call, platformCodec, backend.pool, {
       server,
       deadlineMs: Math.max(MIN_SEND_MS, context.deadline - sentAt - this.opts.transitMs),
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -31,16 +31,19 @@
 let port = 22_100;
 let lastOwnPart = 0;
 
-/** Asks a gateway for an answer on a prompt with these parts and one of its own. */
-function ask(gateway: number, parts: readonly string[]) {
+function nextOwnPart(): string {
   lastOwnPart += 1;
-  const own = (0x10000 + lastOwnPart).toString(16);
+  return (0x10000 + lastOwnPart).toString(16);
+}
+
+/** Asks a gateway for an answer on a prompt with these parts and one of its own, unless that is `null`. */
+function ask(gateway: number, parts: readonly string[], own: string | null = nextOwnPart()) {
   return sendCall(gateways[gateway % gateways.length]!.callers, '/brief/x', {
     method: 'POST',
     body: 'p',
     headers: {
       'catkinscale-token-count': '60,9',
-      'catkinscale-prompt-prefix': [...parts, own].map((id) => `${id}:20`).join(','),
+      'catkinscale-prompt-prefix': [...parts, ...(own === null ? [] : [own])].map((id) => `${id}:20`).join(','),
       'catkinscale-deadline-ms': '2000',
     },
   });
@@ -133,6 +136,24 @@
     expect(deadlyCalls() - before).toBe(0);
   });
 
+  // Guards against one request that ends servers again and again while a sound part of its prompt is blamed for it.
+  it.each([
+    ['the last part of its prompt', [FIRST_PART, SHARED_PART, DEADLY_PART]],
+    ['its only part', [DEADLY_PART]],
+  ])('is found by %s, without other requests', async (_what, prompt) => {
+    for (let call = 0; call < 60 && crashes() < 5; call += 1) {
+      await ask(call, prompt, null);
+      await pause(20);
+    }
+    await pause(300);
+    const before = deadlyCalls();
+    for (let call = 0; call < 12; call += 1) {
+      expect((await ask(call, prompt, null)).status).toBe(503);
+      expect((await ask(call, prompt.slice(0, -1))).status).toBe(200);
+    }
+    expect(deadlyCalls() - before).toBe(0);
+  });
+
   // Guards against sound requests that are kept out with the one that crashes engines.
   it('does not keep out requests that share its other parts', async () => {
     for (let call = 0; call < 20; call += 1) {
--- a/test/quarantineverdict.test.ts
+++ b/test/quarantineverdict.test.ts
@@ -72,6 +72,26 @@
     expect(findCauses(ends, known)).toEqual(['turned']);
   });
 
+  // Guards against sound requests that are kept out because one request with their parts comes again and again.
+  it('names the whole prompt that is open at all ends, and none of its parts', () => {
+    const deadly = ['first', 'session', '*w1'];
+    const ends = [100, 200, 300, 400].map((at) => end(at, [deadly, ['first', 'session', `*s${at}`]]));
+    expect(findCauses(ends.slice(0, 2), NOTHING_KNOWN)).toEqual(['*w1']);
+    expect(findCauses(ends, NOTHING_KNOWN)).toEqual(['*w1']);
+    const elsewhere = [...ends, end(500, [['first', 'session', '*s5']])];
+    expect(findCauses(elsewhere, parts({ '*w1': { isQuarantined: true } }))).toEqual([]);
+  });
+
+  // Guards against a part that is never found because each request with it comes twice.
+  it('names the part that several repeated prompts share, by the fifth end', () => {
+    const prompts = ['*w1', '*w1', '*w2', '*w2', '*w3'];
+    const ends = prompts.map((prompt, index) => end(100 * (index + 1), [['first', 'dead', prompt]]));
+    expect(findCauses(ends, NOTHING_KNOWN)).toContain('dead');
+    expect(findCauses(ends, NOTHING_KNOWN)).not.toContain('first');
+    const quarantined = parts({ '*w1': { isQuarantined: true }, '*w2': { isQuarantined: true } });
+    expect(findCauses(ends, quarantined)).toEqual(['dead']);
+  });
+
   it('finds two parts that crash engines at the same time', () => {
     const ends = [end(100, [['dead']]), end(200, [['fatal']]), end(300, [['dead']]), end(400, [['fatal']])];
     expect([...findCauses(ends, NOTHING_KNOWN)].sort()).toEqual(['dead', 'fatal']);
