Release a part whose ends are forgotten also if it was proven before

Found on reading the numbered verdicts: a part that was seen to work, was blamed later and whose ends are forgotten stayed in quarantine whatever was proven, because a proof after a known one counted only with an end between them. Change: the time of the verdict stands for ends that are forgotten. Evidence: test/quarantineexchange.test.ts, the case of a part that was proven before; failed without the change.

--- a/src/gateway/quarantine/evidence.ts
+++ b/src/gateway/quarantine/evidence.ts
@@ -156,7 +156,7 @@
       refuted ? [] : [{ incarnation, at, runs: [...runs.values()] }]
     ));
     const records = new Map<string, PartRecord>([...this.parts].map(([key, part]) => (
-      [key, { provenAt: part.provenAt, isQuarantined: isQuarantined(part) || part.verdict % 2 === 1 }]
+      [key, { provenAt: part.provenAt, isQuarantined: isQuarantined(part) }]
     )));
     const judged = new Map<string, PartState>();
     for (const key of findCauses(ends, records)) {
@@ -226,11 +226,13 @@
     return isNew ? merged : null;
   }
 
-  /** Whether a proof is the first one, or was made after an end that the known one does not answer. */
+  /** Whether a proof is the first one, or newer than an end or a verdict that the known one is older than. */
   private isNewProof(key: string, knownAt: number, provenAt: number): boolean {
     if (provenAt <= knownAt) return false;
     if (knownAt === -Infinity) return true;
-    return this.suspects.get(key)?.some((at) => at > knownAt && at <= provenAt) ?? false;
+    const part = this.part(key);
+    const times = this.suspects.get(key) ?? (isQuarantined(part) ? [part.quarantinedAt] : []);
+    return times.some((at) => at > knownAt && at <= provenAt);
   }
 
   /** When a server last ended under a part, or when the part was judged if its ends are forgotten. */
