Send no more work to a server that says in an answer that it leaves

Nothing read the header. Change: the adapter decodes it into a field of the head. The incarnation of the server that answered gets no call, prefill, retry, resumed stream, trial or order any more; a call that waits for a connection is asked again just before it is written and goes elsewhere. Reports, orders and freed handles count too, unless their answer carries the id of a call. Other gateways hear by announcements of the membership, without calls to the store. The state is bounded by the known servers and 1,000 others. The soak's servers say it too. Evidence: test/leavinganswers.test.ts: whole answers, refusals, failures and heads of streams; an outage of the store; a foreign answer; a request that waits. Not tested by itself: the marks in reports, orders and freed handles. Ruled out: a write to the store, and leaving the mark to the connection.

--- a/src/gateway/codec.ts
+++ b/src/gateway/codec.ts
@@ -80,6 +80,8 @@
   readonly namesCall: boolean;
   /** Whether the answer has the backend server's signature, without which a success must not be passed on. */
   readonly signed: boolean;
+  /** Whether the backend server says that it leaves. */
+  readonly serverLeaves: boolean;
   /** Whether the body has no length and ends when the connection closes. */
   readonly endsWithConnection: boolean;
   /** Header names and values, alternating, as passed on to the caller. */
@@ -127,6 +129,8 @@
   /** Headers of one send, as alternating names and values. */
   sendHeaders(call: Call, plan: SendPlan): string[];
   readHead(call: Call, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): AnswerHead;
+  /** Whether the head of the answer to a control request says that its backend server leaves. */
+  saysServerLeaves(headers: Readonly<Record<string, string | string[] | undefined>>): boolean;
   /** Handle in the answer to a prefill, or `null` where the body has none. */
   readHandle(server: ServerRecord, body: Buffer): PrefillHandle | null;
   /** Request that frees the KV cache of a handle. */
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -36,6 +36,8 @@
 
 /** Receives the answer to one request. */
 export interface AnswerSink {
+  /** Whether the request may still be written; asked just before that. */
+  mayBeSent(): boolean;
   /** The request is being written; from now on the server may execute it. */
   sent(): void;
   /** The head of the final answer has arrived; `isReused` tells whether the connection had an earlier request. */
@@ -194,7 +196,7 @@
 
   public onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
-    if (this.aborted) controller.abort(new Error('given up'));
+    if (this.aborted || !this.sink.mayBeSent()) controller.abort(new Error('given up'));
     else this.sink.sent();
   }
 
--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -11,6 +11,7 @@
 /** Answer to a control request. */
 export interface ControlAnswer {
   readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: Buffer;
 }
 
@@ -19,13 +20,14 @@
   pool: ConnectionPool,
   address: string,
   {
-    method, path, headers, body,
+    method, path, headers: ownHeaders, body,
   }: ControlRequest,
   clock: Clock,
 ): Promise<ControlAnswer | null> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let status = 0;
+    let headers: ControlAnswer['headers'] = {};
     let size = 0;
     let timer: Disposable | null = null;
     const finish = (answer: ControlAnswer | null): void => {
@@ -33,18 +35,20 @@
       resolve(answer);
     };
     const request = pool.send({
-      method, path, headers: ['host', address, ...headers], body, id: null,
+      method, path, headers: ['host', address, ...ownHeaders], body, id: null,
     }, {
+      mayBeSent: () => true,
       sent: () => {},
-      head: (value) => {
+      head: (value, received) => {
         status = value;
+        headers = received;
       },
       data: (chunk) => {
         size += chunk.length;
         if (size <= MAX_BODY_BYTES) chunks.push(chunk);
         else request.abort();
       },
-      end: () => finish({ status, body: Buffer.concat(chunks) }),
+      end: () => finish({ status, headers, body: Buffer.concat(chunks) }),
       failed: () => finish(null),
     });
     timer = clock.after(TIMEOUT_MS, () => request.abort());
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -188,6 +188,11 @@
     return server;
   }
 
+  /** Whether an incarnation leaves, by its record or by what it has said in an answer. */
+  public isLeaving(record: ServerRecord): boolean {
+    return this.registry.isLeaving(record);
+  }
+
   /** Record of the server that is registered under an id, or `null`. */
   public record(id: string): ServerRecord | null {
     return this.registry.get(id);
@@ -204,6 +209,7 @@
       const server = this.serverFor(record);
       return {
         ...record,
+        leaving: this.registry.isLeaving(record),
         revision: this.registry.revision(record.id),
         open: this.occupancy.total(record.id),
         connections: server.pool.size,
@@ -221,7 +227,7 @@
 
   private ended(record: ServerRecord, runs: readonly Run[]): void {
     const current = this.registry.get(record.id);
-    const isPlanned = current === null || current.draining || current.bornAt !== record.bornAt;
+    const isPlanned = current === null || this.registry.isLeaving(current) || current.bornAt !== record.bornAt;
     const unproven = runs.filter((run) => !isProven(run));
     this.log.warn('server_ended', {
       server: record.id,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import { BackendFleet } from './fleet.js';
 import type { KeySource } from './follower.js';
 import { Forwarder } from './forward.js';
+import { LeavingAnswers } from './leavinganswers.js';
 import { Occupancy } from './occupancy.js';
 import type { Datagrams } from './occupancy.js';
 import { PeerGateways } from './peergateways.js';
@@ -161,6 +162,9 @@
       isCandidate: () => this.ready() && this.peers.isSelected('authority'),
     });
     this.registry = this.disposables.add(new ServerRegistry({ clock, log: deps.log, contact }));
+    const leaving = this.disposables.add(new LeavingAnswers({
+      ...deps, registry: this.registry, announcements: this.membership,
+    }));
     this.occupancy = new Occupancy({ clock, members: this.membership, datagrams: deps.datagrams });
     this.peers = new PeerGateways({ membership: this.membership, occupancy: this.occupancy, log: deps.log });
     this.quarantine = new Quarantine(deps);
@@ -203,6 +207,7 @@
       occupancy: this.occupancy,
       estimates: this.estimates,
       prompts: this.quarantine,
+      leaving,
       quarantine: this.quarantine,
       exchange: this.quarantineExchange,
       trials: this.trials,
@@ -215,6 +220,7 @@
       registry: this.registry,
       fleet: this.fleet,
       occupancy: this.occupancy,
+      leaving,
       engineServices: () => this.routes?.engineServices ?? [],
     }, settings.gateway.name);
   }
--- a/src/gateway/rolebalancer.ts
+++ b/src/gateway/rolebalancer.ts
@@ -7,6 +7,7 @@
 import { sendControlRequest } from './control.js';
 import type { Codec } from './codec.js';
 import type { BackendFleet } from './fleet.js';
+import type { LeavingAnswers } from './leavinganswers.js';
 import type { Occupancy } from './occupancy.js';
 import type { ServerRecord, ServerRegistry } from './serverregistry.js';
 
@@ -68,6 +69,7 @@
   readonly registry: ServerRegistry;
   readonly fleet: BackendFleet;
   readonly occupancy: Occupancy;
+  readonly leaving: Pick<LeavingAnswers, 'record'>;
   /** Names of the services whose servers are engines; none before the first configuration. */
   readonly engineServices: () => readonly string[];
 }
@@ -133,11 +135,17 @@
       log.warn('role_not_ordered', { server: server.id, reason: 'no report' });
       return;
     }
+    if (report !== null && platformCodec.saysServerLeaves(report.headers)) this.deps.leaving.record(server, 'report');
+    if (this.deps.registry.isLeaving(server)) {
+      log.warn('role_not_ordered', { server: server.id, reason: 'the server leaves' });
+      return;
+    }
     if (state.changing || state.role === String(role)) return;
     if (!authority.mayAct() || authority.term !== term) return;
     const answer = await sendControlRequest(pool, server.address, platformCodec.orderRequest(server, {
       holder: this.holder, fencingToken: term, expectedSequence: state.sequence, role,
     }), clock);
+    if (answer !== null && platformCodec.saysServerLeaves(answer.headers)) this.deps.leaving.record(server, 'order');
     meter.count('role_orders', 1, { role, status: String(answer?.status ?? 'none') });
     log.info('role_ordered', {
       server: server.id, role, term, sequence: state.sequence, status: answer?.status ?? null,
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -6,9 +6,11 @@
 import type { Codec, PrefillHandle, SendPlan } from './codec.js';
 import type { Estimates, PrefillWork } from './engineestimates.js';
 import type { BackendFleet, BackendServer } from './fleet.js';
+import type { LeavingAnswers } from './leavinganswers.js';
 import type { PromptObserver } from './openruns.js';
 import type { Refusal } from './outcome.js';
 import { promptSize, suspectIds } from './placement.js';
+import type { ServerRecord } from './serverregistry.js';
 import type { ReservedServer, SlotAllocator } from './slotallocator.js';
 import { Upstream } from './upstream.js';
 import type { SendOutcome } from './upstream.js';
@@ -23,6 +25,7 @@
   readonly fleet: BackendFleet;
   readonly estimates: Estimates;
   readonly prompts: PromptObserver;
+  readonly leaving: Pick<LeavingAnswers, 'record'>;
   /** This process's share of the retry budget of a service. */
   readonly budget: (service: string) => RetryBudget;
 }
@@ -51,6 +54,8 @@
   readonly type: 'handle';
   readonly handle: PrefillHandle;
   readonly holder: BackendServer;
+  /** Record of the holder. */
+  readonly record: ServerRecord;
 }
 
 /** Result of a prefill. */
@@ -120,7 +125,9 @@
         const handle = body === null ? null : platformCodec.readHandle(server, body);
         if (handle !== null) {
           estimates.recordPrefill(backend.times, work, tookMs);
-          return { type: 'handle', handle, holder: backend };
+          return {
+            type: 'handle', handle, holder: backend, record: server,
+          };
         }
         addStep(trace, 'handle:unreadable', clock.monotonic());
       } else if (outcome.type === 'answered') upstream.abort('no handle');
@@ -174,6 +181,8 @@
       priority: null,
       work,
     }, context.body, {
+      // The server may have said that it leaves while this call waited for a connection.
+      mayBeSent: () => !fleet.isLeaving(server),
       written: () => {
         trace.writtenMs = Math.round(clock.monotonic() - sentAt);
         if (run !== null) backend.runs.written(run);
@@ -203,6 +212,9 @@
     });
     const outcome = await upstream.outcome;
     silence.dispose();
+    const saysLeaving = outcome.type === 'answered' ? outcome.head.serverLeaves
+      : outcome.type === 'not_executed' && outcome.serverLeaves;
+    if (saysLeaving) this.deps.leaving.record(server, work.type);
     if (outcome.type === 'not_executed') {
       const late = clock.after(REFUSAL_BODY_MS, () => upstream.abort('the refusal has no end'));
       void upstream.closed.then(() => late.dispose());
@@ -231,11 +243,12 @@
   }
 
   /** Frees the KV cache of a prefill from which no engine will continue. */
-  public freeCache({ handle, holder }: PrefilledPrompt): void {
+  public freeCache({ handle, holder, record }: PrefilledPrompt): void {
     if (holder.pool.isDisposed) return;
     const { clock, codec: platformCodec, log } = this.deps;
     void sendControlRequest(holder.pool, handle.address, platformCodec.freeRequest(handle), clock).then((answer) => {
       if (answer === null) log.warn('handle_not_freed', { address: handle.address });
+      else if (platformCodec.saysServerLeaves(answer.headers)) this.deps.leaving.record(record, 'free');
     });
   }
 
--- a/src/gateway/serverregistry.ts
+++ b/src/gateway/serverregistry.ts
@@ -50,7 +50,7 @@
   readonly timer: Disposable;
 }
 
-/** Largest number of removed servers whose last record is kept, so that an older record does not add them again. */
+/** Largest number of removed servers of which the last record and the leaving are kept. */
 const MAX_REMOVED_RECORDS = 1_000;
 
 /** Whether the same incarnation of a server wrote `record` before `known`. */
@@ -73,6 +73,9 @@
 
   private readonly removedRecords = new Map<string, ServerRecord>();
 
+  /** Start time of the incarnation that has said in an answer that it leaves, by server id. */
+  private readonly leavingSince = new Map<string, number>();
+
   private readonly listeners = new Set<(id: string) => void>();
 
   private byService = new Map<string, readonly ServerRecord[]>();
@@ -83,18 +86,46 @@
     this.subscription = deps.contact.onChange(() => this.rescheduleRemovals());
   }
 
-  /** Servers of a service that are not draining, ordered by id. */
+  /** Servers of a service that do not leave, ordered by id. */
   public available(service: string): readonly ServerRecord[] {
     let records = this.byService.get(service);
     if (records === undefined) {
       records = this.all()
-        .filter((record) => record.service === service && !record.draining)
+        .filter((record) => record.service === service && !this.isLeaving(record))
         .sort((left, right) => (left.id < right.id ? -1 : 1));
       this.byService.set(service, records);
     }
     return records;
   }
 
+  /** Whether an incarnation leaves, by its record or by what it has said in an answer. */
+  public isLeaving({ id, bornAt, draining }: ServerRecord): boolean {
+    return draining || this.leavingSince.get(id) === bornAt;
+  }
+
+  /**
+   * Records that an incarnation has said in an answer that it leaves; returns whether that is new. Only a new
+   * incarnation undoes it, no record and no removal.
+   */
+  public recordLeaving(id: string, bornAt: number): boolean {
+    const known = this.leavingSince.get(id);
+    const current = (this.get(id) ?? this.removedRecords.get(id))?.bornAt;
+    if (known === bornAt || (known !== undefined && known === current)) return false;
+    this.leavingSince.delete(id);
+    this.leavingSince.set(id, bornAt);
+    if (this.leavingSince.size > this.servers.size + MAX_REMOVED_RECORDS) {
+      const oldest = [...this.leavingSince.keys()].find((other) => !this.servers.has(other));
+      if (oldest !== undefined) this.leavingSince.delete(oldest);
+    }
+    this.changed(id);
+    return true;
+  }
+
+  /** Number of incarnations that are remembered because they have said that they leave. */
+  public get leavingCount(): number {
+    return this.leavingSince.size;
+  }
+
   public get(id: string): ServerRecord | null {
     return this.servers.get(id)?.record ?? null;
   }
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -9,7 +9,12 @@
   /** No byte of the call was written. */
   | { readonly type: 'not_sent'; readonly message: string }
   /** The backend server states that it did not execute the call. */
-  | { readonly type: 'not_executed'; readonly status: number; readonly message: string }
+  | {
+    readonly type: 'not_executed';
+    readonly status: number;
+    readonly message: string;
+    readonly serverLeaves: boolean;
+  }
   /** The call was written, and it is unknown whether it was executed. */
   | { readonly type: 'broken'; readonly message: string }
   | { readonly type: 'answered'; readonly head: AnswerHead };
@@ -25,6 +30,8 @@
 
 /** Observes one send. */
 export interface UpstreamObserver {
+  /** Whether the call may still be written; always by default. */
+  mayBeSent?(): boolean;
   /** The call is being written. */
   written?(): void;
   /** A chunk of the answer's body has arrived. */
@@ -140,6 +147,10 @@
     });
   }
 
+  public mayBeSent(): boolean {
+    return this.observer.mayBeSent?.() ?? true;
+  }
+
   public sent(): void {
     this.isWritten = true;
     this.observer.written?.();
@@ -154,7 +165,10 @@
     // On a connection with an earlier request, an answer without an id may be a copy of the one to that request.
     if (!head.matchesCall || (isReused && !head.namesCall)) this.abort('the answer belongs to another call');
     else if (head.execution === Execution.NotExecuted) {
-      this.finish({ type: 'not_executed', status, message: `refused with status ${status}` });
+      const { serverLeaves } = head;
+      this.finish({
+        type: 'not_executed', status, message: `refused with status ${status}`, serverLeaves,
+      });
       // The body is read only so that the connection can be used for the next call.
       void this.collect(MAX_REFUSAL_BYTES);
     } else this.finish({ type: 'answered', head });
--- a/src/soak/servers.ts
+++ b/src/soak/servers.ts
@@ -47,6 +47,9 @@
 export class ServerFleet {
   private readonly serving = new Map<string, ServerStandIn>();
 
+  /** Servers that say in their answers that they leave. */
+  private readonly leaving = new Set<string>();
+
   private startedCount = 0;
 
   public constructor(
@@ -85,6 +88,7 @@
       this.store.put(`servers/${id}`, server.serverRecord(this.service, entry));
     } else this.store.remove(`servers/${id}`);
     this.observer.recordLeaving(id);
+    this.leaving.add(id);
     await wait(SERVE_WHILE_LEAVING_MS);
     this.store.remove(`servers/${id}`);
     this.observer.recordStopped(id);
@@ -100,6 +104,7 @@
     this.observer.recordArrival({
       call: callId, server: id, at: this.observer.now(), lagMs: this.observer.lagMs(), ran: true,
     });
+    if (this.leaving.has(id)) res.setHeader('Server-Leaving', '1');
     const type = callTypeOf(call);
     if (type === CallType.Talk) streamEvents(res, callId, Number(call.headers['last-event-id'] ?? 0));
     else sendSignedResponse(res, expectedBody(type, callId));
