Stop the engine of the demo's stream only once the stream has begun

Trace: since a call without parts can be in quarantine, too, so that just after a start it waits up to 1 s for what the other gateways know, as calls with parts do. The demo took for granted that the stream had begun after half its time and then stopped no engine. It waits for the stream's begin now; the checks are the same.

--- a/src/demo/gateways.ts
+++ b/src/demo/gateways.ts
@@ -188,10 +188,12 @@
     printProgress(`${running.length} gateways are ready`);
 
     const talk = callGateway(GATEWAY_ADDRESSES[0]!, '/talk/x', { 'catkinscale-request-id': 'talk', 'catkinscale-token-count': '100,90' });
-    await wait((EVENT_COUNT / 2) * EVENT_PERIOD_MS);
     const findStreamEngines = () => engines.filter(({ received }) => (
       received.some(({ headers }) => headers['catkinscale-request-id'] === 'talk')
     ));
+    // Just after a start, a gateway first learns from the others which prompts it must not send.
+    while (findStreamEngines().length === 0 && Date.now() < until) await wait(5);
+    await wait((EVENT_COUNT / 2) * EVENT_PERIOD_MS);
     const first = findStreamEngines()[0];
     store.remove(`servers/${first?.id}`);
     first?.stop();
