--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -3,7 +3,9 @@
 import { safeParseSections } from '../core/ini.js';
 import type { Issue } from '../core/issues.js';
 import type { Result } from '../core/result.js';
-import { countSchema, durationSchema, numberSchema } from '../core/units.js';
+import {
+  countSchema, durationSchema, numberSchema, sizeSchema,
+} from '../core/units.js';
 
 const labelSchema = z.string().min(1, 'a name').max(200);
 
@@ -22,6 +24,12 @@
     /** UDP datagrams between gateways; all gateways use the same port. */
     exchange: addressSchema,
   }),
+  machine: z.strictObject({
+    /** Memory in bytes that the process may use. */
+    memory: sizeSchema('64 MB', '999999 MB').prefault('350 MB'),
+    /** Number of file descriptors that the process may open. */
+    descriptors: countSchema(256, 10_000_000).prefault('4096'),
+  }),
   peers: z.strictObject({
     /** Peer addresses of the gateways that a gateway contacts when it starts. */
     seeds: z.array(addressSchema).default([]),
--- a/src/soak/processes.ts
+++ b/src/soak/processes.ts
@@ -1,6 +1,8 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import { openSync, readFileSync, writeFileSync } from 'node:fs';
+import {
+  openSync, readdirSync, readFileSync, writeFileSync,
+} from 'node:fs';
 import { join } from 'node:path';
 import { setTimeout as wait } from 'node:timers/promises';
 import { LinkProxy } from '../emulator/linkproxy.js';
@@ -21,6 +23,14 @@
   /** Address at which the gateway accepts calls, as `ip:port`. */
   public readonly callerAddress: string;
 
+  public readonly readinessAddress: string;
+
+  public readonly peerAddress: string;
+
+  public readonly directoryAddress: string;
+
+  public readonly metricsAddress: string;
+
   private readonly storeLink: LinkProxy;
 
   private child: ChildProcess | null = null;
@@ -36,9 +46,15 @@
       readonly directory: string;
       readonly store: string;
       readonly seeds: readonly string[];
+      /** Lines of the settings after those of the soak. */
+      readonly settings?: readonly string[];
     },
   ) {
     this.callerAddress = `${ip}:${PORTS.callers}`;
+    this.readinessAddress = `${ip}:${PORTS.readiness}`;
+    this.peerAddress = `${ip}:${PORTS.peers}`;
+    this.directoryAddress = `${ip}:${PORTS.directory}`;
+    this.metricsAddress = `${ip}:${PORTS.metrics}`;
     this.storeLink = new LinkProxy(opts.store);
   }
 
@@ -109,6 +125,16 @@
     return Number(/^VmHWM:\s+(\d+) kB/m.exec(status)?.[1] ?? NaN) * 1_024;
   }
 
+  /** Whether the process was started and has not ended. */
+  public isRunning(): boolean {
+    return this.child !== null && this.child.exitCode === null && this.child.signalCode === null;
+  }
+
+  /** Number of file descriptors that the process has open. */
+  public openDescriptors(): number {
+    return readdirSync(`/proc/${this.child?.pid}/fd`).length;
+  }
+
   /** Kills the process and stops the proxy. */
   public dispose(): void {
     this.child?.kill('SIGKILL');
@@ -132,6 +158,7 @@
       '[store]', `address = ${this.storeLink.address}`,
       '[directory]', 'keep = 500 ms',
       '[drain]', `grace = ${GRACE_MS} ms`,
+      ...this.opts.settings ?? [],
       '',
     ].join('\n');
   }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,6 +9,8 @@
 export default defineConfig({
   test: {
     include: ['test/**/*.test.ts'],
+    // `vitest.alone.config.ts` runs these one at a time.
+    exclude: ['test/alone/**'],
     testTimeout: 20_000,
     // `npx vitest run -t NAME` runs a listed test all the same.
     testNamePattern: allBut(red),
