--- a/src/cli/gateway.ts
+++ b/src/cli/gateway.ts
@@ -8,6 +8,7 @@
 import { Secret } from '../core/configuration/index.js';
 import { reportUnexpected } from '../core/unexpected.js';
 import { Gateway } from '../gateway/gateway.js';
+import { machineLimits } from '../gateway/machinelimits.js';
 import { RateLimitedLog } from '../gateway/ratelimitedlog.js';
 import { safeParseGatewaySettings } from '../gateway/settings.js';
 import { safeReadText } from './files.js';
@@ -41,7 +42,8 @@
   const peerOptions = { token: new Secret(`gateways of ${group}`), log, meter };
   const peerServer = new PeerListener(peerOptions);
   const peerClient = new HttpPeerClient(peerOptions);
-  const peers = await peerServer.listen(listen.peers);
+  const { connections, peerMemory } = machineLimits(settings.data.machine);
+  const peers = await peerServer.listen(listen.peers, { connections: connections.peers, memory: peerMemory });
   if (!peers.success) return failed(ExitCode.Refused, peers.error.message);
   const datagrams = await openDatagramSocket(listen.exchange, log);
   if (!datagrams.success) return failed(ExitCode.Refused, datagrams.error.message);
--- a/src/daemon/http.ts
+++ b/src/daemon/http.ts
@@ -1,11 +1,17 @@
 import { isUtf8 } from 'node:buffer';
-import { createServer, STATUS_CODES } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer, IncomingMessage, STATUS_CODES } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
+import { totalmem } from 'node:os';
 import { setImmediate as nextTurn } from 'node:timers/promises';
+import { SystemClock } from '../adapters/system.js';
+import type { Clock } from '../core/interfaces/index.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
+import { BodyReceiver } from './bodies.js';
+import type { BodyFailure } from './bodies.js';
+import { ConnectionLimiter } from './connectionlimiter.js';
 import { httpRefusalAnswer } from './refusals.js';
 import type { HttpRefusal, RefusalAnswer } from './refusals.js';
 
@@ -16,6 +22,14 @@
   readonly headerTimeout: number;
 }
 
+/** Limits that a listener takes over while it runs; times in ms, sizes in bytes. */
+export interface AdjustedLimits {
+  readonly body: number;
+  readonly headerTimeout: number;
+  /** Largest head of a request; the initial one stays where this is absent. */
+  readonly head?: number;
+}
+
 /** Listening socket. */
 export interface HttpListener {
   /** IP address and port that are in use. */
@@ -24,8 +38,10 @@
   close(): Promise<void>;
   /** Closes the listener and all connections immediately. */
   destroy(): void;
+  /** Memory in bytes that the bodies of running requests take. */
+  bodyMemory(): number;
   /** Changes the limits; `keepAlive` is the time in ms for which an idle connection stays open. */
-  adjust(limits: Omit<HttpLimits, 'connections'>, keepAlive: number): void;
+  adjust(limits: AdjustedLimits, keepAlive: number): void;
 }
 
 /** Failure to listen. */
@@ -35,7 +51,7 @@
 }
 
 /** Reason why a body could not be read; `aborted` needs no answer, because the connection is closed. */
-export type BodyError = HttpRefusal | { readonly code: 'aborted' } | { readonly code: 'not_utf8' };
+export type BodyError = BodyFailure | { readonly code: 'not_utf8' };
 
 /** Answers one request. A rejection ends this request only and is reported to {@link HttpOptions.onUnexpected}. */
 export type HttpHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
@@ -46,12 +62,21 @@
 /** Shorter than the default of `address.keep`, so that idle connections close while a planned stop still serves. */
 const KEEP_ALIVE_MS = 4_000;
 
-/** Connections over the limit that still get a 503 answer; further ones are closed without an answer. */
-const EXTRA_CONNECTIONS = 64;
+/** Largest number of connections over the limit that still get a 503 answer; further ones are closed without one. */
+const MAX_EXTRA_CONNECTIONS = 64;
+
+/** Such connections as a share of the limit. */
+const EXTRA_CONNECTIONS_SHARE = 1 / 8;
 
-/** Unread bodies of the maximum size that may be in memory at the same time, for all callers together. */
+/** Bodies of the maximum size that may be in memory at the same time, for all callers together. */
 const MAX_FULL_BODIES = 64;
 
+/** Bodies of the maximum size that always have room, however small the machine is. */
+const MIN_FULL_BODIES = 3;
+
+/** Share of the machine's memory that bodies may take. */
+const BODIES_MEMORY_SHARE = 1 / 8;
+
 const OVERLOAD_RETRY_MS = 1_000;
 
 /** Fully received requests of each socket that have no answer yet; with pipelining there can be several. */
@@ -60,8 +85,8 @@
 /** Sockets on which `ran: no` was answered; a request whose body completes afterwards must not run. */
 const rejectedSockets = new WeakSet<Socket>();
 
-/** Memory used by the bodies that each server is receiving, and its limits; in bytes. */
-const bodyBudgets = new WeakMap<Server, { bytes: number; limit: number; bodyLimit: number }>();
+/** State of each listener. */
+const listeners = new WeakMap<Server, { readonly bodies: BodyReceiver; readonly connections: ConnectionLimiter }>();
 
 const serverOfSocket = new WeakMap<Socket, Server>();
 
@@ -116,39 +141,18 @@
   });
 }
 
-/** Reads a body up to the size limit of its listener. */
-export function readBytes(req: IncomingMessage): Promise<Result<Buffer, Exclude<BodyError, { code: 'not_utf8' }>>> {
+/** Reads a body up to the size limit of its listener; its memory counts until the answer has ended. */
+export async function readBytes(req: IncomingMessage): Promise<Result<Buffer, BodyFailure>> {
   const { socket } = req;
   const server = serverOfSocket.get(socket);
-  const budget = server === undefined ? undefined : bodyBudgets.get(server);
-  if (budget === undefined) return Promise.resolve(fail({ code: 'aborted' }));
-  const tooLarge: HttpRefusal = { code: 'body_too_large', limitBytes: budget.bodyLimit };
-  if (Number(req.headers['content-length'] ?? 0) > budget.bodyLimit) return Promise.resolve(fail(tooLarge));
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    const finish = (result: Result<Buffer, Exclude<BodyError, { code: 'not_utf8' }>>): void => {
-      budget.bytes -= size;
-      req.removeAllListeners('data').removeAllListeners('end').removeAllListeners('close');
-      // The rest of a refused body is read and discarded: closing now could lose the answer that is being sent.
-      if (!result.success) req.resume();
-      resolve(result);
-    };
-    req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      budget.bytes += chunk.length;
-      if (size > budget.bodyLimit) finish(fail(tooLarge));
-      else if (budget.bytes > budget.limit) finish(fail({ code: 'overloaded', retryAfterMs: OVERLOAD_RETRY_MS }));
-      else chunks.push(chunk);
-    });
-    req.on('end', () => {
-      if (rejectedSockets.has(socket)) return finish(fail({ code: 'aborted' }));
-      unansweredRequests.get(socket)?.add(req);
-      return finish(ok(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks)));
-    });
-    req.on('close', () => finish(fail({ code: 'aborted' })));
-    req.on('error', () => {});
-  });
+  const listener = server === undefined ? undefined : listeners.get(server);
+  if (listener === undefined) return fail({ code: 'aborted' });
+  const body = await listener.bodies.receive(req);
+  if (!body.success) return body;
+  if (rejectedSockets.has(socket)) return fail({ code: 'aborted' });
+  unansweredRequests.get(socket)?.add(req);
+  listener.connections.run(socket);
+  return body;
 }
 
 /**
@@ -176,8 +180,14 @@
   readonly keepAliveMs?: number;
   /** Maximum size of a request's headers in bytes; larger ones are refused with 431. */
   readonly maxHeaderBytes?: number;
-  /** Total size in bytes of unread bodies in memory, for all callers together. */
-  readonly maxUnreadBytes?: number;
+  /**
+   * Memory in bytes of all bodies together, given the size of the largest one [an eighth of the machine's memory, at
+   * most 64 full bodies].
+   */
+  readonly maxBodyMemory?: (largestBytes: number) => number;
+  /** Time in ms without a byte after which an unfinished body is refused [that of the whole request]. */
+  readonly bodyStallMs?: number;
+  readonly clock?: Clock;
   /** Receives the exceptions of the handler. */
   readonly onUnexpected: (err: unknown) => void;
 }
@@ -190,6 +200,32 @@
   else sendJson(res, 500, { error: { code: 'internal', message: 'the request failed unexpectedly' } });
 }
 
+/** Collects short-lived objects where Node.js runs with `--expose-gc`, as gateways do. */
+function collectChunks(): void {
+  void globalThis.gc?.({ type: 'minor' });
+}
+
+function defaultBodyMemory(largestBytes: number): number {
+  const share = Math.max(MIN_FULL_BODIES * largestBytes, totalmem() * BODIES_MEMORY_SHARE);
+  return Math.min(largestBytes * MAX_FULL_BODIES, share);
+}
+
+/**
+ * Returns a class of requests of which one on a full connection claims to change the protocol. The parser then creates
+ * no objects for the rest of what was read, which may be hundreds of requests, and the connection is closed.
+ */
+function messageClass(connections: ConnectionLimiter): typeof IncomingMessage {
+  return class extends IncomingMessage {
+    public get upgrade(): boolean {
+      return connections.isFull(this.socket);
+    }
+
+    public set upgrade(_value: boolean) {
+      // No listener changes the protocol of a connection.
+    }
+  };
+}
+
 /** Opens an HTTP listener; its memory is bounded, whatever clients send. Fails if it cannot listen on `address`. */
 export async function listenHttp(
   address: string,
@@ -197,8 +233,10 @@
   limits: HttpLimits,
   opts: HttpOptions,
 ): Promise<Result<HttpListener, ListenError>> {
-  const refusedSockets = new WeakSet<Socket>();
+  const clock = opts.clock ?? new SystemClock();
+  const connections = new ConnectionLimiter(limits.connections, clock);
   const server: Server = createServer({
+    IncomingMessage: messageClass(connections),
     headersTimeout: limits.headerTimeout,
     requestTimeout: Math.max(REQUEST_TIMEOUT_MS, limits.headerTimeout),
     connectionsCheckingInterval: Math.min(1_000, limits.headerTimeout / 4),
@@ -207,32 +245,35 @@
     ...(opts.writeBufferBytes === undefined ? {} : { highWaterMark: opts.writeBufferBytes }),
     ...(opts.maxHeaderBytes === undefined ? {} : { maxHeaderSize: opts.maxHeaderBytes }),
   });
-  let openConnections = 0;
   let closing = false;
-  const budget = { bytes: 0, limit: opts.maxUnreadBytes ?? limits.body * MAX_FULL_BODIES, bodyLimit: limits.body };
-  bodyBudgets.set(server, budget);
-  server.maxConnections = limits.connections + EXTRA_CONNECTIONS;
+  const bodyMemory = opts.maxBodyMemory ?? defaultBodyMemory;
+  const bodies = new BodyReceiver({
+    total: bodyMemory(limits.body), body: limits.body, stallMs: opts.bodyStallMs ?? REQUEST_TIMEOUT_MS,
+  }, { clock, collectChunks });
+  listeners.set(server, { bodies, connections });
+  server.maxConnections = limits.connections
+    + Math.min(MAX_EXTRA_CONNECTIONS, Math.ceil(limits.connections * EXTRA_CONNECTIONS_SHARE));
   server.on('connection', (socket: Socket) => {
-    openConnections += 1;
     serverOfSocket.set(socket, server);
     unansweredRequests.set(socket, new Set());
-    if (openConnections > limits.connections) refusedSockets.add(socket);
-    socket.on('close', () => {
-      openConnections -= 1;
-    });
+    connections.add(socket);
   });
   server.on('clientError', onClientError);
   server.on('request', (req, res) => {
     const { socket } = req;
     res.on('error', () => {});
-    if (refusedSockets.has(socket)) {
+    connections.begin(socket);
+    if (connections.isRefused(socket)) {
       res.setHeader('connection', 'close');
       sendRefusal(res, httpRefusalAnswer({ code: 'overloaded', retryAfterMs: OVERLOAD_RETRY_MS }));
       return;
     }
     if (closing) res.setHeader('connection', 'close');
+    res.on('finish', () => bodies.discardRest(req));
     res.on('close', () => {
       unansweredRequests.get(socket)?.delete(req);
+      connections.end(socket, req.complete);
+      bodies.release(req);
       // The headers of an answer that began before `close` allow keep-alive, so its idle connection is closed here.
       if (closing) setImmediate(() => server.closeIdleConnections());
     });
@@ -258,11 +299,14 @@
       NetServer.prototype.close.call(server);
       server.closeAllConnections();
     },
+    bodyMemory: () => bodies.used,
     adjust: (newLimits, keepAlive) => {
       server.headersTimeout = newLimits.headerTimeout;
       server.keepAliveTimeout = keepAlive;
-      budget.bodyLimit = newLimits.body;
-      if (opts.maxUnreadBytes === undefined) budget.limit = newLimits.body * MAX_FULL_BODIES;
+      // Only connections that open later have the new limit on heads.
+      if (newLimits.head !== undefined) Object.assign(server, { maxHeaderSize: newLimits.head });
+      bodies.limits.body = newLimits.body;
+      bodies.limits.total = bodyMemory(newLimits.body);
     },
   });
 }
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -46,6 +46,13 @@
   readonly meter: Meter;
 }
 
+/** Bounds of a {@link PeerListener}, where they differ from its own. */
+export interface PeerLimits {
+  readonly connections?: number;
+  /** Memory in bytes of the messages that are being received. */
+  readonly memory?: number;
+}
+
 /** Serves JSON-RPC methods to peers over HTTP. */
 export class PeerListener implements PeerServer {
   private readonly rpc: JSONRPCServer;
@@ -72,9 +79,12 @@
   }
 
   /** Listens on an IP address and port; fails if they cannot be used. */
-  public listen(address: string): Promise<Result<HttpListener, ListenError>> {
-    return listenHttp(address, (req, res) => this.handle(req, res), LIMITS, {
-      keepAliveMs: KEEP_ALIVE_MS, onUnexpected: (err) => reportUnexpected(this.opts, 'peer', err),
+  public listen(address: string, limits: PeerLimits = {}): Promise<Result<HttpListener, ListenError>> {
+    const { connections = LIMITS.connections, memory } = limits;
+    return listenHttp(address, (req, res) => this.handle(req, res), { ...LIMITS, connections }, {
+      keepAliveMs: KEEP_ALIVE_MS,
+      ...(memory === undefined ? {} : { maxBodyMemory: (largest) => Math.max(memory, 2 * largest) }),
+      onUnexpected: (err) => reportUnexpected(this.opts, 'peer', err),
     });
   }
 
--- a/src/gateway/endpoints.ts
+++ b/src/gateway/endpoints.ts
@@ -5,7 +5,7 @@
 import { Override, partKey } from './quarantine/index.js';
 
 /** Limits for the small requests of callers that look up an address and of the platform. */
-const LIMITS = { body: 1_024, connections: 1_024, headerTimeout: 3_000 };
+const LIMITS = { body: 1_024, headerTimeout: 3_000 };
 
 /** Base of the paths of requests, which have no host name of their own. */
 const BASE_URL = 'http://gateway';
@@ -52,25 +52,34 @@
 function listenForSmallRequests(
   address: string,
   { onUnexpected }: EndpointContent,
+  connections: number,
   answer: (req: IncomingMessage, res: ServerResponse) => void,
 ): Promise<Result<HttpListener, ListenError>> {
   return listenHttp(address, async (req, res) => {
     req.resume();
     answer(req, res);
-  }, LIMITS, { onUnexpected });
+  }, { ...LIMITS, connections }, { onUnexpected });
 }
 
 /** Opens the readiness listener, which reports whether callers may be sent to this gateway. */
-export function listenReadiness(address: string, shown: EndpointContent): Promise<Result<HttpListener, ListenError>> {
-  return listenForSmallRequests(address, shown, (_req, res) => {
+export function listenReadiness(
+  address: string,
+  shown: EndpointContent,
+  connections: number,
+): Promise<Result<HttpListener, ListenError>> {
+  return listenForSmallRequests(address, shown, connections, (_req, res) => {
     const ready = shown.ready();
     sendJson(res, ready ? 200 : 503, { ready });
   });
 }
 
 /** Opens the directory listener, which tells callers the addresses to use. */
-export function listenDirectory(address: string, shown: EndpointContent): Promise<Result<HttpListener, ListenError>> {
-  return listenForSmallRequests(address, shown, (_req, res) => {
+export function listenDirectory(
+  address: string,
+  shown: EndpointContent,
+  connections: number,
+): Promise<Result<HttpListener, ListenError>> {
+  return listenForSmallRequests(address, shown, connections, (_req, res) => {
     const body = shown.addressBody();
     if (body === null) sendJson(res, 503, { error: 'no gateway is ready' });
     else sendText(res, 'application/json', body);
@@ -78,8 +87,12 @@
 }
 
 /** Opens the listener for metrics, the dump and operators' orders. */
-export function listenMetrics(address: string, shown: EndpointContent): Promise<Result<HttpListener, ListenError>> {
-  return listenForSmallRequests(address, shown, (req, res) => {
+export function listenMetrics(
+  address: string,
+  shown: EndpointContent,
+  connections: number,
+): Promise<Result<HttpListener, ListenError>> {
+  return listenForSmallRequests(address, shown, connections, (req, res) => {
     const path = req.url ?? '/';
     const url = new URL(URL.canParse(path, BASE_URL) ? path : '/', BASE_URL);
     if (req.method === 'POST' && url.pathname.startsWith(ORDER_PATH)) answerPartOrder(url, res, shown);
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -39,6 +39,8 @@
   readonly failureDomain: string;
   /** Time in which an answer travels from a backend server through this process to the caller. */
   readonly transitMs: number;
+  /** Largest number of calls that are served at once. */
+  readonly maxCalls: number;
 }
 
 const RETRY_AFTER_MS = 250;
@@ -73,7 +75,7 @@
 
   private readonly quarantineGate: QuarantineGate;
 
-  public constructor(private readonly deps: ForwarderDependencies, opts: ForwarderOptions) {
+  public constructor(private readonly deps: ForwarderDependencies, private readonly opts: ForwarderOptions) {
     this.slotAllocator = new SlotAllocator(deps, opts);
     this.sender = new Sender(deps, this.slotAllocator, opts);
     this.quarantineGate = new QuarantineGate(deps);
@@ -110,6 +112,8 @@
       else if (!body.success) {
         delivery = refused(body.error.code === 'body_too_large'
           ? { code: 'body_too_large' } : { code: 'occupied', retryAfterMs: RETRY_AFTER_MS });
+      } else if (this.activeCalls > this.opts.maxCalls) {
+        delivery = refused({ code: 'occupied', retryAfterMs: RETRY_AFTER_MS });
       } else if (call.success) delivery = await this.serveOrFail(call.data, body.data, routed, res, trace);
       else delivery = refused(call.error);
       if (delivery.type === 'refused') sendRefusal(res, delivery.refusal);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,6 +24,8 @@
 import type { KeySource } from './follower.js';
 import { Forwarder } from './forward.js';
 import { LeavingAnswers } from './leavinganswers.js';
+import { machineLimits } from './machinelimits.js';
+import type { MachineLimits } from './machinelimits.js';
 import { Occupancy } from './occupancy.js';
 import type { Datagrams } from './occupancy.js';
 import { PeerGateways } from './peergateways.js';
@@ -58,20 +60,20 @@
 /** Time in ms by which the listener keeps idle connections longer than the idle timeout that callers know. */
 const IDLE_MARGIN_MS = 1_000;
 
-/**
- * Limits of the listener before the first configuration. The number of connections leaves enough file descriptors for
- * those to backend servers and peers.
- */
-const INITIAL_LIMITS = { body: 4_194_304, connections: 2_500, headerTimeout: 3_000 };
+/** Limits of the listener before the first configuration. */
+const INITIAL_LIMITS = { body: 4_194_304, headerTimeout: 3_000 };
 
 /** Idle timeout in ms before the first configuration. */
 const INITIAL_IDLE_MS = 15_000;
 
-/** Largest head of a call in bytes. */
-const MAX_HEAD_BYTES = 65_536;
+/** Largest head of a call in bytes before the first configuration. */
+const INITIAL_HEAD_BYTES = 65_536;
 
-/** Largest number of body bytes in memory, of all calls together. */
-const MAX_UNREAD_BODY_BYTES = 48_000_000;
+/** Bytes of a request line and of what separates headers, which the limit on headers does not count. */
+const HEAD_MARGIN_BYTES = 8_192;
+
+/** Number of bodies of the largest size that always have room. */
+const MIN_FULL_BODIES = 3;
 
 /** Time in ms in which an answer travels from a backend server through this process to its caller. */
 const TRANSIT_MS = 10;
@@ -129,6 +131,8 @@
 
   private listener: HttpListener | null = null;
 
+  private readonly limits: MachineLimits;
+
   private stopping = false;
 
   /** Monotonic time in ms at which running calls are cut off, or `null` while no planned stop has begun. */
@@ -138,6 +142,7 @@
     const {
       clock, random, peerClient: client, peerServer: server,
     } = deps;
+    this.limits = machineLimits(settings.machine);
     this.membership = new Membership({
       id: settings.gateway.name,
       incarnation: createIncarnation(clock, random),
@@ -213,7 +218,7 @@
       trials: this.trials,
       endsAt: () => this.endsAt,
       recordsAgeMs: () => this.servers.ageMs(),
-    }, { failureDomain: settings.gateway.failureDomain, transitMs: TRANSIT_MS }));
+    }, { failureDomain: settings.gateway.failureDomain, transitMs: TRANSIT_MS, maxCalls: this.limits.calls }));
     this.roles = new RoleBalancer({
       ...deps,
       authority: this.authority,
@@ -233,10 +238,15 @@
   /** Opens the listeners and starts to follow the store and the other gateways; fails if an address can't be bound. */
   public async start(): Promise<Result<void, ListenError>> {
     const { listen } = this.settings;
-    const callers = await listenHttp(listen.callers, (req, res) => this.forward(req, res), INITIAL_LIMITS, {
+    const { bodyMemory, connections } = this.limits;
+    const callers = await listenHttp(listen.callers, (req, res) => this.forward(req, res), {
+      ...INITIAL_LIMITS, connections: connections.callers,
+    }, {
       keepAliveMs: INITIAL_IDLE_MS + IDLE_MARGIN_MS,
-      maxHeaderBytes: MAX_HEAD_BYTES,
-      maxUnreadBytes: MAX_UNREAD_BODY_BYTES,
+      maxHeaderBytes: INITIAL_HEAD_BYTES,
+      maxBodyMemory: (body) => Math.max(bodyMemory, MIN_FULL_BODIES * body),
+      bodyStallMs: INITIAL_IDLE_MS,
+      clock: this.deps.clock,
       onUnexpected: (err) => reportUnexpected(this.deps, 'call', err),
     });
     const content: EndpointContent = {
@@ -249,9 +259,9 @@
     };
     const opened = [
       callers,
-      await listenReadiness(listen.readiness, content),
-      await listenDirectory(listen.directory, content),
-      await listenMetrics(listen.metrics, content),
+      await listenReadiness(listen.readiness, content, connections.readiness),
+      await listenDirectory(listen.directory, content, connections.directory),
+      await listenMetrics(listen.metrics, content, connections.metrics),
     ];
     for (const listener of opened) {
       if (!listener.success) return fail(listener.error);
@@ -314,6 +324,7 @@
       occupancy: this.occupancy.dump(),
       estimates: this.estimates.dump(),
       quarantine: this.quarantine.dump(),
+      limits: { ...this.limits, bodies_used: this.listener?.bodyMemory() ?? 0 },
     };
   }
 
@@ -344,7 +355,7 @@
     this.routes = new RouteTable(parsed.data);
     const { limits } = parsed.data;
     this.listener?.adjust(
-      { body: limits.bodyBytes, headerTimeout: limits.headerTimeoutMs },
+      { body: limits.bodyBytes, headerTimeout: limits.headerTimeoutMs, head: limits.headerBytes + HEAD_MARGIN_BYTES },
       limits.idleTimeoutMs + IDLE_MARGIN_MS,
     );
     this.membership.update({ revision: parsed.data.version });
--- a/src/soak/processes.ts
+++ b/src/soak/processes.ts
@@ -12,6 +12,9 @@
   callers: 24_901, readiness: 24_902, peers: 24_903, directory: 24_904, metrics: 24_905, exchange: 24_906,
 } as const;
 
+/** Options of Node.js with which `deploy/system.toml` runs a gateway. */
+const RUNTIME_OPTIONS = ['--max-semi-space-size=4', '--expose-gc'];
+
 /** Time in ms within which a started gateway has to be ready. */
 const START_TIMEOUT_MS = 15_000;
 
@@ -65,7 +68,7 @@
     this.startCount += 1;
     const file = join(directory, `${this.ip}.ini`);
     writeFileSync(file, this.settings());
-    const child = spawn(process.execPath, [program, 'gateway', file], {
+    const child = spawn(process.execPath, [...RUNTIME_OPTIONS, program, 'gateway', file], {
       stdio: ['ignore', openSync(join(directory, `${this.ip}-${this.startCount}.log`), 'w'), 'inherit'],
     });
     this.child = child;
--- a/test/alone/uncontrolledclients.test.ts
+++ b/test/alone/uncontrolledclients.test.ts
@@ -59,7 +59,12 @@
   });
 }
 
-async function sendCrowd(clients: number, text: (index: number) => string, address: string, reads = true): Promise<void> {
+async function sendCrowd(
+  clients: number,
+  text: (index: number) => string,
+  address: string,
+  reads = true,
+): Promise<void> {
   const sent = Promise.all(Array.from({ length: clients }, (_, index) => sendAndStay(address, text(index), reads)));
   await Promise.race([sent, wait(SENDING_MS)]);
   // What the kernel has accepted is read by the process.
@@ -166,7 +171,10 @@
   it.each([
     ['readiness', 0], ['peers', 1], ['directory', 2], ['metrics', 3],
   ])('at the address of %s end no gateway', async (_name, index) => {
-    const address = [gateway.readinessAddress, gateway.peerAddress, gateway.directoryAddress, gateway.metricsAddress][index]!;
+    const {
+      readinessAddress, peerAddress, directoryAddress, metricsAddress,
+    } = gateway;
+    const address = [readinessAddress, peerAddress, directoryAddress, metricsAddress][index]!;
     await sendCrowd(600, () => `GET /x HTTP/1.1\r\nX-Long: ${'y'.repeat(12_000)}`, address);
     await expectSoundGateway();
   }, 40_000);
--- a/test/gatewaysettings.test.ts
+++ b/test/gatewaysettings.test.ts
@@ -18,6 +18,8 @@
   'internal-ports.0': '7660',
   'internal-ports.1': '7675',
   'platform.address': '10.200.1.7:8142',
+  'limits.memory-mb': '350',
+  'limits.max-fds': '4100',
   'bounds.grace-s': '8',
   'bounds.lease-ms': '3000',
   'bounds.budget-slack': '52',
@@ -35,6 +37,7 @@
       data: {
         gateway: { name: 'front-regina-1', failureDomain: 'regina' },
         listen: { metrics: '10.1.0.35:7675', exchange: '10.1.0.35:7660' },
+        machine: { memory: 350_000_000, descriptors: 4_100 },
         peers: { seeds: ['10.1.0.35:8146', '10.2.0.28:8146'], group: '10.200.1.7:8142' },
         directory: { keep: 1_000 },
         drain: { grace: 8_000 },
