--- a/src/gateway/callcontext.ts
+++ b/src/gateway/callcontext.ts
@@ -2,6 +2,7 @@
 import type { ForwardingService, Route } from './configuration.js';
 import type { Call } from './codec.js';
 import type { Refusal } from './outcome.js';
+import type { Caller } from './workspaces.js';
 
 /** One send of a call to a backend server, for the log line of the call. */
 export interface SendTrace {
@@ -32,6 +33,9 @@
   readonly body: Buffer | null;
   readonly route: Route;
   readonly service: ForwardingService;
+  readonly caller: Caller;
+  /** Priority of the call; 0 is the most urgent. */
+  readonly priority: number;
   /** Monotonic time in ms by which the final answer is due. */
   readonly deadline: number;
   /** Whether the caller sends the call again after a refusal. */
--- a/src/gateway/codec.ts
+++ b/src/gateway/codec.ts
@@ -2,6 +2,7 @@
 import type { Result } from '../core/result.js';
 import type { ForwardingConfiguration } from './configuration.js';
 import type { ServerRecord } from './serverregistry.js';
+import type { Caller, Credential } from './workspaces.js';
 
 /** Part of a prompt that several requests may share, so that its KV cache can be reused. */
 export interface PromptPart {
@@ -34,6 +35,10 @@
   readonly generation: Generation | null;
   /** Id of the last event that the caller received, after which a stream is to be resumed; not among `headers`. */
   readonly lastEventId: string | null;
+  /** Key that the call presents; not among `headers`. */
+  readonly credential: Credential;
+  /** `Authorization` headers as received, alternating names and values; only for deployments that check no keys. */
+  readonly authorization: readonly string[];
 }
 
 /** Why the request of a caller is invalid. */
@@ -56,6 +61,7 @@
   readonly deadlineMs: number;
   /** Priority at an engine, from 0 (first) to 9 (last); `null` for plain services. */
   readonly priority: number | null;
+  readonly caller: Caller;
   /** What the server runs: the whole call, only its prefill, or the rest after a prefill at another engine. */
   readonly work:
     | { readonly type: 'whole' }
--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -1,3 +1,6 @@
+import { WorkspaceKeys } from './workspaces.js';
+import type { Workspace } from './workspaces.js';
+
 /** Kind of a call, which decides whether it may be sent again after its answer was lost. */
 export enum CallKind {
   /** The call may run more than once. */
@@ -32,6 +35,8 @@
   readonly priority: number;
   /** Whether an interrupted stream may continue at another backend server after its last event. */
   readonly resumable: boolean;
+  /** Whether calls are served without a key. */
+  readonly isPublic: boolean;
   readonly destinations: readonly Destination[];
 }
 
@@ -70,13 +75,19 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, ForwardingService>;
   readonly limits: CallerLimits;
+  /** `null` where callers need no keys. */
+  readonly workspaces: readonly Workspace[] | null;
 }
 
 /** Finds the route of a call: the longest prefix among the routes of its host. */
 export class RouteTable {
   private readonly byHost = new Map<string, Route[]>();
 
+  /** Keys of the callers, or `null` where they need none. */
+  public readonly keys: WorkspaceKeys | null;
+
   public constructor(public readonly configuration: ForwardingConfiguration) {
+    this.keys = configuration.workspaces === null ? null : new WorkspaceKeys(configuration.workspaces);
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
       const routes = this.byHost.get(host);
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -20,6 +20,8 @@
 import type { Upstream } from './upstream.js';
 import { AbortReason, addStep } from './callcontext.js';
 import type { Delivery, Trace, CallContext } from './callcontext.js';
+import { callPriority, identifyCaller } from './workspaces.js';
+import type { Caller } from './workspaces.js';
 
 /** Dependencies of {@link Forwarder}. */
 export interface ForwarderDependencies extends SenderDependencies, QuarantineGateDependencies {
@@ -32,6 +34,8 @@
   readonly endsAt: () => number | null;
   /** Age in ms of the server records. */
   readonly recordsAgeMs: () => number;
+  /** Whether the keys of callers were read so long ago that one of them may have been taken away. */
+  readonly keysAreTooOld: () => boolean;
 }
 
 /** Options of {@link Forwarder}; times in ms. */
@@ -48,8 +52,13 @@
 /** Retry delay in ms for calls that this process refuses because it stops: another gateway can take them at once. */
 const OTHER_GATEWAY_RETRY_MS = 20;
 
-/** Route and service that were chosen for a call. */
-interface Routed { readonly route: Route; readonly service: ForwardingService }
+/** Route and service that were chosen for a call, and who sends it. */
+interface Routed {
+  readonly route: Route;
+  readonly service: ForwardingService;
+  readonly caller: Caller;
+  readonly priority: number;
+}
 
 /** Answer of a backend server whose head has arrived, or the result for the caller where there is none. */
 type ObtainedAnswer =
@@ -117,7 +126,9 @@
       } else if (call.success) delivery = await this.serveOrFail(call.data, body.data, routed, res, trace);
       else delivery = refused(call.error);
       if (delivery.type === 'refused') sendRefusal(res, delivery.refusal);
-      recordCall(call.success ? call.data : null, 'route' in routed ? routed.route : null, delivery, trace, {
+      const { route, caller } = 'route' in routed ? routed : { route: null, caller: null };
+      const workspace = caller?.type === 'workspace' ? caller.name : null;
+      recordCall(call.success ? call.data : null, route, workspace, delivery, trace, {
         ...this.deps,
         version: this.deps.routes()?.configuration.version,
         recordsAgeMs: this.deps.recordsAgeMs(),
@@ -132,10 +143,16 @@
     if (table === null) return { code: 'not_configured' };
     const route = table.find(call.host, call.target);
     if (route === null) return { code: 'no_route' };
+    if (table.keys !== null && !route.isPublic && this.deps.keysAreTooOld()) return { code: 'not_configured' };
+    const caller = identifyCaller(route, table.keys, call.credential);
+    if (!caller.success) return caller.error;
     if (call.id === null) return { code: 'invalid_call', message: 'the request id is missing' };
     const name = chooseDestination(route, this.deps.random.float());
     const service = name === null ? undefined : table.configuration.services.get(name);
-    return service === undefined ? { code: 'no_server', retryAfterMs: RETRY_AFTER_MS } : { route, service };
+    if (service === undefined) return { code: 'no_server', retryAfterMs: RETRY_AFTER_MS };
+    return {
+      route, service, caller: caller.data, priority: callPriority(route, caller.data),
+    };
   }
 
   /** Serves a call; an exception ends this call only, and nobody knows whether it was executed. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -218,6 +218,7 @@
       trials: this.trials,
       endsAt: () => this.endsAt,
       recordsAgeMs: () => this.servers.ageMs(),
+      keysAreTooOld: () => this.configuration.ageMs() > (settings.workspaces.keyAge ?? Infinity),
     }, { failureDomain: settings.gateway.failureDomain, transitMs: TRANSIT_MS, maxCalls: this.limits.calls }));
     this.roles = new RoleBalancer({
       ...deps,
--- a/src/gateway/outcome.ts
+++ b/src/gateway/outcome.ts
@@ -6,6 +6,8 @@
   | { readonly code: 'not_configured' }
   | { readonly code: 'no_route' }
   | { readonly code: 'invalid_call'; readonly message: string }
+  /** The call has no valid key. */
+  | { readonly code: 'unauthorized'; readonly message: string }
   | { readonly code: 'body_too_large' | 'head_too_large' }
   /** No backend server of the service is available. */
   | { readonly code: 'no_server'; readonly retryAfterMs: number }
@@ -35,6 +37,7 @@
   switch (refusal.code) {
     case 'not_configured': return { status: 503, retryAfterMs: 500 };
     case 'no_route': return { status: 404, retryAfterMs: null };
+    case 'unauthorized': return { status: 401, retryAfterMs: null };
     case 'invalid_call': return { status: 400, retryAfterMs: null };
     case 'body_too_large': return { status: 413, retryAfterMs: null };
     case 'head_too_large': return { status: 431, retryAfterMs: null };
--- a/src/gateway/report.ts
+++ b/src/gateway/report.ts
@@ -17,6 +17,7 @@
   res.writeHead(status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
+    ...(refusal.code === 'unauthorized' ? { 'www-authenticate': 'Bearer' } : {}),
     ...(retryAfterMs === null ? {} : { 'retry-after': (retryAfterMs / MS_PER_S).toFixed(2) }),
   });
   res.end(text);
@@ -42,6 +43,7 @@
 export function recordCall(
   call: Call | null,
   route: Route | null,
+  workspace: string | null,
   delivery: Delivery,
   trace: Trace,
   context: ReportContext,
@@ -57,6 +59,7 @@
     route: route?.name,
     parts: call?.generation === undefined || call.generation === null
       ? undefined : describeParts(call.generation.parts.map(({ id }) => id), ' '),
+    workspace: workspace ?? undefined,
     deadline_ms: call?.deadlineMs ?? undefined,
     version: context.version,
     servers_age_ms: Math.round(context.recordsAgeMs),
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -179,6 +179,7 @@
       deadlineMs: Math.max(MIN_SEND_MS, context.deadline - sentAt - this.opts.transitMs),
       // With priorities, long prompts would preempt answers that have been running for seconds.
       priority: null,
+      caller: context.caller,
       work,
     }, context.body, {
       // The server may have said that it leaves while this call waited for a connection.
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -56,6 +56,10 @@
   authority: z.strictObject({
     lease: durationSchema('500 ms', '1 min').prefault('3 s'),
   }),
+  workspaces: z.strictObject({
+    /** Age in ms of the configuration above which calls that need a key are refused; without it, none are. */
+    keyAge: durationSchema('100 ms', '1 h').optional(),
+  }),
   log: z.strictObject({
     /** Largest number of log lines per second; further ones are dropped and counted. */
     linesPerSecond: countSchema(1, 100_000).prefault('300'),
--- a/test/forwardingdecisions.test.ts
+++ b/test/forwardingdecisions.test.ts
@@ -24,6 +24,7 @@
     maxAttempts: 1,
     priority: 0,
     resumable: false,
+    isPublic: false,
     destinations,
   };
 }
@@ -42,6 +43,7 @@
     limits: {
       headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
     },
+    workspaces: null,
   });
 
   // Guards against calls of a route that go to the service of a route with a shorter prefix.
--- a/test/gatewaysettings.test.ts
+++ b/test/gatewaysettings.test.ts
@@ -26,7 +26,10 @@
 };
 
 function fillTemplate(values: Readonly<Record<string, string>>): string {
-  return TEMPLATE.replace(/\{\{([^}]+)\}\}/g, (_all, name: string) => values[name] ?? '');
+  const sections = TEMPLATE.replace(/^\{\{#([^}]+)\}\}\n([\s\S]*?)^\{\{\/\1\}\}\n/gm, (_all, name: string, body: string) => (
+    values[name] === undefined ? '' : body
+  ));
+  return sections.replace(/\{\{([^}]+)\}\}/g, (_all, name: string) => values[name] ?? '');
 }
 
 describe('settings of a gateway', () => {
@@ -47,6 +50,13 @@
     });
   });
 
+  // Guards against keys that are served for longer than a deployment allows.
+  it('bound the age of keys only where the platform asks for it', () => {
+    const strict = fillTemplate({ ...VALUES, 'bounds.strict-revoke': 'true', 'bounds.revoke-ms': '5000' });
+    expect(safeParseGatewaySettings(strict, 'gateway.ini')).toMatchObject({ data: { workspaces: { keyAge: 5_000 } } });
+    expect(safeParseGatewaySettings(fillTemplate(VALUES), 'gateway.ini')).toMatchObject({ data: { workspaces: {} } });
+  });
+
   it('may have an empty list of seeds', () => {
     expect(safeParseGatewaySettings(fillTemplate({ ...VALUES, seeds: '' }), 'gateway.ini')).toMatchObject({
       success: true, data: { peers: { seeds: [] } },
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -102,7 +102,7 @@
     const record = readServer('servers/i-1', SERVER);
     if (!record.success) throw new Error(record.error);
     const headers = sendHeaders(decodeCall(['Catkinscale-Deadline-Ms', '2000']), {
-      server: record.data, deadlineMs: 1_234.5, priority: null, work: { type: 'prefill' },
+      server: record.data, deadlineMs: 1_234.5, priority: null, work: { type: 'prefill' }, caller: { type: 'unchecked' },
     });
     expect(headers.slice(4)).toEqual([
       'catkinscale-deadline-ms', '1234', 'catkinscale-expect-instance', 'i-1', 'catkinscale-stage', 'prefill',
