--- a/src/cli/gateway.ts
+++ b/src/cli/gateway.ts
@@ -1,4 +1,4 @@
-import { platformCodec, PlatformStore } from '../../platform/index.js';
+import { platformCodec, PlatformProvider, PlatformStore } from '../../platform/index.js';
 import { openDatagramSocket } from '../adapters/datagrams.js';
 import { SystemClock, SystemRandom } from '../adapters/system.js';
 import type { Log } from '../core/interfaces/index.js';
@@ -38,6 +38,8 @@
   const log = new RateLimitedLog(await openLog({ gateway: name }), clock, meter, linesPerSecond);
   if (stop.arrived) return stoppedBeforeStart(name, log);
   const store = new PlatformStore(address);
+  const { address: providerAddress } = settings.data.provider;
+  const provider = providerAddress === undefined ? null : new PlatformProvider(providerAddress);
   // The peer address cannot be reached from outside, so this token does not have to be secret.
   const peerOptions = { token: new Secret(`gateways of ${group}`), log, meter };
   const peerServer = new PeerListener(peerOptions);
@@ -57,6 +59,7 @@
     peerClient,
     peerServer,
     datagrams: datagrams.data,
+    provider,
   }, settings.data);
   const started = await gateway.start();
   if (!started.success) return failed(ExitCode.Refused, started.error.message);
@@ -72,6 +75,7 @@
   peers.data.destroy();
   datagrams.data.dispose();
   store.dispose();
+  provider?.dispose();
   await peerClient.close();
   return { exitCode: ExitCode.Done, json: { stopped: name }, text: `${name} has stopped` };
 }
--- a/src/gateway/callcontext.ts
+++ b/src/gateway/callcontext.ts
@@ -18,6 +18,8 @@
   readonly arrivedAt: number;
   /** Number of sends of the call; each one after the first takes from the retry budget. */
   countedSends: number;
+  /** Whether a server has begun to run the call. */
+  begun: boolean;
   /** Steps of the call with the time since its arrival. */
   readonly steps: string[];
   readonly sends: SendTrace[];
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -108,7 +108,13 @@
   /** Handles one call; resolves when its answer has ended. */
   public async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const trace: Trace = {
-      arrivedAt: this.deps.clock.monotonic(), countedSends: 0, steps: [], sends: [], firstMs: null, pauseMs: 0,
+      arrivedAt: this.deps.clock.monotonic(),
+      countedSends: 0,
+      begun: false,
+      steps: [],
+      sends: [],
+      firstMs: null,
+      pauseMs: 0,
     };
     this.activeCalls += 1;
     try {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import type { Codec } from './codec.js';
 import { MAX_ADDRESSES, sampleAddresses } from './directory.js';
 import { Discovery } from './discovery.js';
+import { Duties } from './duties.js';
 import { Estimates } from './engineestimates.js';
 import { BackendFleet } from './fleet.js';
 import type { KeySource } from './follower.js';
@@ -29,6 +30,7 @@
 import { Occupancy } from './occupancy.js';
 import type { Datagrams } from './occupancy.js';
 import { PeerGateways } from './peergateways.js';
+import type { Provider } from './provider.js';
 import { Quarantine, QuarantineExchange, Trials } from './quarantine/index.js';
 import { Records } from './records.js';
 import { RelayedSource } from './relays.js';
@@ -49,6 +51,8 @@
   readonly peerClient: PeerClient;
   readonly peerServer: PeerServer;
   readonly datagrams: Datagrams;
+  /** Provider of backend servers; `null` where the settings name none. */
+  readonly provider: Provider | null;
 }
 
 /** Longest wait in ms of one call for changes. A connection without answers is detected a short timeout later. */
@@ -127,6 +131,8 @@
 
   private readonly trials: Trials;
 
+  private readonly duties: Duties;
+
   private routes: RouteTable | null = null;
 
   private listener: HttpListener | null = null;
@@ -203,6 +209,16 @@
       periodMs: SERVERS_PERIOD_MS,
       seeds,
     });
+    this.duties = new Duties({
+      ...deps,
+      client,
+      server,
+      members: this.membership,
+      authority: this.authority,
+      routes: () => this.routes,
+    }, {
+      holder: settings.gateway.name, usageWindowMs: settings.usage.window, usageDueMs: settings.usage.due,
+    });
     const budgets = new RetryBudgets(settings.retries, () => this.peers.gatewayCount);
     this.forwarder = this.disposables.add(new Forwarder({
       ...deps,
@@ -217,6 +233,7 @@
       exchange: this.quarantineExchange,
       trials: this.trials,
       endsAt: () => this.endsAt,
+      countBegin: (workspace) => this.duties.countBegin(workspace),
       recordsAgeMs: () => this.servers.ageMs(),
       keysAreTooOld: () => this.configuration.ageMs() > (settings.workspaces.keyAge ?? Infinity),
     }, { failureDomain: settings.gateway.failureDomain, transitMs: TRANSIT_MS, maxCalls: this.limits.calls }));
@@ -273,6 +290,7 @@
     setMaxListeners(MAX_STOP_LISTENERS, signal);
     this.disposables.add(this.peers.logChanges());
     this.disposables.add(this.trials.serve());
+    this.disposables.add(this.duties.serve());
     const loops = {
       membership: this.membership,
       configuration: this.configuration,
@@ -281,6 +299,7 @@
       roles: this.roles,
       occupancy: this.occupancy,
       quarantine: this.quarantineExchange,
+      ...this.duties.loops,
     };
     for (const [task, loop] of Object.entries(loops)) {
       void keepRunning(this.deps, task, (stopped) => loop.run(stopped), signal);
@@ -305,6 +324,7 @@
     void this.authority.release();
     await sleep(clock, Math.min(TTL_FACTOR * this.settings.directory.keep, grace - CLOSE_BEFORE_MS));
     if (this.listener !== null) await withTimeout(clock, Math.max(1, leftMs() - EXIT_BEFORE_MS), this.listener.close());
+    await withTimeout(clock, Math.max(1, leftMs() - EXIT_BEFORE_MS / 2), this.duties.handOver());
     void this.membership.depart();
     this.forwarder.cutOff();
     // The last answers leave the process in the next turns of the event loop.
@@ -325,6 +345,7 @@
       occupancy: this.occupancy.dump(),
       estimates: this.estimates.dump(),
       quarantine: this.quarantine.dump(),
+      duties: this.duties.dump(),
       limits: { ...this.limits, bodies_used: this.listener?.bodyMemory() ?? 0 },
     };
   }
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -28,6 +28,8 @@
   readonly leaving: Pick<LeavingAnswers, 'record'>;
   /** This process's share of the retry budget of a service. */
   readonly budget: (service: string) => RetryBudget;
+  /** Counts a call of a workspace that a server has begun to run. */
+  readonly countBegin: (workspace: string) => void;
 }
 
 /** Shortest time in ms without an answer after which a plain service may count as unreachable; its calls now and then
@@ -189,7 +191,9 @@
         if (run !== null) backend.runs.written(run);
       },
       chunk: () => {
-        if (run !== null) backend.runs.receivedChunk(run);
+        if (run === null) return;
+        backend.runs.receivedChunk(run);
+        this.countBegin(context);
       },
     });
     const abortSend = (): void => upstream.abort(String(context.ended.reason));
@@ -220,6 +224,8 @@
       const late = clock.after(REFUSAL_BODY_MS, () => upstream.abort('the refusal has no end'));
       void upstream.closed.then(() => late.dispose());
     }
+    const mayHaveRun = outcome.type === 'answered' || outcome.type === 'broken';
+    if (context.service.engine === null && mayHaveRun) this.countBegin(context);
     if (outcome.type === 'answered') {
       backend.succeeded();
       this.deps.prompts.recordAnswer(server, sentAt);
@@ -234,6 +240,13 @@
     };
   }
 
+  /** Counts a call once, at the first sign that a server runs it. */
+  private countBegin({ trace, caller }: CallContext): void {
+    if (trace.begun) return;
+    trace.begun = true;
+    if (caller.type === 'workspace') this.deps.countBegin(caller.name);
+  }
+
   /**
    * Records whether a call could continue from a prefill of the given engine. A broken connection to the decoder is not
    * counted, because it says nothing about that engine.
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -56,6 +56,16 @@
   authority: z.strictObject({
     lease: durationSchema('500 ms', '1 min').prefault('3 s'),
   }),
+  provider: z.strictObject({
+    /** Interface of the provider of backend servers, for reports of usage and orders of servers; none by default. */
+    address: addressSchema.optional(),
+  }),
+  usage: z.strictObject({
+    /** Length in ms of the windows for which usage is reported; without it, none is. */
+    window: durationSchema('100 ms', '24 h').optional(),
+    /** Time in ms after the end of a window at which its report is due. */
+    due: durationSchema('100 ms', '1 h').prefault('10 s'),
+  }),
   workspaces: z.strictObject({
     /** Age in ms of the configuration above which calls that need a key are refused; without it, none are. */
     keyAge: durationSchema('100 ms', '1 h').optional(),
--- a/src/gateway/workspaces.ts
+++ b/src/gateway/workspaces.ts
@@ -1,7 +1,6 @@
 import { createHash } from 'node:crypto';
 import { assertNever, fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
-import type { Route } from './configuration.js';
 
 /** Workspace to which callers belong, as operators configure it. */
 export interface Workspace {
@@ -60,7 +59,7 @@
 
 /** Decides who sends a call; `keys` is `null` where the configuration has no workspaces. */
 export function identifyCaller(
-  { isPublic }: Pick<Route, 'isPublic'>,
+  { isPublic }: { readonly isPublic: boolean },
   keys: WorkspaceKeys | null,
   credential: Credential,
 ): Result<Caller, Unauthorized> {
@@ -78,6 +77,6 @@
 }
 
 /** Priority of a call: that of its workspace, else that of its route. */
-export function callPriority({ priority }: Pick<Route, 'priority'>, caller: Caller): number {
+export function callPriority({ priority }: { readonly priority: number }, caller: Caller): number {
   return caller.type === 'workspace' ? caller.priority ?? priority : priority;
 }
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -7,6 +7,7 @@
 import { HttpPeerClient, PeerListener } from '../../src/daemon/peers.js';
 import type { Codec } from '../../src/gateway/codec.js';
 import { Gateway } from '../../src/gateway/gateway.js';
+import type { Provider } from '../../src/gateway/provider.js';
 import { safeParseGatewaySettings } from '../../src/gateway/settings.js';
 import { silentLog } from './loopback.js';
 
@@ -68,6 +69,9 @@
   readonly log?: Log;
   readonly codec?: Codec;
   readonly meter?: Metrics;
+  readonly provider?: Provider | null;
+  /** Lines of the settings after the usual ones. */
+  readonly lines?: readonly string[];
 }
 
 /** Starts a gateway on five consecutive loopback ports from `firstPort`; throws if it fails to start. */
@@ -75,7 +79,8 @@
   store: { readonly address: string },
   firstPort: number,
   {
-    seeds = [], host = '127.0.0.1', exchangePort, log = silentLog, codec = platformCodec, meter = new Metrics(),
+    seeds = [], host = '127.0.0.1', exchangePort, log = silentLog, codec = platformCodec, meter = new Metrics(), provider = null,
+    lines = [],
   }: StartGatewayOptions = {},
 ): Promise<RunningGateway> {
   const [callers, readiness, peers, directory, metrics] = [0, 1, 2, 3, 4].map((offset) => `${host}:${firstPort + offset}`);
@@ -89,6 +94,7 @@
     '[drain]', 'grace = 2 s',
     '[directory]', 'keep = 100 ms',
     '[retries]', 'burst = 200',
+    ...lines,
   ].join('\n'), 'test');
   if (!settings.success) throw new Error(JSON.stringify(settings.error));
   const options = { token: new Secret('a token of the tests'), log: silentLog, meter };
@@ -107,6 +113,7 @@
     codec,
     peerClient,
     peerServer,
+    provider,
     datagrams: datagrams?.data ?? { send: () => {}, onMessage: () => ({ dispose: () => {} }) },
   }, settings.data);
   const started = await gateway.start();
--- a/test/workspaces.test.ts
+++ b/test/workspaces.test.ts
@@ -132,8 +132,8 @@
       store.put(`servers/${server.id}`, server.serverRecord('ledger'));
     }
     store.put('op/config', configuration({}, 0));
-    const first = await startGateway(store, 21_900, { log });
-    gateways = [first, await startGateway(store, 21_910, { log, seeds: ['127.0.0.1:21902'] })];
+    const first = await startGateway(store, 22_600, { log });
+    gateways = [first, await startGateway(store, 22_610, { log, seeds: ['127.0.0.1:22602'] })];
     respond = (res) => sendSignedResponse(res, 'done');
   });
 
@@ -196,7 +196,7 @@
   it('answer 503, never 401, before they know a configuration', async () => {
     const empty = new StoreStandIn();
     await empty.start();
-    const fresh = await startGateway(empty, 21_920);
+    const fresh = await startGateway(empty, 22_620);
     expect((await ask('/safe/x', {}, fresh)).status).toBe(503);
     await fresh.stop();
     empty.stop();
