--- a/src/emulator/quarantinegroup.ts
+++ b/src/emulator/quarantinegroup.ts
@@ -46,6 +46,7 @@
     failureDomain: 'regina',
     slots: 4,
     draining: false,
+    reclaimable: false,
     role: null,
     models: [],
   };
--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -1,3 +1,4 @@
+import type { ScalingLimits } from './scaling/plan.js';
 import { WorkspaceKeys } from './workspaces.js';
 import type { Workspace } from './workspaces.js';
 
@@ -59,6 +60,8 @@
   readonly maxConnections: number;
   /** `null` for a plain service. */
   readonly engine: EngineProfile | null;
+  /** `null` where the number of servers can't be ordered. */
+  readonly scaling: ScalingLimits | null;
 }
 
 /** Limits on the requests and connections of callers; times in ms, sizes in bytes. */
--- a/src/gateway/duties.ts
+++ b/src/gateway/duties.ts
@@ -4,7 +4,10 @@
 } from '../core/interfaces/index.js';
 import type { Members } from '../core/membership/index.js';
 import type { RouteTable } from './configuration.js';
+import type { Occupancy } from './occupancy.js';
 import type { Provider } from './provider.js';
+import { CapacityScaler } from './scaling/index.js';
+import type { ServerRegistry } from './serverregistry.js';
 import { UsageCollector, UsageCounter, UsageReporter } from './usage/index.js';
 
 /** Dependencies of {@link Duties}. */
@@ -17,6 +20,8 @@
   readonly server: PeerServer;
   readonly members: Members;
   readonly authority: Authority;
+  readonly registry: ServerRegistry;
+  readonly occupancy: Occupancy;
   /** `null` where the deployment has none; then no duty is performed. */
   readonly provider: Provider | null;
   readonly routes: () => RouteTable | null;
@@ -36,12 +41,17 @@
   readonly reporter: UsageReporter;
 }
 
-/** Duties at the provider that one gateway at a time performs: reports of usage. */
+/** Duties at the provider that one gateway at a time performs: reports of usage and orders of servers. */
 export class Duties {
   private readonly usage: Usage | null;
 
+  private readonly scaler: CapacityScaler | null;
+
   public constructor(deps: DutiesDependencies, { holder, usageWindowMs, usageDueMs }: DutiesOptions) {
     const { provider, routes } = deps;
+    this.scaler = provider === null ? null : new CapacityScaler({
+      ...deps, provider, services: () => [...routes()?.configuration.services.values() ?? []],
+    }, holder);
     if (provider === null || usageWindowMs === undefined) {
       this.usage = null;
       return;
@@ -58,6 +68,7 @@
   /** Loops to run, by name. */
   public get loops(): Readonly<Record<string, { run(signal: AbortSignal): Promise<void> }>> {
     return {
+      ...(this.scaler === null ? {} : { scaling: this.scaler }),
       ...(this.usage === null ? {} : { usage: this.usage.reporter }),
     };
   }
@@ -79,6 +90,6 @@
 
   /** State under stable keys; `null` for a duty that this deployment does not ask for. */
   public dump(): Record<string, unknown> {
-    return { usage: this.usage?.reporter.dump() ?? null };
+    return { usage: this.usage?.reporter.dump() ?? null, scaling: this.scaler?.dump() ?? null };
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -215,6 +215,8 @@
       server,
       members: this.membership,
       authority: this.authority,
+      registry: this.registry,
+      occupancy: this.occupancy,
       routes: () => this.routes,
     }, {
       holder: settings.gateway.name, usageWindowMs: settings.usage.window, usageDueMs: settings.usage.due,
--- a/src/gateway/occupancy.ts
+++ b/src/gateway/occupancy.ts
@@ -143,6 +143,13 @@
     return count;
   }
 
+  /** Share of all gateways whose open calls are known here. */
+  public heardShare(): number {
+    const now = this.deps.clock.monotonic();
+    const heard = [...this.peers.values()].filter(({ receivedAt }) => now - receivedAt < PEER_EXPIRY_MS).length;
+    return Math.min(1, (heard + 1) / (this.deps.members.live().length + 1));
+  }
+
   /** Sets the function that counts the on-time waiting calls of this gateway by the server that they wait for. */
   public setDemandSource(demand: () => ReadonlyMap<string, number>): void {
     this.demand = demand;
--- /dev/null
+++ b/src/gateway/scaling/index.ts
@@ -0,0 +1,2 @@
+export type { ScalingLimits } from './plan.js';
+export { CapacityScaler } from './scaler.js';
--- a/src/gateway/serverregistry.ts
+++ b/src/gateway/serverregistry.ts
@@ -24,6 +24,8 @@
   /** Number of requests that the server runs at once. */
   readonly slots: number;
   readonly draining: boolean;
+  /** Whether the provider may take the server back at any time, as it costs less. */
+  readonly reclaimable: boolean;
   /** `null` for a server of a plain service. */
   readonly role: Role | null;
   readonly models: readonly ServedModel[];
--- a/test/support/serverrecord.ts
+++ b/test/support/serverrecord.ts
@@ -11,6 +11,7 @@
     failureDomain: 'regina',
     slots: 6,
     draining: false,
+    reclaimable: false,
     role: null,
     models: [],
     ...changes,
