--- a/src/bench/registry.ts
+++ b/src/bench/registry.ts
@@ -1,5 +1,6 @@
 import type { Experiment } from './experiment.js';
 import { bookings } from './bookings.js';
+import { capacity } from './capacity.js';
 import { combined } from './combined.js';
 import { control } from './control.js';
 import { fairness } from './fairness.js';
@@ -38,4 +39,5 @@
   scale,
   combined,
   quarantine,
+  capacity,
 ];
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -76,6 +76,9 @@
 /** Bytes of a request line and of what separates headers, which the limit on headers does not count. */
 const HEAD_MARGIN_BYTES = 8_192;
 
+/** Gateways that try to acquire a free authority lease where duties depend on it. */
+const AUTHORITY_CANDIDATES = 3;
+
 /** Number of bodies of the largest size that always have room. */
 const MIN_FULL_BODIES = 3;
 
@@ -141,6 +144,9 @@
 
   private stopping = false;
 
+  /** Monotonic time in ms at which this gateway last tried to acquire authority in place of the first candidate. */
+  private triedAuthorityAt = -Infinity;
+
   /** Monotonic time in ms at which running calls are cut off, or `null` while no planned stop has begun. */
   private endsAt: number | null = null;
 
@@ -169,8 +175,7 @@
         incarnation: this.membership.self().incarnation,
       },
       leaseMs: settings.authority.lease,
-      // The other gateways try to acquire a free lease only if the selected one does not, which keeps calls few.
-      isCandidate: () => this.ready() && this.peers.isSelected('authority'),
+      isCandidate: () => this.ready() && this.isAuthorityCandidate(),
     });
     this.registry = this.disposables.add(new ServerRegistry({ clock, log: deps.log, contact }));
     const leaving = this.disposables.add(new LeavingAnswers({
@@ -247,6 +252,7 @@
       occupancy: this.occupancy,
       leaving,
       engineServices: () => this.routes?.engineServices ?? [],
+      isScaled: (service) => (this.routes?.configuration.services.get(service)?.scaling ?? null) !== null,
     }, settings.gateway.name);
   }
 
@@ -352,6 +358,20 @@
     };
   }
 
+  /**
+   * Whether this gateway tries to acquire a free lease. One does, which keeps calls few; where duties depend on it, two
+   * more do now and then, because the first may be alive and without the store.
+   */
+  private isAuthorityCandidate(): boolean {
+    const { clock, provider } = this.deps;
+    const rank = this.peers.rank('authority', provider === null ? 1 : AUTHORITY_CANDIDATES);
+    if (rank <= 0) return rank === 0;
+    const now = clock.monotonic();
+    if (now - this.triedAuthorityAt < rank * this.authority.leaseMs) return false;
+    this.triedAuthorityAt = now;
+    return true;
+  }
+
   private async forward(req: IncomingMessage, res: ServerResponse): Promise<void> {
     if (this.stopping) res.setHeader('connection', 'close');
     await this.forwarder.handle(req, res);
--- a/src/gateway/peergateways.ts
+++ b/src/gateway/peergateways.ts
@@ -45,8 +45,13 @@
 
   /** Whether rendezvous hashing of `key` selects this gateway among those that are not leaving. */
   public isSelected(key: string): boolean {
+    return this.rank(key, 1) === 0;
+  }
+
+  /** Rank of this gateway among the first `count` that rendezvous hashing of `key` selects, or -1. */
+  public rank(key: string, count: number): number {
     const ids = this.remainingMembers().map(({ id }) => id);
-    return lowestByRendezvous(ids, key, 1).includes(this.deps.membership.self().id);
+    return lowestByRendezvous(ids, key, count).indexOf(this.deps.membership.self().id);
   }
 
   private remainingMembers(): readonly Member[] {
--- a/src/gateway/rolebalancer.ts
+++ b/src/gateway/rolebalancer.ts
@@ -22,6 +22,9 @@
 /** Time in ms between two checks of the roles. */
 const PERIOD_MS = 500;
 
+/** Time in ms for which a server is known before its role changes, so that other gateways know it too. */
+const MIN_KNOWN_MS = 1_000;
+
 /** Time in ms before an engine gets another order: a change takes about 3 s, and its record is updated later. */
 const REORDER_AFTER_MS = 6_000;
 
@@ -36,21 +39,34 @@
   return Math.max(MIN_DECODERS, Math.round(engines * DECODE_SHARE));
 }
 
+/**
+ * Decoders beyond the target of a service, the newest ones. Every gateway finds the same ones from the servers'
+ * records, so that none sends work to an engine that is about to change its role.
+ */
+export function surplusDecoders(servers: readonly ServerRecord[]): readonly ServerRecord[] {
+  const decoders = servers.filter(({ role }) => role === Role.Decode)
+    .sort((left, right) => right.bornAt - left.bornAt || (left.id < right.id ? -1 : 1));
+  return decoders.slice(0, Math.max(0, decoders.length - targetDecoderCount(servers)));
+}
+
 /**
  * Plans the role changes that bring a service to its share of decoders. A change takes an engine out of service until
  * its streams have ended and for seconds more. Therefore only unused decoders become prefillers, and prefillers become
  * decoders only once decoders have been missing for long; `shortageMs` is the time in ms for which they have been.
+ * Where the number of servers is ordered, only {@link surplusDecoders} change, which get no work.
  */
 export function planRoles(
   servers: readonly ServerRecord[],
   isUnused: (server: ServerRecord) => boolean,
   shortageMs: number,
+  isScaled = false,
 ): readonly RoleChange[] {
   const decoders = servers.filter(({ role }) => role === Role.Decode);
   const prefillers = servers.filter(({ role }) => role === Role.Prefill);
   const targetCount = targetDecoderCount(servers);
   if (decoders.length > targetCount) {
-    return decoders.filter(isUnused).slice(0, decoders.length - targetCount)
+    const candidates = isScaled ? surplusDecoders(servers) : decoders;
+    return candidates.filter(isUnused).slice(0, decoders.length - targetCount)
       .map((server) => ({ server, role: Role.Prefill }));
   }
   const missing = shortageMs < MIN_SHORTAGE_MS ? 0 : targetCount - decoders.length;
@@ -72,6 +88,8 @@
   readonly leaving: Pick<LeavingAnswers, 'record'>;
   /** Names of the services whose servers are engines; none before the first configuration. */
   readonly engineServices: () => readonly string[];
+  /** Whether the number of a service's servers is ordered. */
+  readonly isScaled: (service: string) => boolean;
 }
 
 /** Orders engines to change their roles while this process holds the authority lease. */
@@ -100,7 +118,7 @@
     const changes = planRoles(this.deps.registry.available(service), ({ id }) => {
       const { prefills, continuations, wholes } = this.deps.occupancy.total(id);
       return prefills + continuations + wholes === 0;
-    }, this.currentShortageMs(service));
+    }, this.currentShortageMs(service), this.deps.isScaled(service));
     await Promise.all(changes.filter(({ server }) => this.mayBeOrdered(server))
       .map((change) => this.orderRole(change, term)));
   }
@@ -118,7 +136,9 @@
     return now - since;
   }
 
-  private mayBeOrdered({ id }: ServerRecord): boolean {
+  private mayBeOrdered({ id, service }: ServerRecord): boolean {
+    const isNew = this.deps.clock.monotonic() - this.deps.registry.knownSince(id) < MIN_KNOWN_MS;
+    if (isNew && this.deps.isScaled(service)) return false;
     const lastOrderAt = this.orderedAt.get(id);
     return lastOrderAt === undefined || this.deps.clock.monotonic() - lastOrderAt > REORDER_AFTER_MS;
   }
--- a/src/gateway/scaling/demand.ts
+++ b/src/gateway/scaling/demand.ts
@@ -1,35 +1,34 @@
 import type { Clock } from '../../core/interfaces/index.js';
 import type { OpenCalls } from '../occupancy.js';
 
-/** Time in ms over which the largest demand counts, so that capacity does not follow each short fall of the load. */
+/** Time in ms over which the largest demand counts, so that capacity does not follow short falls of the load. */
 const PEAK_WINDOW_MS = 30_000;
 
 /** Time in ms over which samples are averaged, so that a few calls at one moment do not count as a peak. */
-const BUCKET_MS = 1_000;
+const BUCKET_MS = 2_000;
 
-/** Prefills that an engine should have open on average: it reads one prompt at a time, and the next one waits there. */
-const PREFILLS_PER_ENGINE = 2;
+/** Share of the time for which a server should be busy on average. */
+const TARGET_UTILIZATION = 0.6;
 
-/** Waiting calls that count as one server: a queue shows a lack of servers, but not its size. */
-const WAITING_PER_SERVER = 8;
-
-/** Share of its slots that a server should have taken on average. */
-const SLOT_SHARE = 1 / 2;
-
-/** Work of a service at one moment, of all gateways together. */
-export interface ServiceLoad extends OpenCalls {
-  /** Calls that wait at gateways for a prefill. */
-  readonly waiting: number;
-  /** Calls that one server runs at once. */
+/** Load of one server at one moment, from all gateways together. */
+export interface ServerLoad extends OpenCalls {
+  /** Calls that the server runs at once. */
   readonly slots: number;
 }
 
-/** Number of servers that a load keeps as busy as they should be. */
-export function serversFor({
-  prefills, continuations, wholes, waiting, slots,
-}: ServiceLoad): number {
-  return prefills / PREFILLS_PER_ENGINE + waiting / WAITING_PER_SERVER
-    + (continuations + wholes) / (Math.max(1, slots) * SLOT_SHARE);
+/**
+ * Share of a server that is busy: one prefill keeps an engine busy, other calls take one of its slots. A server that
+ * does not answer holds many calls, and counts as one busy server.
+ */
+export function busyShare({
+  prefills, continuations, wholes, slots,
+}: ServerLoad): number {
+  return Math.min(1, prefills + (continuations + wholes) / Math.max(1, slots));
+}
+
+/** Number of servers that are as busy with a load as they should be. */
+export function serversFor(loads: readonly ServerLoad[]): number {
+  return loads.reduce((sum, load) => sum + busyShare(load), 0) / TARGET_UTILIZATION;
 }
 
 interface Bucket {
--- a/src/gateway/scaling/plan.ts
+++ b/src/gateway/scaling/plan.ts
@@ -30,7 +30,7 @@
 }
 
 /** Lasting servers as a share of those needed, which remain when all others are taken back at once. */
-const LASTING_SHARE = 1 / 5;
+const LASTING_SHARE = 1 / 8;
 
 /** Smallest number of lasting servers of a service, so that one of each role remains. */
 const MIN_LASTING = 2;
--- a/src/gateway/scaling/scaler.ts
+++ b/src/gateway/scaling/scaler.ts
@@ -23,13 +23,16 @@
 /** Time in ms for which fewer servers must suffice before they are ordered. */
 const SHRINK_AFTER_MS = 3_000;
 
+/** The same for servers of the cheaper kind: they cost little, and each change of their number shifts roles. */
+const SHRINK_RECLAIMABLE_AFTER_MS = 10_000;
+
 /** Largest share of the servers of one kind that one order takes away. */
 const MAX_SHRINK_SHARE = 1 / 2;
 
 /** Time in ms beyond the start of a server after which an order that shows no effect is sent again. */
 const EFFECT_MARGIN_MS = 3_000;
 
-/** Share of the present servers that is assumed to be needed before the load is known. */
+/** Share of the servers that were there at first that is assumed to be needed before the load is known. */
 const INITIAL_SHARE = 3 / 4;
 
 /** What this process knows of one kind of servers in one failure domain. */
@@ -74,6 +77,9 @@
 export class CapacityScaler {
   private readonly demand = new Map<string, DemandMeter>();
 
+  /** Number of servers that a service had when this process first saw it as holder. */
+  private readonly firstPresent = new Map<string, number>();
+
   private orders = new Map<string, OrderState>();
 
   private term = 0;
@@ -114,7 +120,9 @@
     const present = domains.reduce((sum, { lasting, reclaimable }) => sum + lasting + reclaimable, 0);
     // Nothing is known of the service yet, or the list of servers is not complete.
     if (present === 0) return;
-    const needed = this.meterOf(service).needed(Math.ceil(present * INITIAL_SHARE));
+    const first = this.firstPresent.get(service) ?? present;
+    this.firstPresent.set(service, first);
+    const needed = this.meterOf(service).needed(Math.ceil(first * INITIAL_SHARE));
     for (const target of planCapacity(needed, domains, limits)) {
       const { failureDomain } = target;
       const found = domains.find((domain) => domain.failureDomain === failureDomain);
@@ -130,17 +138,14 @@
     const { registry, occupancy } = this.deps;
     const servers = registry.available(service.name);
     if (servers.length === 0) return;
-    const load = {
-      prefills: 0, continuations: 0, wholes: 0, waiting: 0, slots: servers[0]!.slots,
-    };
-    for (const { id } of servers) {
+    const share = occupancy.heardShare();
+    const loads = servers.map(({ id, slots }) => {
       const { prefills, continuations, wholes } = occupancy.total(id);
-      load.prefills += prefills;
-      load.continuations += continuations;
-      load.wholes += wholes;
-      load.waiting += occupancy.waitingAtPeers(id);
-    }
-    this.meterOf(service.name).add(serversFor(load) / occupancy.heardShare());
+      return {
+        prefills: prefills / share, continuations: continuations / share, wholes: wholes / share, slots,
+      };
+    });
+    this.meterOf(service.name).add(serversFor(loads));
   }
 
   private meterOf(service: string): DemandMeter {
@@ -174,7 +179,8 @@
     if (now < state.exhaustedUntil || now - state.at < RETRY_MS) return;
     if (order.count < state.ordered) {
       state.fewerSince ??= now;
-      if (now - state.fewerSince < SHRINK_AFTER_MS) return;
+      const shrinkAfterMs = order.reclaimable ? SHRINK_RECLAIMABLE_AFTER_MS : SHRINK_AFTER_MS;
+      if (now - state.fewerSince < shrinkAfterMs) return;
       const least = Math.floor(state.ordered * (1 - MAX_SHRINK_SHARE));
       await this.send({ ...order, count: Math.max(order.count, least) }, state, needed);
       return;
--- a/src/gateway/serverregistry.ts
+++ b/src/gateway/serverregistry.ts
@@ -34,6 +34,8 @@
 /** Record of a backend server, and where it came from. */
 interface KnownServer {
   readonly record: ServerRecord;
+  /** Monotonic time in ms at which this incarnation was first read. */
+  readonly since: number;
   readonly source: RecordSource;
 }
 
@@ -132,6 +134,11 @@
     return this.servers.get(id)?.record ?? null;
   }
 
+  /** Monotonic time in ms at which the incarnation of a server was first read; now for an unknown server. */
+  public knownSince(id: string): number {
+    return this.servers.get(id)?.since ?? this.deps.clock.monotonic();
+  }
+
   /** Store revision at which a server's record was read, or `null` for an unknown server. */
   public revision(id: string): number | null {
     return this.servers.get(id)?.source.revision ?? null;
@@ -159,7 +166,8 @@
     }
     this.cancelRemoval(record.id);
     this.removedRecords.delete(record.id);
-    this.servers.set(record.id, { record, source });
+    const since = known?.bornAt === record.bornAt ? this.knownSince(record.id) : this.deps.clock.monotonic();
+    this.servers.set(record.id, { record, source, since });
     this.changed(record.id);
     if (known?.draining === record.draining && known.role === record.role && known.bornAt === record.bornAt) return;
     this.deps.log.info('server', {
--- a/src/gateway/slotallocator.ts
+++ b/src/gateway/slotallocator.ts
@@ -12,6 +12,7 @@
   withRole,
 } from './placement.js';
 import type { Candidate } from './placement.js';
+import { surplusDecoders } from './rolebalancer.js';
 import type { ServerRecord } from './serverregistry.js';
 import { SlotQueue } from './slotqueue.js';
 import type { FreeSlot, QueuedCall } from './slotqueue.js';
@@ -197,7 +198,15 @@
       ({ continuations, wholes }) => continuations + wholes,
       ({ slots }) => slots * MAX_CALLS_PER_SLOT,
     );
-    return service.engine === null ? all : withRole(all, Role.Decode);
+    return service.engine === null ? all : this.decoders(service, all);
+  }
+
+  /** Engines that decode and are not about to change their role. */
+  private decoders(service: ForwardingService, all: readonly Candidate[]): readonly Candidate[] {
+    const decoders = withRole(all, Role.Decode);
+    if (service.scaling === null) return decoders;
+    const surplus = new Set(surplusDecoders(all.map(({ record }) => record)).map(({ id }) => id));
+    return decoders.filter(({ record }) => !surplus.has(record.id));
   }
 
   private prefillQueue(service: ForwardingService): SlotQueue {
@@ -211,11 +220,11 @@
   }
 
   private wholeCallQueue(service: ForwardingService): SlotQueue {
-    const candidates = (): readonly Candidate[] => withRole(this.deps.fleet.candidates(
+    const candidates = (): readonly Candidate[] => this.decoders(service, this.deps.fleet.candidates(
       service.name,
       ({ wholes }) => wholes,
       ({ slots }) => Math.max(1, slots - SLOTS_KEPT_FOR_CONTINUATIONS),
-    ), Role.Decode);
+    ));
     return this.queueFor(this.wholeCallQueues, service, 'wholes', candidates, Infinity);
   }
 
--- a/test/forwardingdecisions.test.ts
+++ b/test/forwardingdecisions.test.ts
@@ -9,7 +9,7 @@
   suspectFailedHandovers, mayTakeLateCall, selectPreferredEngines, pickLeastOccupied, withRole,
 } from '../src/gateway/placement.js';
 import type { Candidate } from '../src/gateway/placement.js';
-import { planRoles } from '../src/gateway/rolebalancer.js';
+import { planRoles, surplusDecoders } from '../src/gateway/rolebalancer.js';
 import type { ServerRecord } from '../src/gateway/serverregistry.js';
 import { createServerRecord } from './support/serverrecord.js';
 
@@ -187,3 +187,23 @@
     expect(engine.suspect).toBe(true);
   });
 });
+
+describe('decoders beyond the target', () => {
+  const engines = (roles: readonly Role[]): ServerRecord[] => roles.map((role, index) => (
+    createServerRecord(`e${index}`, { role, bornAt: index })
+  ));
+
+  // Guards against gateways that send work to an engine whose role another gateway changes.
+  it('are the newest, the same at every gateway, and the only ones that change where servers are ordered', () => {
+    const servers = engines([...Array.from({ length: 8 }, () => Role.Decode), Role.Prefill, Role.Prefill]);
+    const surplus = surplusDecoders(servers).map(({ id }) => id);
+    expect(surplus).toEqual(['e7', 'e6', 'e5', 'e4']);
+    expect(surplusDecoders([...servers].reverse()).map(({ id }) => id)).toEqual(surplus);
+    const busy = new Set(['e7']);
+    expect(planRoles(servers, ({ id }) => !busy.has(id), 0, true).map(({ server }) => server.id)).toEqual(['e6', 'e5', 'e4']);
+  });
+
+  it('are none while decoders are missing', () => {
+    expect(surplusDecoders(engines([Role.Decode, Role.Prefill, Role.Prefill]))).toEqual([]);
+  });
+});
