--- a/src/soak/callers.ts
+++ b/src/soak/callers.ts
@@ -3,6 +3,7 @@
 import type { SeededRandom } from '../emulator/random.js';
 import type { CallRecord } from './checks.js';
 import { CallType } from './checks.js';
+import type { KeyRecord } from './keys.js';
 
 /** Time in ms after which a caller gives up a call; also sent to the gateway as the deadline of the call. */
 const DEADLINE_MS = 2_500;
@@ -25,6 +26,8 @@
   readonly gateways: readonly string[];
   /** Returns a path for a call of this type, among the routes that the store has acknowledged. */
   readonly path: (type: CallType) => string;
+  /** Returns a key for a call. */
+  readonly key: () => KeyRecord;
   /** Records a finished call. */
   readonly record: (call: CallRecord) => void;
 }
@@ -55,6 +58,7 @@
 
   private call(gateway: string, type: CallType): Promise<CallRecord> {
     const { now, path: pathOf } = this.deps;
+    const { key, workspace } = this.deps.key();
     this.calls += 1;
     const id = `${this.name}-${this.calls}`;
     const path = pathOf(type);
@@ -71,7 +75,7 @@
         resolved = true;
         if (timer !== null) clearTimeout(timer);
         resolve({
-          id, type, gateway, path, sentAt, endedAt: now(), status, complete, body, timedOut,
+          id, type, gateway, path, key, workspace, sentAt, endedAt: now(), status, complete, body, timedOut,
         });
       };
       const req = httpRequest({
@@ -81,7 +85,12 @@
         agent: this.agent,
         method: type === CallType.Look ? 'GET' : 'POST',
         headers: {
-          host: 'shop.example', 'catkinscale-request-id': id, 'catkinscale-deadline-ms': String(DEADLINE_MS),
+          host: 'shop.example',
+          'catkinscale-request-id': id,
+          'catkinscale-deadline-ms': String(DEADLINE_MS),
+          authorization: `Bearer ${key}`,
+          // Only the gateway may name the workspace.
+          'catkinscale-tenant': 'nobody',
         },
       }, (res) => {
         status = res.statusCode ?? 0;
--- a/src/soak/checks.ts
+++ b/src/soak/checks.ts
@@ -1,3 +1,6 @@
+import type { ProviderCall } from '../emulator/provider.js';
+import type { KeyRecord } from './keys.js';
+
 /** Period in ms on the clock of the soak run, both ends included. */
 export interface Span {
   readonly from: number;
@@ -20,6 +23,9 @@
   readonly type: CallType;
   readonly gateway: string;
   readonly path: string;
+  readonly key: string;
+  /** Workspace of the key. */
+  readonly workspace: string;
   readonly sentAt: number;
   readonly endedAt: number;
   /** HTTP status, or 0 if no response head arrived. */
@@ -41,6 +47,10 @@
   readonly lagMs: number;
   /** Whether the server executed the call. */
   readonly ran: boolean;
+  /** Workspace that the gateway named. */
+  readonly workspace: string;
+  /** Whether the call had a key. */
+  readonly showsKey: boolean;
 }
 
 /** One planned stop of a gateway (SIGTERM); times in ms. */
@@ -65,6 +75,9 @@
   /** Disturbances of gateways other than planned stops, by gateway address. */
   readonly gatewayDisturbances: ReadonlyMap<string, readonly Span[]>;
   readonly storeDisturbances: readonly Span[];
+  readonly keys: ReadonlyMap<string, KeyRecord>;
+  /** Calls to the provider, in the order of their arrival. */
+  readonly providerCalls: readonly ProviderCall[];
   readonly stops: readonly StopRecord[];
   /** When the last disturbance ended; from then on the run is undisturbed. */
   readonly calmFrom: number;
@@ -91,7 +104,13 @@
   | { readonly code: 'cut_by_planned_stop'; readonly call: string; readonly gateway: string }
   | { readonly code: 'stop_failed'; readonly gateway: string; readonly exitCode: number | null; readonly tookMs: number }
   | { readonly code: 'route_missing'; readonly call: string; readonly afterMs: number }
-  | { readonly code: 'not_served_in_calm'; readonly call: string; readonly status: number };
+  | { readonly code: 'not_served_in_calm'; readonly call: string; readonly status: number }
+  | { readonly code: 'wrong_workspace'; readonly call: string; readonly workspace: string; readonly showsKey: boolean }
+  | { readonly code: 'revoked_key_served'; readonly call: string; readonly afterMs: number }
+  | { readonly code: 'key_refused'; readonly call: string; readonly afterMs: number }
+  | { readonly code: 'usage_differs'; readonly window: number }
+  | { readonly code: 'usage_exceeds_runs'; readonly reported: number; readonly ran: number }
+  | { readonly code: 'term_fell'; readonly holder: string; readonly token: number };
 
 /** Number of events in a whole stream. */
 export const EVENTS_PER_STREAM = 8;
@@ -105,6 +124,9 @@
 /** Length to which the body of a wrong answer is cut in the report. */
 const MAX_REPORTED_CHARACTERS = 200;
 
+/** Largest number of reported calls as a multiple of those that servers ran. */
+const MAX_REPORTED_SHARE = 1.05;
+
 /** Statuses that guarantee to the caller that its call was not executed. */
 const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -203,12 +225,59 @@
   return [{ code: 'route_missing', call: call.id, afterMs: Math.round(call.sentAt - routed) }];
 }
 
-function findNotServedInCalm({ id, sentAt, status }: CallRecord, view: HistoryView): readonly Violation[] {
-  const { history: { calmFrom }, bounds } = view;
-  return sentAt > calmFrom + bounds.reconnectMs && status !== 200
+function findNotServedInCalm({
+  id, sentAt, status, key,
+}: CallRecord, view: HistoryView): readonly Violation[] {
+  const { history: { calmFrom, keys }, bounds } = view;
+  const isRevoked = (keys.get(key)?.removedAt ?? null) !== null;
+  return sentAt > calmFrom + bounds.reconnectMs && status !== 200 && !isRevoked
     ? [{ code: 'not_served_in_calm', call: id, status }] : [];
 }
 
+function findWrongWorkspaces(call: CallRecord, view: HistoryView): readonly Violation[] {
+  return view.arrivalsOf(call.id).filter(({ workspace, showsKey }) => workspace !== call.workspace || showsKey)
+    .map(({ workspace, showsKey }) => ({
+      code: 'wrong_workspace', call: call.id, workspace, showsKey,
+    }));
+}
+
+function findWrongAdmission(call: CallRecord, view: HistoryView): readonly Violation[] {
+  const record = view.history.keys.get(call.key);
+  if (record === undefined) return [];
+  const { addedAt, removedAt } = record;
+  const boundsApply = (since: number): boolean => call.sentAt - since > view.bounds.applyMs
+    && view.isConnected(call.gateway, since, call.sentAt) && view.isStoreUndisturbed(since, call.sentAt);
+  if (call.status === 200 && removedAt !== null && boundsApply(removedAt)) {
+    return [{ code: 'revoked_key_served', call: call.id, afterMs: Math.round(call.sentAt - removedAt) }];
+  }
+  const isValid = removedAt === null || removedAt > call.endedAt;
+  return call.status === 401 && isValid && boundsApply(addedAt)
+    ? [{ code: 'key_refused', call: call.id, afterMs: Math.round(call.sentAt - addedAt) }] : [];
+}
+
+/** Each window is reported with the same counts only, by holders whose terms grow, and never more than has run. */
+function findWrongUsage({ history: { providerCalls, arrivals } }: HistoryView): readonly Violation[] {
+  const violations: Violation[] = [];
+  const known = new Map<number, Record<string, number>>();
+  let highest = 0;
+  for (const { holder, token, body } of providerCalls) {
+    if (token < highest) violations.push({ code: 'term_fell', holder, token });
+    highest = Math.max(highest, token);
+    const window = Number(body['window-id']);
+    const counts = body.counts as Record<string, number>;
+    const before = known.get(window) ?? counts;
+    known.set(window, counts);
+    const names = new Set([...Object.keys(before), ...Object.keys(counts)]);
+    if ([...names].some((name) => before[name] !== counts[name])) violations.push({ code: 'usage_differs', window });
+  }
+  const counts = [...known.values()].flatMap((reportedCounts) => Object.values(reportedCounts));
+  const reported = counts.reduce((sum, count) => sum + count, 0);
+  const ran = new Set(arrivals.filter((arrival) => arrival.ran).map(({ call }) => call)).size;
+  // A plain call that broke off counts as run although it may not have reached its server.
+  if (reported > ran * MAX_REPORTED_SHARE) violations.push({ code: 'usage_exceeds_runs', reported, ran });
+  return violations;
+}
+
 function findFailedStops(view: HistoryView): readonly Violation[] {
   const { history: { stops }, bounds } = view;
   return stops.flatMap(({
@@ -233,7 +302,10 @@
       ...findCutByPlannedStop(call, view),
       ...findMissingRoute(call, view),
       ...findNotServedInCalm(call, view),
+      ...findWrongWorkspaces(call, view),
+      ...findWrongAdmission(call, view),
     ]),
+    ...findWrongUsage(view),
     ...findFailedStops(view),
   ];
 }
--- a/src/soak/configuration.ts
+++ b/src/soak/configuration.ts
@@ -13,8 +13,11 @@
   };
 }
 
-/** Platform configuration as JSON: a route for each type of call, and an idempotent one for each name in `added`. */
-export function configuration(version: number, added: readonly string[]): string {
+/**
+ * Platform configuration as JSON: a route for each type of call, an idempotent one for each name in `added`, and the
+ * workspaces with their keys.
+ */
+export function configuration(version: number, added: readonly string[], tenants: readonly object[]): string {
   return JSON.stringify({
     version,
     routes: [
@@ -23,6 +26,7 @@
       route('talk', 'streaming', { resumable: true }),
       ...added.map((name) => route(name, 'idempotent')),
     ],
+    tenants,
     services: [{ name: 'shop', 'max-connections': 90 }],
     limits: {
       'max-header-bytes': 16_384, 'max-body-bytes': 65_536, 'header-timeout-ms': 3_000, 'idle-timeout-ms': 15_000,
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -2,6 +2,7 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { bundleProgram } from '../demo/bundle.js';
 import { StoreStandIn } from '../emulator/platformstore.js';
+import { ProviderStandIn } from '../emulator/provider.js';
 import { SeededRandom } from '../emulator/random.js';
 import { assertNever } from '../core/result.js';
 import { SoakCaller } from './callers.js';
@@ -10,6 +11,7 @@
   Arrival, Bounds, CallRecord, History, Span, StopRecord, Violation,
 } from './checks.js';
 import { configuration } from './configuration.js';
+import { KeyRing } from './keys.js';
 import { DisturbanceKind, planDisturbances } from './plan.js';
 import type { Disturbance } from './plan.js';
 import { GatewayProcess, GRACE_MS } from './processes.js';
@@ -25,6 +27,9 @@
 
 const SERVER_COUNT = 4;
 
+/** Version of the first configuration. */
+const FIRST_VERSION = 10;
+
 const CALLERS_PER_GATEWAY = 3;
 
 /** Period in ms of the timer that measures delays of the process of the soak. */
@@ -63,6 +68,10 @@
 class Soak {
   private readonly store = new StoreStandIn();
 
+  private readonly provider = new ProviderStandIn();
+
+  private readonly keys = new KeyRing();
+
   private readonly random: SeededRandom;
 
   private readonly calls: CallRecord[] = [];
@@ -102,7 +111,8 @@
     mkdirSync(directory, { recursive: true });
     const program = await bundleProgram(root, directory);
     await this.store.start();
-    this.store.put('op/config', configuration(1, []));
+    await this.provider.start();
+    this.putConfiguration(FIRST_VERSION, []);
     const fleet = new ServerFleet(this.store, 'shop', {
       now: () => performance.now(),
       lagMs: () => this.lagMs(),
@@ -116,7 +126,11 @@
       for (let index = 0; index < SERVER_COUNT; index += 1) await fleet.add();
       const ips = Array.from({ length: this.opts.gateways }, (_, index) => `127.${this.opts.network}.0.${index + 1}`);
       this.gateways = ips.map((ip) => new GatewayProcess(ip, {
-        program, directory, store: this.store.address, seeds: ips.slice(0, 3),
+        program,
+        directory,
+        store: this.store.address,
+        seeds: ips.slice(0, 3),
+        settings: ['[provider]', `address = ${this.provider.address}`, '[usage]', 'window = 2 s', 'due = 4 s'],
       }));
       await Promise.all(this.gateways.map((gateway) => gateway.start()));
       // The bounds apply only once the gateways have been connected to the store for this long.
@@ -140,6 +154,7 @@
       for (const gateway of this.gateways) gateway.dispose();
       fleet.stop();
       this.store.stop();
+      this.provider.stop();
     }
   }
 
@@ -150,6 +165,7 @@
       now: () => performance.now(),
       gateways,
       path: (type) => this.pathOf(type),
+      key: () => this.keys.pick(this.random),
       record: (call) => this.calls.push(call),
     }).run(signal));
   }
@@ -222,11 +238,17 @@
 
   private async addRoute(): Promise<void> {
     const name = `new-${this.addedRoutes.length}`;
-    this.store.put('op/config', configuration(this.addedRoutes.length + 2, [...this.addedRoutes, name]));
+    this.putConfiguration(FIRST_VERSION + this.addedRoutes.length + 1, [...this.addedRoutes, name]);
     this.addedRoutes.push(name);
     this.routedAt.set(`/${name}/x`, performance.now());
   }
 
+  /** Puts a configuration; each one also adds keys and takes some away. */
+  private putConfiguration(version: number, added: readonly string[]): void {
+    this.store.put('op/config', configuration(version, added, this.keys.tenants(version)));
+    this.keys.acknowledged(version, performance.now());
+  }
+
   private startLagTimer(): NodeJS.Timeout {
     let expected = performance.now() + LAG_PERIOD_MS;
     return setInterval(() => {
@@ -255,6 +277,8 @@
       routedAt: this.routedAt,
       gatewayDisturbances: this.gatewayDisturbances,
       storeDisturbances: this.storeDisturbances,
+      keys: this.keys.keys,
+      providerCalls: this.provider.calls,
       stops: this.stops,
       calmFrom,
     };
--- a/src/soak/servers.ts
+++ b/src/soak/servers.ts
@@ -102,7 +102,13 @@
   private answer(id: string, res: ServerResponse, call: ReceivedCall): void {
     const callId = String(call.headers['catkinscale-request-id']);
     this.observer.recordArrival({
-      call: callId, server: id, at: this.observer.now(), lagMs: this.observer.lagMs(), ran: true,
+      call: callId,
+      server: id,
+      at: this.observer.now(),
+      lagMs: this.observer.lagMs(),
+      ran: true,
+      workspace: String(call.headers['catkinscale-tenant']),
+      showsKey: call.headers.authorization !== undefined,
     });
     if (this.leaving.has(id)) res.setHeader('Server-Leaving', '1');
     const type = callTypeOf(call);
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -21,6 +21,8 @@
     type,
     gateway: 'g',
     path: `/${type}/x`,
+    key: 'inn-key-1',
+    workspace: 'inn',
     sentAt: 10_000,
     endedAt: 10_100,
     status: 200,
@@ -33,7 +35,19 @@
 
 function arrival(id: string, changes: Partial<Arrival> = {}): Arrival {
   return {
-    call: id, server: 's', at: 10_010, lagMs: 0, ran: true, ...changes,
+    call: id, server: 's', at: 10_010, lagMs: 0, ran: true, workspace: 'inn', showsKey: false, ...changes,
+  };
+}
+
+function key(addedAt: number, removedAt: number | null): History['keys'] {
+  return new Map([['inn-key-1', {
+    key: 'inn-key-1', workspace: 'inn', addedAt, removedAt,
+  }]]);
+}
+
+function usage(window: number, counts: object, token = 1): History['providerCalls'][number] {
+  return {
+    path: '/usage', holder: 'g', token, body: { 'window-id': window, counts },
   };
 }
 
@@ -46,6 +60,8 @@
     routedAt: new Map(),
     gatewayDisturbances: new Map(),
     storeDisturbances: [],
+    keys: new Map(),
+    providerCalls: [],
     stops: [],
     calmFrom: 100_000,
     ...changes,
@@ -86,6 +102,21 @@
     ['a call that is not served although all disturbances are over', {
       calls: [call('1', { status: 502, type: CallType.Look })], calmFrom: 6_000,
     }, 'not_served_in_calm'],
+    ['a call that reached a server as one of another workspace', {
+      calls: [call('1')], arrivals: [arrival('1', { workspace: 'lodge' })],
+    }, 'wrong_workspace'],
+    ['a key that reached a server', { calls: [call('1')], arrivals: [arrival('1', { showsKey: true })] }, 'wrong_workspace'],
+    ['a key that is served after it was taken away', { calls: [call('1')], keys: key(1_000, 7_900) }, 'revoked_key_served'],
+    ['a key that is refused after it was added', { calls: [call('1', { status: 401 })], keys: key(7_900, null) }, 'key_refused'],
+    ['two reports of one window with other counts', {
+      arrivals: [arrival('1'), arrival('2')], providerCalls: [usage(1, { inn: 1 }), usage(1, { inn: 2 })],
+    }, 'usage_differs'],
+    ['reports of more calls than servers ran', {
+      arrivals: [arrival('1')], providerCalls: [usage(1, { inn: 2 })],
+    }, 'usage_exceeds_runs'],
+    ['a call to the provider under an older term', {
+      providerCalls: [usage(1, {}, 2), usage(2, {}, 1)],
+    }, 'term_fell'],
   ])('find %s', (_what, changes, code) => {
     expect(codes(changes)).toEqual([code]);
   });
