--- a/src/gateway/occupancy.ts
+++ b/src/gateway/occupancy.ts
@@ -1,4 +1,3 @@
-import { z } from 'zod';
 import type { Clock, Disposable } from '../core/interfaces/index.js';
 import type { Member, Members } from '../core/membership/index.js';
 import { hashName } from '../core/rendezvous.js';
@@ -28,6 +27,9 @@
  */
 const PERIOD_MS = 20;
 
+/** Factor by which that time is longer besides, where there are more gateways than receivers. */
+const SAMPLED_PERIOD_FACTOR = 2;
+
 /** Time in ms after which an unchanged table is sent again, because a message may have been lost. */
 const REPEAT_MS = 250;
 
@@ -56,25 +58,43 @@
   return ring.slice(0, MAX_RECEIVERS);
 }
 
+/** Time in ms between two messages of a gateway that knows `others`; shorter than a table of a gateway is valid. */
+export function messagePeriodMs(others: number): number {
+  if (others <= MAX_RECEIVERS) return PERIOD_MS;
+  return Math.min(REPEAT_MS, (PERIOD_MS * SAMPLED_PERIOD_FACTOR * others) / MAX_RECEIVERS);
+}
+
 /** Largest number of servers in one message. */
 const MAX_SERVERS = 2_000;
 
-const countSchema = z.number().int().nonnegative();
-
 /**
  * Message of a gateway, without names of fields and with hashes in place of ids, because these messages are most of the
  * bytes between gateways. Two ids with the same hash would only share their counts.
  */
-const messageSchema = z.tuple([
+type Message = readonly [
   /** Hash of the sender's id. */
-  countSchema,
-  /** Sequence number. */
-  countSchema,
+  from: number,
+  sequence: number,
   /** Hashes of server ids, with their prefills, continuations and whole calls. */
-  z.array(z.tuple([countSchema, countSchema, countSchema, countSchema])).max(MAX_SERVERS),
+  open: readonly (readonly [server: number, prefills: number, continuations: number, wholes: number])[],
   /** Hashes of server ids, with the number of on-time calls that wait for them. */
-  z.array(z.tuple([countSchema, countSchema])).max(MAX_SERVERS),
-]);
+  waiting: readonly (readonly [server: number, count: number])[],
+];
+
+function isCounts(value: unknown, length: number): boolean {
+  return Array.isArray(value) && value.length === length
+    && value.every((count) => Number.isSafeInteger(count) && count >= 0);
+}
+
+function isTable(value: unknown, columns: number): boolean {
+  return Array.isArray(value) && value.length <= MAX_SERVERS && value.every((row) => isCounts(row, columns));
+}
+
+/** Whether a value is a message; checked by hand, because gateways receive hundreds a second. */
+function isMessage(value: unknown): value is Message {
+  return Array.isArray(value) && value.length === 4 && isCounts(value.slice(0, 2), 2)
+    && isTable(value[2], 4) && isTable(value[3], 2);
+}
 
 /** Largest number of hashes that are kept. */
 const MAX_HASHES = 10_000;
@@ -193,7 +213,7 @@
     let sentAt = -Infinity;
     try {
       while (!signal.aborted) {
-        await sleep(clock, PERIOD_MS * Math.max(1, members.live().length / MAX_RECEIVERS), signal);
+        await sleep(clock, messagePeriodMs(members.live().length), signal);
         const demand = this.demand();
         if (!this.changed && demand.size === 0 && clock.monotonic() - sentAt < REPEAT_MS) continue;
         // The flag stays set while calls wait, so that one more message reports that none waits any longer.
@@ -243,9 +263,9 @@
   }
 
   private receive(message: Uint8Array): void {
-    const parsed = messageSchema.safeParse(safeUnpack(message));
-    if (!parsed.success) return;
-    const [from, sequence, open, waiting] = parsed.data;
+    const unpacked = safeUnpack(message);
+    if (!isMessage(unpacked)) return;
+    const [from, sequence, open, waiting] = unpacked;
     if ((this.peers.get(from)?.sequence ?? -1) >= sequence) return;
     this.peers.set(from, {
       sequence,
--- a/test/occupancy.test.ts
+++ b/test/occupancy.test.ts
@@ -7,7 +7,7 @@
 import { selectCallerAddresses, MAX_ADDRESSES, sampleAddresses } from '../src/gateway/directory.js';
 import type { PeerGateway } from '../src/gateway/directory.js';
 import { pack, safeUnpack } from '../src/gateway/packing.js';
-import { MAX_RECEIVERS, Occupancy, selectReceivers } from '../src/gateway/occupancy.js';
+import { MAX_RECEIVERS, messagePeriodMs, Occupancy, selectReceivers } from '../src/gateway/occupancy.js';
 import type { Datagrams } from '../src/gateway/occupancy.js';
 
 function member(id: string, index: number): Member {
@@ -159,6 +159,13 @@
     id: `g${String(index).padStart(3, '0')}`, failureDomain: index % 2 === 0 ? 'regina' : 'brandon',
   }));
 
+  // Guards against tables that expire before the next message, and against cost that grows with the fleet.
+  it('are sent at a period that grows with the fleet and stays well below the validity of a table', () => {
+    expect([6, 24].map(messagePeriodMs)).toEqual([20, 20]);
+    expect(messagePeriodMs(87)).toBeGreaterThan(100);
+    expect(messagePeriodMs(1_800)).toBeLessThanOrEqual(250);
+  });
+
   it('selects all gateways of a small fleet', () => {
     const [self, ...others] = fleet(MAX_RECEIVERS + 1);
     expect(selectReceivers(self!, others)).toEqual(others);
