--- a/test/occupancy.test.ts
+++ b/test/occupancy.test.ts
@@ -7,7 +7,9 @@
 import { selectCallerAddresses, MAX_ADDRESSES, sampleAddresses } from '../src/gateway/directory.js';
 import type { PeerGateway } from '../src/gateway/directory.js';
 import { pack, safeUnpack } from '../src/gateway/packing.js';
-import { MAX_RECEIVERS, messagePeriodMs, Occupancy, selectReceivers } from '../src/gateway/occupancy.js';
+import {
+  MAX_RECEIVERS, messagePeriodMs, Occupancy, selectReceivers,
+} from '../src/gateway/occupancy.js';
 import type { Datagrams } from '../src/gateway/occupancy.js';
 
 function member(id: string, index: number): Member {
