--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -303,11 +303,13 @@
       this.entries.set(key, event.entry);
       this.history.recordPut(key);
       this.notify(() => this.listener.put(event.entry, source));
-    } else if (known !== undefined) {
-      this.entries.delete(key);
-      this.history.recordRemoval(key, version);
-      this.notify(() => this.listener.removed(key, source));
+      return;
     }
+    // A gateway that follows this one may know the record from elsewhere, even if it was never read here.
+    this.history.recordRemoval(key, version);
+    if (known === undefined) return;
+    this.entries.delete(key);
+    this.notify(() => this.listener.removed(key, source));
   }
 
   /** Calls the listener; an exception over one entry must not keep the others from it. */
--- a/test/records.test.ts
+++ b/test/records.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import type { KeyValueEntry } from '../src/core/interfaces/index.js';
+import type { KeyValueEntry, PeerHandler } from '../src/core/interfaces/index.js';
 import { fail, ok } from '../src/core/result.js';
 import { SimulatedClock } from '../src/emulator/clock.js';
 import { StoreContact } from '../src/gateway/contact.js';
@@ -36,6 +36,7 @@
   const clock = new SimulatedClock();
   const keys = new Map<string, string>();
   const history: string[] = [];
+  const handlers = new Map<string, PeerHandler>();
   const source: KeySource = {
     snapshot: async () => ok(snapshot),
     changes: async (_prefix, _revision, _waitMs, { signal }) => {
@@ -58,7 +59,12 @@
     meter: new Metrics(),
     source,
     client: { call: async () => ok(nextPeerView()) },
-    server: { register: () => ({ dispose: () => {} }) },
+    server: {
+      register: (method, handler) => {
+        handlers.set(method, handler);
+        return { dispose: () => {} };
+      },
+    },
     members,
     contact: new StoreContact(clock),
   }, {
@@ -81,7 +87,7 @@
   const stop = new AbortController();
   void records.run(stop.signal);
   return {
-    clock, records, keys, history, stop,
+    clock, records, keys, history, handlers, stop,
   };
 }
 
@@ -121,6 +127,23 @@
     running.stop.abort();
   });
 
+  // Guards against calls to a server that has left, at a gateway that knows it from another relay than the one that saw
+  // its record and its removal in one answer.
+  it('passes on the removal of a record that it never had', async () => {
+    const running = start({
+      snapshot: { entries: [entry('a', 5)], revision: 10 },
+      changes: [{
+        events: [{ type: 'put', entry: entry('b', 11) }, { type: 'delete', key: 'servers/b', version: 12 }],
+        revision: 12,
+      }],
+      peerView: null,
+    });
+    await running.clock.advance(100);
+    const answer = await running.handlers.get(`records.changes:${PREFIX}`)!({ revision: 11, wait: 0 });
+    expect(answer).toMatchObject({ success: true, data: { type: 'changes', removals: [['servers/b', 12]] } });
+    running.stop.abort();
+  });
+
   // Guards against old records of another gateway that count as current.
   it('adds the age that the records of another gateway had when it sent them', async () => {
     const running = start({
