--- a/src/daemon/bodies.ts
+++ b/src/daemon/bodies.ts
@@ -263,7 +263,10 @@
   }
 
   private charge(req: IncomingMessage, bytes: number): void {
-    this.usedBytes += bytes - (this.charges.get(req) ?? 0);
+    const before = this.charges.get(req);
+    // After its release, nothing would take the charge back.
+    if (before === undefined) return;
+    this.usedBytes += bytes - before;
     this.charges.set(req, bytes);
   }
 
--- a/test/bodies.test.ts
+++ b/test/bodies.test.ts
@@ -79,6 +79,18 @@
     expect(bodies.used).toBe(0);
   });
 
+  // Guards against memory that stays counted because its call ended before its body did.
+  it('count no longer once their call has ended, even if they arrive later', async () => {
+    const { bodies, receive } = start();
+    const req = new FakeRequest();
+    const body = receive(req);
+    req.send(1_000);
+    bodies.release(req as unknown as IncomingMessage);
+    req.send(1_000).end();
+    await body;
+    expect(bodies.used).toBe(0);
+  });
+
   // Guards against clients that never finish their bodies and keep out ordinary callers.
   it('of ordinary size arrive while unfinished ones take all memory', async () => {
     const { bodies, receive } = start();
