--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -9,6 +9,15 @@
 
 const labelSchema = z.string().min(1, 'a name').max(200);
 
+/**
+ * Setting whose value may be empty, or only a unit, and then counts as not given: the platform inserts nothing where it
+ * has no value.
+ */
+function whereGiven<Schema extends z.ZodType>(schema: Schema) {
+  const isEmpty = (text: unknown): boolean => typeof text === 'string' && /^[A-Za-z]*$/.test(text.trim());
+  return z.unknown().optional().transform((text) => (isEmpty(text) ? undefined : text)).pipe(schema);
+}
+
 const SECTIONS = {
   gateway: z.strictObject({
     name: labelSchema,
@@ -26,9 +35,9 @@
   }),
   machine: z.strictObject({
     /** Memory in bytes that the process may use. */
-    memory: sizeSchema('64 MB', '999999 MB').prefault('350 MB'),
+    memory: whereGiven(sizeSchema('64 MB', '999999 MB').prefault('350 MB')),
     /** Number of file descriptors that the process may open. */
-    descriptors: countSchema(256, 10_000_000).prefault('4096'),
+    descriptors: whereGiven(countSchema(256, 10_000_000).prefault('4096')),
   }),
   peers: z.strictObject({
     /** Peer addresses of the gateways that a gateway contacts when it starts. */
@@ -58,17 +67,17 @@
   }),
   provider: z.strictObject({
     /** Interface of the provider of backend servers, for reports of usage and orders of servers; none by default. */
-    address: addressSchema.optional(),
+    address: whereGiven(addressSchema.optional()),
   }),
   usage: z.strictObject({
     /** Length in ms of the windows for which usage is reported; without it, none is. */
-    window: durationSchema('100 ms', '24 h').optional(),
+    window: whereGiven(durationSchema('100 ms', '24 h').optional()),
     /** Time in ms after the end of a window at which its report is due. */
-    due: durationSchema('100 ms', '1 h').prefault('10 s'),
+    due: whereGiven(durationSchema('100 ms', '1 h').prefault('10 s')),
   }),
   workspaces: z.strictObject({
     /** Age in ms of the configuration above which calls that need a key are refused; without it, none are. */
-    keyAge: durationSchema('100 ms', '1 h').optional(),
+    keyAge: whereGiven(durationSchema('100 ms', '1 h').optional()),
   }),
   log: z.strictObject({
     /** Largest number of log lines per second; further ones are dropped and counted. */
--- a/test/gatewaysettings.test.ts
+++ b/test/gatewaysettings.test.ts
@@ -57,6 +57,26 @@
     expect(safeParseGatewaySettings(fillTemplate(VALUES), 'gateway.ini')).toMatchObject({ data: { workspaces: {} } });
   });
 
+  // Guards against a gateway that does not start where the platform has no value for a setting.
+  it('have defaults where the platform inserts nothing', () => {
+    const without = fillTemplate({ ...VALUES, 'limits.memory-mb': '', 'limits.max-fds': '' });
+    expect(safeParseGatewaySettings(without, 'gateway.ini')).toMatchObject({
+      success: true,
+      data: { machine: { memory: 350_000_000, descriptors: 4_096 }, usage: { due: 10_000 }, provider: {} },
+    });
+    const bare = without.replace(/^(?:memory|descriptors|window|due|address =\s*$).*$/gm, '');
+    expect(safeParseGatewaySettings(`${bare}\n`, 'gateway.ini')).toMatchObject({
+      data: { machine: { memory: 350_000_000 }, usage: { due: 10_000 } },
+    });
+    const asked = fillTemplate({
+      ...VALUES, 'cloud.address': '10.200.0.1:8683', 'bounds.report-window-s': '5', 'bounds.usage-late-s': '8',
+    });
+    expect(safeParseGatewaySettings(asked, 'gateway.ini')).toMatchObject({
+      success: true, data: { provider: { address: '10.200.0.1:8683' }, usage: { window: 5_000, due: 8_000 } },
+    });
+    expect(safeParseGatewaySettings(without.replace('memory =  MB', 'memory = x MB'), 'gateway.ini').success).toBe(false);
+  });
+
   it('may have an empty list of seeds', () => {
     expect(safeParseGatewaySettings(fillTemplate({ ...VALUES, seeds: '' }), 'gateway.ini')).toMatchObject({
       success: true, data: { peers: { seeds: [] } },
