--- a/src/gateway/rolebalancer.ts
+++ b/src/gateway/rolebalancer.ts
@@ -14,6 +14,9 @@
 /** Share of a service's engines that should decode; the others prefill long prompts. */
 const DECODE_SHARE = 0.35;
 
+/** The same where the number of servers is ordered: decoders are lost and replaced there while others run. */
+const SCALED_DECODE_SHARE = 0.45;
+
 const MIN_DECODERS = 2;
 
 /** Time in ms for which decoders must be missing before prefillers replace them; a crashed one is back sooner. */
@@ -34,19 +37,19 @@
   readonly role: Role.Prefill | Role.Decode;
 }
 
-function targetDecoderCount(servers: readonly ServerRecord[]): number {
+function targetDecoderCount(servers: readonly ServerRecord[], isScaled: boolean): number {
   const engines = servers.filter(({ role }) => role === Role.Decode || role === Role.Prefill).length;
-  return Math.max(MIN_DECODERS, Math.round(engines * DECODE_SHARE));
+  return Math.max(MIN_DECODERS, Math.round(engines * (isScaled ? SCALED_DECODE_SHARE : DECODE_SHARE)));
 }
 
 /**
- * Decoders beyond the target of a service, the newest ones. Every gateway finds the same ones from the servers'
- * records, so that none sends work to an engine that is about to change its role.
+ * Decoders beyond the target of a service whose servers are ordered, the newest ones. Every gateway finds the same
+ * ones from the servers' records, so that none sends work to an engine that is about to change its role.
  */
 export function surplusDecoders(servers: readonly ServerRecord[]): readonly ServerRecord[] {
   const decoders = servers.filter(({ role }) => role === Role.Decode)
     .sort((left, right) => right.bornAt - left.bornAt || (left.id < right.id ? -1 : 1));
-  return decoders.slice(0, Math.max(0, decoders.length - targetDecoderCount(servers)));
+  return decoders.slice(0, Math.max(0, decoders.length - targetDecoderCount(servers, true)));
 }
 
 /**
@@ -63,7 +66,7 @@
 ): readonly RoleChange[] {
   const decoders = servers.filter(({ role }) => role === Role.Decode);
   const prefillers = servers.filter(({ role }) => role === Role.Prefill);
-  const targetCount = targetDecoderCount(servers);
+  const targetCount = targetDecoderCount(servers, isScaled);
   if (decoders.length > targetCount) {
     const candidates = isScaled ? surplusDecoders(servers) : decoders;
     return candidates.filter(isUnused).slice(0, decoders.length - targetCount)
@@ -127,7 +130,7 @@
   private currentShortageMs(service: string): number {
     const servers = this.deps.registry.available(service);
     const now = this.deps.clock.monotonic();
-    if (servers.filter(({ role }) => role === Role.Decode).length >= targetDecoderCount(servers)) {
+    if (servers.filter(({ role }) => role === Role.Decode).length >= targetDecoderCount(servers, this.deps.isScaled(service))) {
       this.shortageSince.delete(service);
       return 0;
     }
