--- a/src/gateway/rolebalancer.ts
+++ b/src/gateway/rolebalancer.ts
@@ -130,7 +130,8 @@
   private currentShortageMs(service: string): number {
     const servers = this.deps.registry.available(service);
     const now = this.deps.clock.monotonic();
-    if (servers.filter(({ role }) => role === Role.Decode).length >= targetDecoderCount(servers, this.deps.isScaled(service))) {
+    const decoders = servers.filter(({ role }) => role === Role.Decode).length;
+    if (decoders >= targetDecoderCount(servers, this.deps.isScaled(service))) {
       this.shortageSince.delete(service);
       return 0;
     }
