--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -83,7 +83,7 @@
     const { connections = LIMITS.connections, memory } = limits;
     return listenHttp(address, (req, res) => this.handle(req, res), { ...LIMITS, connections }, {
       keepAliveMs: KEEP_ALIVE_MS,
-      ...(memory === undefined ? {} : { maxBodyMemory: (largest) => Math.max(memory, 2 * largest) }),
+      ...(memory === undefined ? {} : { maxBodyMemory: (largest) => Math.max(memory, 3 * largest) }),
       onUnexpected: (err) => reportUnexpected(this.opts, 'peer', err),
     });
   }
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -64,6 +64,18 @@
   });
 }
 
+describe('a message of almost the largest size', () => {
+  // Guards against a limit on memory that lets no large message through on a small machine.
+  it('is received by a listener with the least memory', async () => {
+    server.register('echo', async (params) => ok((params as { text: string }).text.length));
+    const small = await server.listen('127.0.0.1:0', { memory: 1, connections: 4 });
+    if (!small.success) throw new Error(small.error.message);
+    const params = { text: 'x'.repeat(3_900_000) };
+    expect(await caller.call(small.data.address, 'echo', params, { timeoutMs: 10_000 })).toEqual(ok(3_900_000));
+    small.data.destroy();
+  });
+});
+
 describe('calls that wait', () => {
   // Guards against a peer that is suspected because a probe waited for a connection behind calls that wait for changes.
   it('do not delay a probe', async () => {
