--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -63,6 +63,7 @@
 const faulty = spawn(process.execPath, [fileURLToPath(new URL('faulty.mjs', import.meta.url)), '127.61.2.99'], {
   stdio: ['ignore', 'pipe', 'inherit'],
 });
+process.once('exit', () => faulty.kill('SIGKILL'));
 const atFaulty = new Set();
 const port = await new Promise((resolve) => {
   faulty.stdout.on('data', (text) => {
--- a/review/lib-2/gateways.mjs
+++ b/review/lib-2/gateways.mjs
@@ -133,6 +133,9 @@
     });
     closeSync(log);
     this.child = child;
+    const endChild = () => child.kill('SIGKILL');
+    process.once('exit', endChild);
+    child.once('exit', () => process.off('exit', endChild));
     this.ended = null;
     this.exited = new Promise((resolve) => {
       child.once('exit', (code, signal) => {
