Log how the server's connection ended under each answer

Cause: the line of a call had the steps and the outcome only.

Change: for each send `ends` has result, state of the server's connection and bytes; `passed_bytes` and `last_event` say how much the caller got, and `answer_ends_total` counts the ends. A reset that libuv reports as the end of the data is seen by the peer's address, which is unknown after it. What a caller gets is unchanged.

--- a/src/adapters/sockets.ts
+++ b/src/adapters/sockets.ts
@@ -4,6 +4,15 @@
 /** Receives either an error or a connected socket. */
 export type SocketCallback = (...args: [Error, null] | [null, Socket]) => void;
 
+/**
+ * Whether the connection was reset; asked in an `end` listener of a socket whose own side is still open. If data and a
+ * reset arrive together, libuv reports the end of the data and no error. After an ordinary close the peer's address is
+ * still known. It must not be read on the socket before, because Node.js keeps it.
+ */
+export function wasResetAtEnd(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
 /**
  * Opens a TCP connection and calls `callback` once. Fails after `timeoutMs` milliseconds, measured by its own timer
  * because undici's connect timer is too coarse.
--- a/src/gateway/callcontext.ts
+++ b/src/gateway/callcontext.ts
@@ -2,6 +2,7 @@
 import type { ForwardingService, Route } from './configuration.js';
 import type { Call } from './codec.js';
 import type { Refusal } from './outcome.js';
+import type { AnswerEnd } from './upstream.js';
 import type { Caller } from './workspaces.js';
 
 /** One send of a call to a backend server, for the log line of the call. */
@@ -10,6 +11,8 @@
   readonly revision: number | null;
   /** Time in ms from the choice of the server to the write of the request; `null` while it is not written. */
   writtenMs: number | null;
+  /** `null` while the answer has not ended. */
+  end: AnswerEnd | null;
 }
 
 /** Measurements and steps of one call, for its log line; times in ms. */
@@ -29,6 +32,10 @@
   rank?: number;
   /** Longest time between two chunks of the answer's body. */
   pauseMs: number;
+  /** Bytes of the answer's body that were written to the caller. */
+  passedBytes: number;
+  /** Id of the last event that has arrived of a stream that may be resumed. */
+  lastEventId: string | null;
 }
 
 /** Call that is being forwarded. */
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
 import { Client } from 'undici';
 import type { Dispatcher } from 'undici';
-import { openSocket } from '../adapters/sockets.js';
+import { openSocket, wasResetAtEnd } from '../adapters/sockets.js';
 import type { SocketCallback } from '../adapters/sockets.js';
 import type { Disposable } from '../core/interfaces/index.js';
 
@@ -34,6 +34,14 @@
   readonly id: string | null;
 }
 
+/** State of the connection to a server at the end of an answer. */
+export enum ConnectionState {
+  Open = 'open',
+  /** The server has closed its side. */
+  Closed = 'closed',
+  Reset = 'reset',
+}
+
 /** Receives the answer to one request. */
 export interface AnswerSink {
   /** Whether the request may still be written; asked just before that. */
@@ -44,9 +52,9 @@
   head(status: number, headers: Readonly<Record<string, string | string[] | undefined>>, isReused: boolean): void;
   data(chunk: Buffer): void;
   /** The whole answer has arrived. */
-  end(): void;
+  end(connection: ConnectionState): void;
   /** The request could not be written, or its answer broke off. */
-  failed(message: string): void;
+  failed(message: string, connection: ConnectionState): void;
 }
 
 /** Request whose answer has not ended yet. */
@@ -77,6 +85,9 @@
 
   private socket: Socket | null = null;
 
+  /** Whether the end of the server's data was a reset. */
+  private endedByReset = false;
+
   public constructor(
     address: string,
     /** Number of the connection among those of its pool. */
@@ -111,6 +122,11 @@
     return id === null || !this.ids.has(id);
   }
 
+  public get state(): ConnectionState {
+    if (this.wasReset || this.endedByReset) return ConnectionState.Reset;
+    return this.wasClosed ? ConnectionState.Closed : ConnectionState.Open;
+  }
+
   /** Number of bytes that were received on the connection. */
   public get bytesRead(): number {
     return this.socket?.bytesRead ?? 0;
@@ -142,6 +158,7 @@
     // These listeners run before those of the client library, so that both flags are set when it ends the answer.
     socket.once('end', () => {
       this.wasClosed = true;
+      this.endedByReset = wasResetAtEnd(socket);
       this.isOpen = false;
     });
     socket.on('error', () => {
@@ -221,17 +238,19 @@
     this.onEnded();
     // If the head announces that the connection will close, the client library treats a reset as the end of an answer
     // without length, and a close as the end of a chunked one.
-    if (this.connection.wasReset) this.sink.failed('connection reset');
-    else if (this.chunked && this.connection.wasClosed) this.sink.failed('connection closed before the last chunk');
-    else this.sink.end();
+    const { state, wasClosed, wasReset } = this.connection;
+    if (wasReset) this.sink.failed('connection reset', state);
+    else if (this.chunked && wasClosed) this.sink.failed('connection closed before the last chunk', state);
+    else this.sink.end(state);
   }
 
   public onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
     if (this.ended) return;
     this.ended = true;
+    const { state } = this.connection;
     this.connection.wasReset = true;
     this.onEnded();
-    this.sink.failed(err.message);
+    this.sink.failed(err.message, state);
   }
 }
 
--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -81,6 +81,7 @@
     let isDelivered = false;
     const finish = (delivery: Delivery): void => {
       isDelivered = delivery.type === 'delivered';
+      trace.lastEventId = stream?.splitter.lastEventId ?? null;
       res.off('drain', onDrain);
       resolve(delivery);
     };
@@ -101,6 +102,7 @@
       if (trace.firstMs === null) trace.firstMs = now - trace.arrivedAt;
       else trace.pauseMs = Math.max(trace.pauseMs, now - lastChunkAt);
       lastChunkAt = now;
+      trace.passedBytes += bytes.length;
       sendHead();
       return res.destroyed || res.write(bytes) || kept.keep(res.writableLength);
     };
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -175,6 +175,8 @@
       sends: [],
       firstMs: null,
       pauseMs: 0,
+      passedBytes: 0,
+      lastEventId: null,
     };
     this.activeCalls += 1;
     try {
--- a/src/gateway/report.ts
+++ b/src/gateway/report.ts
@@ -5,10 +5,15 @@
 import { refusalAnswer } from './outcome.js';
 import { describeParts } from './placement.js';
 import type { Refusal } from './outcome.js';
-import type { Delivery, Trace } from './callcontext.js';
+import type { Delivery, SendTrace, Trace } from './callcontext.js';
 
 const MS_PER_S = 1_000;
 
+/** Describes how the answer to a send ended, as `RESULT/CONNECTION/BYTES`. */
+function describeEnd({ end }: SendTrace): string {
+  return end === null ? '-' : `${end.how}/${end.connection}/${end.bytes}`;
+}
+
 /** Answers a call with a refusal, unless an answer has begun or the connection is closed. */
 export function sendRefusal(res: ServerResponse, refusal: Refusal): void {
   if (res.destroyed || res.headersSent) return;
@@ -54,6 +59,9 @@
   const kind = route?.kind ?? 'none';
   meter.count('forwarded', 1, { outcome, route: kind });
   meter.record('forward_ms', tookMs, { route: kind });
+  for (const { end } of trace.sends) {
+    if (end !== null) meter.count('answer_ends', 1, { result: end.how, connection: end.connection });
+  }
   const fields = {
     request: call?.id,
     route: route?.name,
@@ -67,6 +75,9 @@
     rank: trace.rank,
     revisions: trace.sends.map(({ revision }) => revision ?? 'gone').join(' '),
     written_ms: trace.sends.map(({ writtenMs }) => writtenMs ?? '-').join(' '),
+    ends: trace.sends.map(describeEnd).join(' '),
+    passed_bytes: trace.passedBytes,
+    last_event: trace.lastEventId ?? undefined,
     first_ms: trace.firstMs === null ? undefined : Math.round(trace.firstMs),
     pause_ms: trace.pauseMs === 0 ? undefined : Math.round(trace.pauseMs),
     took_ms: Math.round(tookMs),
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -172,7 +172,7 @@
     const backend = fleet.serverFor(server);
     const probe = backend.countProbe();
     const sentAt = clock.monotonic();
-    const trace: SendTrace = { revision: fleet.revision(server.id), writtenMs: null };
+    const trace: SendTrace = { revision: fleet.revision(server.id), writtenMs: null, end: null };
     context.trace.sends.push(trace);
     // A prefill writes no answer.
     const run = work.type === 'prefill'
@@ -196,6 +196,9 @@
         backend.runs.receivedChunk(run);
         this.countBegin(context);
       },
+      ended: (end) => {
+        trace.end = end;
+      },
     });
     const abortSend = (): void => upstream.abort(String(context.ended.reason));
     context.ended.addEventListener('abort', abortSend, { once: true });
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -2,6 +2,7 @@
   AnswerHead, Call, Codec, SendPlan,
 } from './codec.js';
 import { Execution } from './codec.js';
+import { ConnectionState } from './connections.js';
 import type { AnswerSink, ConnectionPool, OngoingRequest } from './connections.js';
 
 /** Outcome of one send, up to the head of its answer. */
@@ -28,6 +29,15 @@
   Aborted = 'aborted',
 }
 
+/** How the answer to one send ended, for the log line of the call. */
+export interface AnswerEnd {
+  readonly how: UpstreamEnd;
+  /** State of the server's connection just before this process closed it, if it did. */
+  readonly connection: ConnectionState;
+  /** Bytes of the body that had arrived. */
+  readonly bytes: number;
+}
+
 /** Observes one send. */
 export interface UpstreamObserver {
   /** Whether the call may still be written; always by default. */
@@ -36,6 +46,8 @@
   written?(): void;
   /** A chunk of the answer's body has arrived. */
   chunk?(): void;
+  /** The answer has ended, before anybody else learns of it. */
+  ended?(end: AnswerEnd): void;
 }
 
 /** Receives the body of an answer. */
@@ -79,6 +91,8 @@
 
   private unreadBytes = 0;
 
+  private receivedBytes = 0;
+
   private bodySink: BodySink | null = null;
 
   private resolveOutcome: (outcome: SendOutcome) => void = () => {};
@@ -110,7 +124,7 @@
   public abort(message: string): void {
     this.isAborted = true;
     this.request.abort();
-    this.failed(message);
+    this.failed(message, ConnectionState.Open);
   }
 
   /** Passes the body on to `sink`, starting with the bytes that have arrived already. */
@@ -176,6 +190,7 @@
 
   public data(chunk: Buffer): void {
     if (this.bodyState !== 'open') return;
+    this.receivedBytes += chunk.length;
     this.observer.chunk?.();
     if (this.bodySink === null) {
       this.unreadChunks.push(chunk);
@@ -184,21 +199,24 @@
     } else if (!this.bodySink.push(chunk)) this.request.pause();
   }
 
-  public end(): void {
+  public end(connection: ConnectionState): void {
     if (this.bodyState !== 'open') return;
     this.bodyState = 'complete';
+    this.observer.ended?.({ how: UpstreamEnd.Complete, connection, bytes: this.receivedBytes });
     this.finish({ type: 'broken', message: 'the answer has no head' });
     this.bodySink?.end();
     this.resolveClosed(UpstreamEnd.Complete);
   }
 
-  public failed(message: string): void {
+  public failed(message: string, connection: ConnectionState): void {
     if (this.bodyState !== 'open') return;
     this.bodyState = 'broken';
     this.failure = message;
+    const how = this.isAborted ? UpstreamEnd.Aborted : UpstreamEnd.Broken;
+    this.observer.ended?.({ how, connection, bytes: this.receivedBytes });
     this.finish(this.isWritten ? { type: 'broken', message } : { type: 'not_sent', message });
     this.bodySink?.failed(message);
-    this.resolveClosed(this.isAborted ? UpstreamEnd.Aborted : UpstreamEnd.Broken);
+    this.resolveClosed(how);
   }
 
   private finish(outcome: SendOutcome): void {
--- /dev/null
+++ b/test/brokenstreams.test.ts
@@ -0,0 +1,86 @@
+import { createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import {
+  afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
+import type { Log } from '../src/core/interfaces/index.js';
+import { createServerRecord } from '../src/emulator/backend.js';
+import { listenOnFreePort } from '../src/emulator/listen.js';
+import { StoreStandIn } from '../src/emulator/platformstore.js';
+import { sendCall } from '../src/emulator/sendcall.js';
+import { configuration, startGateway } from './support/gateway.js';
+import type { RunningGateway } from './support/gateway.js';
+import { waitUntil } from './support/waituntil.js';
+
+const EVENTS = [1, 2, 3].map((id) => `id: ${id}\ndata: text ${id}\n\n`);
+
+let store: StoreStandIn;
+let gateway: RunningGateway;
+let respond: (socket: Socket, head: string, lastEventId: string | null) => void = () => {};
+const servers: Server[] = [];
+const lines: Record<string, unknown>[] = [];
+
+const log: Log = {
+  info: (_message, fields) => lines.push({ ...fields }),
+  warn: (_message, fields) => lines.push({ ...fields }),
+  error: () => {},
+};
+
+/** Server that passes each request, with the head of an answer that ends with the connection, to `respond`. */
+function startServer(): Promise<string> {
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.on('data', (chunk) => {
+      const id = /catkinscale-request-id: (\S+)/i.exec(chunk.toString())?.[1];
+      if (id === undefined) return;
+      const head = `HTTP/1.1 200 OK\r\nCatkinscale-Request-Id: ${id}\r\nCatkinscale-Server-Signature: s1\r\nConnection: close\r\n`;
+      respond(socket, head, /last-event-id: (\S+)/i.exec(chunk.toString())?.[1] ?? null);
+    });
+  });
+  servers.push(server);
+  return listenOnFreePort(server);
+}
+
+const STREAM = 'Content-Type: text/event-stream\r\n\r\n';
+
+function ask(path: string) {
+  return sendCall(gateway.callers, path, { method: 'POST', body: '{}', headers: { 'catkinscale-token-count': '60,9' } });
+}
+
+beforeAll(async () => {
+  store = new StoreStandIn();
+  await store.start();
+  store.put('servers/p', createServerRecord(await startServer(), 'ledger'));
+  for (const name of ['e1', 'e2']) store.put(`servers/${name}`, createServerRecord(await startServer(), 'engine', { stage: 'decode' }));
+  store.put('op/config', configuration());
+  gateway = await startGateway(store, 24_000, { log });
+  await waitUntil(() => {
+    const { list } = gateway.gateway.dump().servers as { list: readonly unknown[] };
+    return list.length === 3 && gateway.gateway.ready();
+  });
+});
+
+afterAll(async () => {
+  await gateway.stop();
+  for (const server of servers) server.close();
+  store.stop();
+});
+
+describe('the log line of a call', () => {
+  // Guards against broken streams of which nobody can tell whether their server closed or reset the connection.
+  it('tells how the connections of its answers ended', async () => {
+    const ends = async (end: (socket: Socket) => void) => {
+      lines.length = 0;
+      respond = (socket, head) => {
+        socket.write(`${head}${STREAM}${EVENTS[0]}${EVENTS[1]}`);
+        end(socket);
+      };
+      await ask('/talk/x');
+      await waitUntil(() => lines.some((line) => 'ends' in line));
+      return lines.find((line) => 'ends' in line)!;
+    };
+    const bytes = EVENTS[0]!.length + EVENTS[1]!.length;
+    expect(await ends((socket) => socket.end())).toMatchObject({ ends: `complete/closed/${bytes}`, passed_bytes: bytes });
+    expect((await ends((socket) => socket.resetAndDestroy())).ends).toContain(`/reset/${bytes}`);
+  });
+});
