Show that a reset right behind an event ends a stream as complete

In the test the server writes and resets in one turn of the event loop; the test of resets that was there waits 20 ms in between.

--- a/test/brokenstreams.test.ts
+++ b/test/brokenstreams.test.ts
@@ -12,6 +12,8 @@
 import type { RunningGateway } from './support/gateway.js';
 import { waitUntil } from './support/waituntil.js';
 
+const RUNS = 20;
+
 const EVENTS = [1, 2, 3].map((id) => `id: ${id}\ndata: text ${id}\n\n`);
 
 let store: StoreStandIn;
@@ -47,6 +49,12 @@
   return sendCall(gateway.callers, path, { method: 'POST', body: '{}', headers: { 'catkinscale-token-count': '60,9' } });
 }
 
+/** Writes the last bytes of an answer and resets the connection in the same turn, so that both are read in one go. */
+function writeAndReset(socket: Socket, bytes: string): void {
+  socket.write(bytes);
+  socket.resetAndDestroy();
+}
+
 beforeAll(async () => {
   store = new StoreStandIn();
   await store.start();
@@ -84,3 +92,17 @@
     expect((await ends((socket) => socket.resetAndDestroy())).ends).toContain(`/reset/${bytes}`);
   });
 });
+
+describe('an answer without length whose connection is reset behind its last bytes', () => {
+  it('goes on at another engine if it is a stream that may be resumed, and is not taken as complete', async () => {
+    respond = (socket, head, lastEventId) => {
+      if (lastEventId === '2') socket.end(`${head}${STREAM}${EVENTS[2]}`);
+      else {
+        socket.write(`${head}${STREAM}${EVENTS[0]}`);
+        setTimeout(() => writeAndReset(socket, EVENTS[1]!), 10);
+      }
+    };
+    const answers = await Promise.all(Array.from({ length: RUNS }, () => ask('/long/x')));
+    expect(answers.filter(({ body }) => body !== EVENTS.join('')).length).toBe(0);
+  });
+});
