Take a reset that comes with the last bytes for a reset

Cause: if the data and the reset of a connection are read in one go, libuv reports a short read and the end of the data, and no error: poll says that the peer has hung up, so it reads no further. The client library then ends an answer without length as complete. Reading in one go needs no frozen process: reset and last write within one turn of the event loop suffice, or a caller that reads slowly, because the connection is then not read either.

Change: an `end` after which the peer's address is unknown counts as a reset (`wasResetAtEnd`), before the client library hears of it. A stream that may be resumed goes on at another server, other answers are refused or reset as after any reset. All answers of backend servers come through this connection: plain ones, those of prefills, refusals and control requests too.

Open: a caller that itself reads by libuv may miss the gateway's reset in the same way.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -85,9 +85,6 @@
 
   private socket: Socket | null = null;
 
-  /** Whether the end of the server's data was a reset. */
-  private endedByReset = false;
-
   public constructor(
     address: string,
     /** Number of the connection among those of its pool. */
@@ -123,7 +120,7 @@
   }
 
   public get state(): ConnectionState {
-    if (this.wasReset || this.endedByReset) return ConnectionState.Reset;
+    if (this.wasReset) return ConnectionState.Reset;
     return this.wasClosed ? ConnectionState.Closed : ConnectionState.Open;
   }
 
@@ -158,7 +155,7 @@
     // These listeners run before those of the client library, so that both flags are set when it ends the answer.
     socket.once('end', () => {
       this.wasClosed = true;
-      this.endedByReset = wasResetAtEnd(socket);
+      if (wasResetAtEnd(socket)) this.wasReset = true;
       this.isOpen = false;
     });
     socket.on('error', () => {
--- a/test/brokenstreams.test.ts
+++ b/test/brokenstreams.test.ts
@@ -1,3 +1,4 @@
+import { request as httpRequest } from 'node:http';
 import { createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
 import {
@@ -45,8 +46,8 @@
 
 const STREAM = 'Content-Type: text/event-stream\r\n\r\n';
 
-function ask(path: string) {
-  return sendCall(gateway.callers, path, { method: 'POST', body: '{}', headers: { 'catkinscale-token-count': '60,9' } });
+function ask(path: string, body = '{}') {
+  return sendCall(gateway.callers, path, { method: 'POST', body, headers: { 'catkinscale-token-count': '60,9' } });
 }
 
 /** Writes the last bytes of an answer and resets the connection in the same turn, so that both are read in one go. */
@@ -60,7 +61,10 @@
   await store.start();
   store.put('servers/p', createServerRecord(await startServer(), 'ledger'));
   for (const name of ['e1', 'e2']) store.put(`servers/${name}`, createServerRecord(await startServer(), 'engine', { stage: 'decode' }));
-  store.put('op/config', configuration());
+  const { limits, routes } = JSON.parse(configuration()) as { limits: object; routes: object[] };
+  store.put('op/config', configuration({
+    limits: { ...limits, 'max-body-bytes': 4_000_000 }, routes: routes.map((route) => ({ ...route, 'timeout-ms': 5_000 })),
+  }));
   gateway = await startGateway(store, 24_000, { log });
   await waitUntil(() => {
     const { list } = gateway.gateway.dump().servers as { list: readonly unknown[] };
@@ -105,4 +109,60 @@
     const answers = await Promise.all(Array.from({ length: RUNS }, () => ask('/long/x')));
     expect(answers.filter(({ body }) => body !== EVENTS.join('')).length).toBe(0);
   });
+
+  const LARGE = 'x'.repeat(2_000_000);
+
+  // Guards against a cut answer that is taken for a whole one.
+  it.each([
+    ['a stream that may not be resumed', '/talk/x', `${STREAM}${EVENTS[0]}`, '{}'],
+    ['a short answer', '/order/x', '\r\npart', '{}'],
+    ['an answer of 100 KB', '/order/x', `\r\n${LARGE.slice(0, 100_000)}`, '{}'],
+    ['an answer to an upload that goes on', '/order/x', '\r\npart', LARGE],
+    ['a large answer to an upload that goes on', '/order/x', `\r\n${LARGE.slice(0, 100_000)}`, LARGE],
+  ])('is not whole: %s', async (_what, path, rest, body) => {
+    respond = (socket, head) => {
+      socket.pause();
+      setTimeout(() => writeAndReset(socket, head + rest), 10);
+    };
+    lines.length = 0;
+    for (let run = 0; run < RUNS; run += 1) await ask(path, body);
+    await waitUntil(() => lines.filter((line) => 'outcome' in line).length === RUNS);
+    expect(lines.filter(({ outcome }) => outcome === 'delivered').length).toBe(0);
+  });
+
+  /** Returns the number of bytes of an answer that its caller starts to read late; `null` if it breaks off. */
+  function askAndReadLate(): Promise<number | null> {
+    return new Promise((resolve) => {
+      const headers = { host: 'shop.example', 'catkinscale-request-id': 'late' };
+      httpRequest(`http://${gateway.callers}/order/x`, { method: 'POST', headers }, (res) => {
+        let size = 0;
+        setTimeout(() => res.on('data', (chunk: Buffer) => {
+          size += chunk.length;
+        }), 200);
+        res.on('error', () => {});
+        res.on('close', () => resolve(res.complete ? size : null));
+      }).on('error', () => resolve(null)).end('{}');
+    });
+  }
+
+  it.each([
+    ['is whole after an ordinary close', (socket: Socket) => socket.end(), LARGE.length],
+    ['is not whole after a reset', (socket: Socket) => socket.resetAndDestroy(), null],
+  ])('and that is read late %s', async (_what, end, size) => {
+    respond = (socket, head) => socket.write(`${head}\r\n${LARGE}`, () => end(socket));
+    expect(await Promise.all(Array.from({ length: 4 }, askAndReadLate))).toEqual(new Array(4).fill(size));
+  });
+});
+
+describe('a whole answer whose end is marked', () => {
+  // Guards against sound answers that are given up for what happens to their connection behind them.
+  it.each([
+    ['by a length', 'Content-Length: 2\r\n\r\nok'],
+    ['by its last chunk', 'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'],
+  ])('%s is passed on though its connection is reset behind it', async (_how, rest) => {
+    respond = (socket, head) => writeAndReset(socket, head + rest);
+    const answers = [];
+    for (let run = 0; run < RUNS; run += 1) answers.push(await ask('/order/x'));
+    expect(answers.filter(({ status, broken, body }) => status !== 200 || broken || body !== 'ok')).toEqual([]);
+  });
 });
