Show which backend servers ask for a pause by Retry-After

Callers saw nothing of it, and neither did operators: a backend server may answer 503 with Retry-After, which nothing in src/gateway or platform read, so that no log line told whether a server that still got requests had asked for none.

The head of an answer now has pauseMs: seconds, fractions allowed, of several values the longest, at most an hour; null for 0, negative numbers, dates and everything else that is no decimal number, and for statuses other than 503. Requests that are not made for callers (reports, orders, freed handles) go through ControlClient, which reads the mark of leaving servers and the pause in one place, as soon as the head is there. What is done with servers does not change yet.

--- a/src/gateway/codec.ts
+++ b/src/gateway/codec.ts
@@ -88,6 +88,8 @@
   readonly signed: boolean;
   /** Whether the backend server says that it leaves. */
   readonly serverLeaves: boolean;
+  /** Time in ms for which the backend server, with a 503, wants no request of this process; `null` if not stated. */
+  readonly pauseMs: number | null;
   /** Whether the body has no length and ends when the connection closes. */
   readonly endsWithConnection: boolean;
   /** Header names and values, alternating, as passed on to the caller. */
@@ -137,6 +139,8 @@
   readHead(call: Call, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): AnswerHead;
   /** Whether the head of the answer to a control request says that its backend server leaves. */
   saysServerLeaves(headers: Readonly<Record<string, string | string[] | undefined>>): boolean;
+  /** Pause in ms that the head of the answer to a control request asks for, or `null`. */
+  controlPauseMs(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): number | null;
   /** Handle in the answer to a prefill, or `null` where the body has none. */
   readHandle(server: ServerRecord, body: Buffer): PrefillHandle | null;
   /** Request that frees the KV cache of a handle. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { RouteTable } from './configuration.js';
 import { StoreContact } from './contact.js';
 import type { Codec } from './codec.js';
+import { ControlClient } from './control.js';
 import { MAX_ADDRESSES, sampleAddresses } from './directory.js';
 import { Discovery } from './discovery.js';
 import { Duties } from './duties.js';
@@ -30,6 +31,7 @@
 import type { MachineLimits } from './machinelimits.js';
 import { Occupancy } from './occupancy.js';
 import type { Datagrams } from './occupancy.js';
+import { ServerPauses } from './pauses.js';
 import { PeerGateways } from './peergateways.js';
 import { PlaceExchange } from './places/index.js';
 import type { Provider } from './provider.js';
@@ -193,6 +195,8 @@
     const leaving = this.disposables.add(new LeavingAnswers({
       ...deps, registry: this.registry, announcements: this.membership,
     }));
+    const pauses = new ServerPauses(deps);
+    const control = new ControlClient({ ...deps, leaving, pauses });
     this.ledger = new WorkLedger(clock);
     this.occupancy = new Occupancy({
       clock, members: this.membership, datagrams: deps.datagrams, ledger: this.ledger,
@@ -258,6 +262,8 @@
       places: () => (this.placesAreOwned() ? this.places : null),
       prompts: this.quarantine,
       leaving,
+      pauses,
+      control,
       quarantine: this.quarantine,
       exchange: this.quarantineExchange,
       trials: this.trials,
@@ -272,7 +278,7 @@
       registry: this.registry,
       fleet: this.fleet,
       occupancy: this.occupancy,
-      leaving,
+      control,
       engineServices: () => this.routes?.engineServices ?? [],
       isScaled: (service) => (this.routes?.configuration.services.get(service)?.scaling ?? null) !== null,
     }, settings.gateway.name);
--- a/src/gateway/rolebalancer.ts
+++ b/src/gateway/rolebalancer.ts
@@ -4,10 +4,9 @@
 } from '../core/interfaces/index.js';
 import { Role } from '../core/interfaces/index.js';
 import { sleep } from '../core/time.js';
-import { sendControlRequest } from './control.js';
+import type { ControlClient } from './control.js';
 import type { Codec } from './codec.js';
 import type { BackendFleet } from './fleet.js';
-import type { LeavingAnswers } from './leavinganswers.js';
 import type { Occupancy } from './occupancy.js';
 import type { ServerRecord, ServerRegistry } from './serverregistry.js';
 
@@ -88,7 +87,7 @@
   readonly registry: ServerRegistry;
   readonly fleet: BackendFleet;
   readonly occupancy: Occupancy;
-  readonly leaving: Pick<LeavingAnswers, 'record'>;
+  readonly control: Pick<ControlClient, 'send'>;
   /** Names of the services whose servers are engines; none before the first configuration. */
   readonly engineServices: () => readonly string[];
   /** Whether the number of a service's servers is ordered. */
@@ -149,27 +148,25 @@
 
   private async orderRole({ server, role }: RoleChange, term: number): Promise<void> {
     const {
-      codec: platformCodec, authority, log, meter, clock,
+      codec: platformCodec, authority, log, meter, clock, control,
     } = this.deps;
     this.orderedAt.set(server.id, clock.monotonic());
     const { pool } = this.deps.fleet.serverFor(server);
-    const report = await sendControlRequest(pool, server.address, platformCodec.reportRequest(), clock);
+    const report = await control.send(pool, server, platformCodec.reportRequest(), 'report');
     const state = report === null ? null : platformCodec.readReport(report.body);
     if (state === null) {
       log.warn('role_not_ordered', { server: server.id, reason: 'no report' });
       return;
     }
-    if (report !== null && platformCodec.saysServerLeaves(report.headers)) this.deps.leaving.record(server, 'report');
     if (this.deps.registry.isLeaving(server)) {
       log.warn('role_not_ordered', { server: server.id, reason: 'the server leaves' });
       return;
     }
     if (state.changing || state.role === String(role)) return;
     if (!authority.mayAct() || authority.term !== term) return;
-    const answer = await sendControlRequest(pool, server.address, platformCodec.orderRequest(server, {
+    const answer = await control.send(pool, server, platformCodec.orderRequest(server, {
       holder: this.holder, fencingToken: term, expectedSequence: state.sequence, role,
-    }), clock);
-    if (answer !== null && platformCodec.saysServerLeaves(answer.headers)) this.deps.leaving.record(server, 'order');
+    }), 'order');
     meter.count('role_orders', 1, { role, status: String(answer?.status ?? 'none') });
     log.info('role_ordered', {
       server: server.id, role, term, sequence: state.sequence, status: answer?.status ?? null,
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -2,13 +2,16 @@
 import { assertNever } from '../core/result.js';
 import type { RetryBudget } from '../core/retries.js';
 import { CallKind } from './configuration.js';
-import { sendControlRequest } from './control.js';
-import type { Codec, PrefillHandle, SendPlan } from './codec.js';
+import type { ControlClient } from './control.js';
+import type {
+  AnswerHead, Codec, PrefillHandle, SendPlan,
+} from './codec.js';
 import type { Estimates, PrefillWork } from './engineestimates.js';
 import type { BackendFleet, BackendServer } from './fleet.js';
 import type { LeavingAnswers } from './leavinganswers.js';
 import type { PromptObserver } from './openruns.js';
 import type { Refusal } from './outcome.js';
+import type { ServerPauses } from './pauses.js';
 import { promptSize, suspectIds } from './placement.js';
 import type { ServerRecord } from './serverregistry.js';
 import type { ReservedServer } from './reservedserver.js';
@@ -27,6 +30,8 @@
   readonly estimates: Estimates;
   readonly prompts: PromptObserver;
   readonly leaving: Pick<LeavingAnswers, 'record'>;
+  readonly pauses: Pick<ServerPauses, 'record'>;
+  readonly control: Pick<ControlClient, 'send'>;
   /** This process's share of the retry budget of a service. */
   readonly budget: (service: string) => RetryBudget;
   /** Counts a call of a workspace that a server has begun to run. */
@@ -87,6 +92,17 @@
   return { promptTokens, ownTokens, ahead: prefillsAhead };
 }
 
+/** What the head of an answer says about its server. */
+function statementsOf(outcome: SendOutcome): Pick<AnswerHead, 'serverLeaves' | 'pauseMs'> {
+  switch (outcome.type) {
+    case 'answered': return outcome.head;
+    case 'not_executed': return outcome;
+    case 'not_sent':
+    case 'broken': return { serverLeaves: false, pauseMs: null };
+    default: return assertNever(outcome);
+  }
+}
+
 /** Sends calls to backend servers within the retry budget. */
 export class Sender {
   public constructor(
@@ -221,9 +237,9 @@
     const outcome = await upstream.outcome;
     answered = outcome.type === 'answered' && outcome.head.status === 200;
     silence.dispose();
-    const saysLeaving = outcome.type === 'answered' ? outcome.head.serverLeaves
-      : outcome.type === 'not_executed' && outcome.serverLeaves;
-    if (saysLeaving) this.deps.leaving.record(server, work.type);
+    const { serverLeaves, pauseMs } = statementsOf(outcome);
+    if (serverLeaves) this.deps.leaving.record(server, work.type);
+    if (pauseMs !== null) this.deps.pauses.record(server, pauseMs, work.type);
     if (outcome.type === 'not_executed') {
       const late = clock.after(REFUSAL_BODY_MS, () => upstream.abort('the refusal has no end'));
       void upstream.closed.then(() => late.dispose());
@@ -238,7 +254,8 @@
       if (outcome.type === 'not_sent') backend.wasUnreachable();
       else backend.refused();
     }
-    addStep(context.trace, `${work.type}:${server.id}:${outcome.type}`, clock.monotonic());
+    const pause = pauseMs === null ? '' : `:pause=${Math.round(pauseMs)}`;
+    addStep(context.trace, `${work.type}:${server.id}:${outcome.type}${pause}`, clock.monotonic());
     return {
       backend, upstream, outcome, tookMs: clock.monotonic() - sentAt, timedOut,
     };
@@ -263,10 +280,9 @@
   /** Frees the KV cache of a prefill from which no engine will continue. */
   public freeCache({ handle, holder, record }: PrefilledPrompt): void {
     if (holder.pool.isDisposed) return;
-    const { clock, codec: platformCodec, log } = this.deps;
-    void sendControlRequest(holder.pool, handle.address, platformCodec.freeRequest(handle), clock).then((answer) => {
+    const { codec: platformCodec, control, log } = this.deps;
+    void control.send(holder.pool, record, platformCodec.freeRequest(handle), 'free').then((answer) => {
       if (answer === null) log.warn('handle_not_freed', { address: handle.address });
-      else if (platformCodec.saysServerLeaves(answer.headers)) this.deps.leaving.record(record, 'free');
     });
   }
 
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -14,6 +14,7 @@
     readonly status: number;
     readonly message: string;
     readonly serverLeaves: boolean;
+    readonly pauseMs: number | null;
   }
   /** The call was written, and it is unknown whether it was executed. */
   | { readonly type: 'broken'; readonly message: string }
@@ -165,9 +166,9 @@
     // On a connection with an earlier request, an answer without an id may be a copy of the one to that request.
     if (!head.matchesCall || (isReused && !head.namesCall)) this.abort('the answer belongs to another call');
     else if (head.execution === Execution.NotExecuted) {
-      const { serverLeaves } = head;
+      const { serverLeaves, pauseMs } = head;
       this.finish({
-        type: 'not_executed', status, message: `refused with status ${status}`, serverLeaves,
+        type: 'not_executed', status, message: `refused with status ${status}`, serverLeaves, pauseMs,
       });
       // The body is read only so that the connection can be used for the next call.
       void this.collect(MAX_REFUSAL_BYTES);
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -4,7 +4,7 @@
 import { readHandle, readReport } from '../platform/engines.js';
 import { readConfiguration, readServer } from '../platform/records.js';
 import {
-  readCall, readHead, parsePromptParts, sendHeaders,
+  controlPauseMs, readCall, readHead, parsePromptParts, sendHeaders,
 } from '../platform/requests.js';
 import { Role } from '../src/core/interfaces/index.js';
 import { createServerRecord } from '../src/emulator/backend.js';
@@ -152,6 +152,19 @@
     expect(readHead(own, 200, { ...signature, 'content-encoding': 'gzip' }).signed).toBe(false);
   });
 
+  // Guards against requests to a server that has asked for a pause, and against values that take it away for good.
+  it.each<[string | string[] | undefined, number | null]>([
+    ['3', 3_000], ['0.25', 250], [' 2. ', 2_000], [['1', '4'], 4_000], ['2, 5', 5_000], ['9'.repeat(400), 3_600_000],
+    ['0', null], ['-1', null], ['', null], ['1e3', null], ['0x10', null], ['soon', null], [undefined, null],
+    ['Mon, 07 Dec 2026 13:00:00 GMT', null],
+  ])('with 503 and Retry-After %j ask for a pause of %j ms', (value, pauseMs) => {
+    const headers = { 'retry-after': value, 'catkinscale-request-id': 'r1' };
+    expect(readHead(own, 503, headers).pauseMs).toBe(pauseMs);
+    expect(readHead(own, 429, headers).pauseMs).toBeNull();
+    expect(controlPauseMs(503, { 'retry-after': value })).toBe(pauseMs);
+    expect(controlPauseMs(503, headers)).toBeNull();
+  });
+
   it('of engines are decoded to null, without an exception, if they are invalid (fuzzed)', () => {
     const record = readServer('servers/i-1', SERVER);
     if (!record.success) throw new Error(record.error);
