Send a backend server nothing while it has asked for a pause

Cause: nothing kept what the header says. A paused server is no candidate for any of them and is checked once more just before the write. It is not told to other gateways, as the server has asked only this one. A pause is no failure: it is charged neither to the server (avoidance, handovers) nor to prompts.

A request held back before the write has an outcome of its own, `withheld`. Until now, for servers that leave, it was `not_sent`: the server counted as unreachable (server_avoided), the send was charged to the retry budget, a prefill to its attempts, and the call counted as tried, so that it no longer waited in the queue of its engines. Now nothing is charged and the call is placed again.

Where all servers that could take a call are paused, it is refused at once as `paused`: 503, Retry-After is the first end and up to 0.25 s more, rounded up. A call to an engine waits in the queue instead where the first pause ends within half of the time that it has left: it is then served in one attempt, while callers that honour Retry-After only up to a third of their time would be back too early and be refused again; a call that could not be served well before its deadline is free to try another gateway now. Calls that wait already are refused by the same rule once all servers are paused, and the end of a pause wakes the queue. Plain services have no queue; their calls, and continuations while all decoders are paused, are refused at once. Roles are ordered from paused engines last and later.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -18,9 +18,10 @@
 const MS_PER_S = 1_000;
 
 function describeServer({
-  server, failureDomain, open, limit, suspect, preferred,
+  server, failureDomain, open, limit, suspect, pausedMs, preferred,
 }: ExplainedServer): string {
-  const notes = [preferred ? 'preferred' : '', suspect ? 'avoided' : '', open >= limit ? 'full' : '']
+  const paused = pausedMs === null ? '' : `paused for ${(pausedMs / MS_PER_S).toFixed(2)} s`;
+  const notes = [preferred ? 'preferred' : '', suspect ? 'avoided' : '', paused, open >= limit ? 'full' : '']
     .filter((note) => note !== '');
   return `    ${server} (${failureDomain}) ${open} of ${limit} open${notes.length === 0 ? '' : `, ${notes.join(', ')}`}`;
 }
--- a/src/core/retries.ts
+++ b/src/core/retries.ts
@@ -45,6 +45,11 @@
     this.tokens = Math.min(this.tokens, this.burst()) - 1;
     return true;
   }
+
+  /** Returns a retry that was taken and not made. */
+  public giveBack(): void {
+    this.tokens = Math.min(this.burst(), this.tokens + 1);
+  }
 }
 
 /** States whether an attempt was sent to the backend server; `No` only if it certainly was not. */
--- a/src/emulator/gatewaygroup.ts
+++ b/src/emulator/gatewaygroup.ts
@@ -294,8 +294,9 @@
     const all = [...this.engines.map(({ record }) => record), DECODER];
     const records = new Map(all.map((record) => [record.id, record]));
     const fleet: SlotFleet = {
+      pauses: { size: 0, onEnd: () => ({ dispose: () => {} }) },
       candidates: (_service, open, limit): readonly Candidate[] => [...records.values()].map((record) => ({
-        record, open: open(occupancy.total(record.id)), limit: limit(record), suspect: false,
+        record, open: open(occupancy.total(record.id)), limit: limit(record), suspect: false, pausedUntil: null,
       })),
       record: (id) => records.get(id) ?? null,
       serverFor: ({ id }) => ({ handovers: { isAvoided: false }, times: this.timesOf(id) }),
--- a/src/gateway/control.ts
+++ b/src/gateway/control.ts
@@ -22,14 +22,17 @@
   readonly clock: Clock;
   readonly codec: Pick<Codec, 'saysServerLeaves' | 'controlPauseMs'>;
   readonly leaving: Pick<LeavingAnswers, 'record'>;
-  readonly pauses: Pick<ServerPauses, 'record'>;
+  readonly pauses: Pick<ServerPauses, 'record' | 'endsAt'>;
 }
 
 /** Sends control requests to backend servers, and records what the heads of the answers say about the servers. */
 export class ControlClient {
   public constructor(private readonly deps: ControlClientDependencies) {}
 
-  /** Sends a request of the given kind; resolves with `null` where no complete answer arrives in time. */
+  /**
+   * Sends a request of the given kind, unless the server has asked for a pause; resolves with `null` where no complete
+   * answer arrives in time.
+   */
   public send(
     pool: ConnectionPool,
     server: ServerRecord,
@@ -41,6 +44,8 @@
     const {
       clock, codec: platformCodec, leaving, pauses,
     } = this.deps;
+    const mayBeSent = (): boolean => pauses.endsAt(server) === null;
+    if (!mayBeSent()) return Promise.resolve(null);
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
       let status = 0;
@@ -53,7 +58,7 @@
       const request = pool.send({
         method, path, headers: ['host', server.address, ...ownHeaders], body, id: null,
       }, {
-        mayBeSent: () => true,
+        mayBeSent,
         sent: () => {},
         head: (value, headers) => {
           status = value;
--- a/src/gateway/explanation.ts
+++ b/src/gateway/explanation.ts
@@ -60,6 +60,8 @@
   readonly limit: number;
   /** Whether recent calls failed there, so that it gets no work. */
   readonly suspect: boolean;
+  /** Time in ms for which the server still wants no request; `null` where it has not asked for a pause. */
+  readonly pausedMs: number | null;
   /** Whether rendezvous hashing selects it for the shared part of the prompt. */
   readonly preferred: boolean;
 }
@@ -106,12 +108,13 @@
   };
 }
 
-/** Describes a candidate; `preferred` is the engine that rendezvous hashing selects. */
+/** Describes a candidate at a monotonic time in ms; `preferred` is the engine that rendezvous hashing selects. */
 export function explainServer(
   {
-    record, open, limit, suspect,
+    record, open, limit, suspect, pausedUntil,
   }: Candidate,
   preferred: string | null,
+  now: number,
 ): ExplainedServer {
   return {
     server: record.id,
@@ -120,6 +123,7 @@
     open,
     limit,
     suspect,
+    pausedMs: pausedUntil === null ? null : Math.round(pausedUntil - now),
     preferred: record.id === preferred,
   };
 }
--- a/src/gateway/fleet.ts
+++ b/src/gateway/fleet.ts
@@ -4,6 +4,7 @@
 import type { Occupancy, OpenCalls } from './occupancy.js';
 import { isProven, OpenRuns } from './openruns.js';
 import type { PromptObserver, Run, RunsListener } from './openruns.js';
+import type { ServerPauses } from './pauses.js';
 import { describeParts } from './placement.js';
 import type { Candidate } from './placement.js';
 import type { ServerRecord, ServerRegistry } from './serverregistry.js';
@@ -126,6 +127,11 @@
     this.calls.succeeded();
   }
 
+  /** Records that the server asks for a pause, which is no failure. */
+  public askedForPause(): void {
+    this.answeredAt = this.clock.monotonic();
+  }
+
   /** Records a refusal, or an answer that broke off. */
   public refused(): void {
     this.answeredAt = this.clock.monotonic();
@@ -152,12 +158,16 @@
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly prompts: PromptObserver,
+    public readonly pauses: Pick<ServerPauses, 'size' | 'endsAt' | 'onEnd'>,
   ) {
     this.subscription = registry.onChange((id) => this.closeReplaced(id));
     this.checkEndlessHeads();
   }
 
-  /** Servers of a service that take work. `open` counts the open calls of one, and `limit` is how many it may have. */
+  /**
+   * Servers of a service that do not leave, also those that have asked for a pause. `open` counts the open calls of one
+   * and `limit` is how many it may have.
+   */
   public candidates(
     service: string,
     open: (calls: OpenCalls) => number,
@@ -168,6 +178,7 @@
       open: open(this.occupancy.total(record.id)),
       limit: limit(record),
       suspect: this.serverFor(record).suspect,
+      pausedUntil: this.pauses.endsAt(record),
     }));
   }
 
@@ -188,9 +199,9 @@
     return server;
   }
 
-  /** Whether an incarnation leaves, by its record or by what it has said in an answer. */
-  public isLeaving(record: ServerRecord): boolean {
-    return this.registry.isLeaving(record);
+  /** Whether an incarnation takes requests now: it does not leave and has not asked for a pause. */
+  public takesRequests(record: ServerRecord): boolean {
+    return !this.registry.isLeaving(record) && this.pauses.endsAt(record) === null;
   }
 
   /** Record of the server that is registered under an id, or `null`. */
@@ -207,6 +218,7 @@
   public dump(): readonly Record<string, unknown>[] {
     return this.registry.all().map((record) => {
       const server = this.serverFor(record);
+      const pausedUntil = this.pauses.endsAt(record);
       return {
         ...record,
         leaving: this.registry.isLeaving(record),
@@ -214,6 +226,7 @@
         open: this.occupancy.total(record.id),
         connections: server.pool.size,
         suspect: server.suspect,
+        paused_ms: pausedUntil === null ? null : Math.round(pausedUntil - this.clock.monotonic()),
       };
     });
   }
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -316,7 +316,9 @@
       if (result.type === 'refused') return context.ended.aborted ? this.endResult(context) : result;
       prefilled = result;
     }
-    let lastRefusal: Refusal = { code: 'not_executed', retryAfterMs: RETRY_AFTER_MS };
+    let lastRefusal: Refusal | null = null;
+    const refuse = (): Delivery => refused(lastRefusal ?? this.slotAllocator.pausedRefusal(service)
+      ?? { code: 'not_executed', retryAfterMs: RETRY_AFTER_MS });
     for (let attempts = 0; attempts < route.maxAttempts;) {
       const reserved = prefilled === null
         ? await this.slotAllocator.reserveWholeCall(context, tried)
@@ -325,18 +327,22 @@
         if (reserved.success) reserved.data.reservation.dispose();
         if (prefilled !== null) this.sender.freeCache(prefilled);
         if (context.ended.aborted) return this.endResult(context);
-        return refused(tried.size > 0 || reserved.success ? lastRefusal : reserved.error);
+        return reserved.success || tried.size > 0 ? refuse() : refused(reserved.error);
       }
       if (!this.sender.reserveSend(context)) {
         reserved.data.reservation.dispose();
         break;
       }
       const server = reserved.data.server.id;
-      tried.add(server);
       const plannedWork: SendPlan['work'] = prefilled === null
         ? { type: 'whole' } : { type: 'decode', handle: prefilled.handle };
       const sending = await this.sender.send(context, reserved.data, plannedWork);
       const { upstream, outcome, tookMs } = sending;
+      if (outcome.type === 'withheld') {
+        this.sender.returnSend(context);
+        continue;
+      }
+      tried.add(server);
       if (prefilled !== null) this.sender.recordHandover(prefilled.holder, sending);
       if (outcome.type === 'answered') {
         const { head } = outcome;
@@ -367,7 +373,7 @@
       else attempts += 1;
     }
     if (prefilled !== null) this.sender.freeCache(prefilled);
-    return refused(lastRefusal);
+    return refuse();
   }
 
   /** Whether another engine prefills the prompt of a call before a decoder continues from it. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -195,7 +195,7 @@
     const leaving = this.disposables.add(new LeavingAnswers({
       ...deps, registry: this.registry, announcements: this.membership,
     }));
-    const pauses = new ServerPauses(deps);
+    const pauses = this.disposables.add(new ServerPauses(deps));
     const control = new ControlClient({ ...deps, leaving, pauses });
     this.ledger = new WorkLedger(clock);
     this.occupancy = new Occupancy({
@@ -209,7 +209,7 @@
     this.quarantineExchange = new QuarantineExchange(quarantineDeps, { hasSeeds: settings.peers.seeds.length > 0 });
     this.trials = new Trials(quarantineDeps);
     this.fleet = this.disposables.add(
-      new BackendFleet(this.registry, this.occupancy, clock, deps.log, this.quarantine),
+      new BackendFleet(this.registry, this.occupancy, clock, deps.log, this.quarantine, pauses),
     );
     const recordDeps = {
       ...deps,
@@ -376,7 +376,7 @@
     return {
       gateway: { name: this.settings.gateway.name, ready: this.ready(), running: this.forwarder.running },
       configuration: { version: this.routes?.configuration.version ?? null, ...this.configuration.dump() },
-      servers: { ...this.servers.dump(), list: this.fleet.dump() },
+      servers: { ...this.servers.dump(), paused: this.fleet.pauses.size, list: this.fleet.dump() },
       membership: this.membership.dump(),
       authority: this.authority.dump(),
       occupancy: this.occupancy.dump(),
--- a/src/gateway/outcome.ts
+++ b/src/gateway/outcome.ts
@@ -13,6 +13,8 @@
   | { readonly code: 'no_server'; readonly retryAfterMs: number }
   /** All available backend servers are fully occupied. */
   | { readonly code: 'occupied'; readonly retryAfterMs: number }
+  /** All available backend servers have asked for a pause. */
+  | { readonly code: 'paused'; readonly retryAfterMs: number }
   /** Each send was refused by its backend server or could not be written. */
   | { readonly code: 'not_executed'; readonly retryAfterMs: number }
   /** A part of the prompt has crashed backend servers. */
@@ -43,6 +45,7 @@
     case 'head_too_large': return { status: 431, retryAfterMs: null };
     case 'no_server':
     case 'occupied':
+    case 'paused':
     case 'not_executed':
     case 'quarantined':
     case 'stopping':
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -15,6 +15,8 @@
   readonly limit: number;
   /** Whether recent calls failed there. */
   readonly suspect: boolean;
+  /** Monotonic time in ms until which the server wants no request; `null` where it has not asked for a pause. */
+  readonly pausedUntil: number | null;
 }
 
 /** Sizes of a prompt in tokens; one without parts has nothing that other requests share. */
@@ -118,6 +120,21 @@
   return lowestByRendezvous(ids, part, count);
 }
 
+/** Candidates that take requests now, as they have not asked for a pause. */
+export function withoutPaused(candidates: readonly Candidate[]): readonly Candidate[] {
+  return candidates.filter(({ pausedUntil }) => pausedUntil === null);
+}
+
+/** Monotonic time in ms at which the first pause ends; `null` unless there are candidates and all are paused. */
+export function firstPauseEnd(candidates: readonly Candidate[]): number | null {
+  let first: number | null = null;
+  for (const { pausedUntil } of candidates) {
+    if (pausedUntil === null) return null;
+    first = Math.min(first ?? Infinity, pausedUntil);
+  }
+  return first;
+}
+
 /** Candidates that do the work of a role; an engine without a role does all kinds of work. */
 export function withRole(candidates: readonly Candidate[], role: Role): readonly Candidate[] {
   return candidates.filter(({ record }) => record.role === role || record.role === Role.Mixed || record.role === null);
--- a/src/gateway/report.ts
+++ b/src/gateway/report.ts
@@ -7,7 +7,15 @@
 import type { Refusal } from './outcome.js';
 import type { Delivery, Trace } from './callcontext.js';
 
-const MS_PER_S = 1_000;
+/** Unit in ms in which a retry delay is stated, in seconds with two decimals. */
+const RETRY_UNIT_MS = 10;
+
+const RETRY_UNITS_PER_S = 100;
+
+/** Value of `Retry-After` in seconds, rounded up so that no caller returns too early. */
+function formatRetryAfter(retryAfterMs: number): string {
+  return (Math.ceil(retryAfterMs / RETRY_UNIT_MS) / RETRY_UNITS_PER_S).toFixed(2);
+}
 
 /** Answers a call with a refusal, unless an answer has begun or the connection is closed. */
 export function sendRefusal(res: ServerResponse, refusal: Refusal): void {
@@ -18,7 +26,7 @@
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
     ...(refusal.code === 'unauthorized' ? { 'www-authenticate': 'Bearer' } : {}),
-    ...(retryAfterMs === null ? {} : { 'retry-after': (retryAfterMs / MS_PER_S).toFixed(2) }),
+    ...(retryAfterMs === null ? {} : { 'retry-after': formatRetryAfter(retryAfterMs) }),
   });
   res.end(text);
 }
--- a/src/gateway/rolebalancer.ts
+++ b/src/gateway/rolebalancer.ts
@@ -117,11 +117,15 @@
   }
 
   private async balanceRoles(service: string, term: number): Promise<void> {
-    const changes = planRoles(this.deps.registry.available(service), ({ id }) => {
+    const isPaused = (server: ServerRecord): boolean => this.deps.fleet.pauses.endsAt(server) !== null;
+    const servers = this.deps.registry.available(service);
+    // Others go before those that have asked for a pause.
+    const inOrder = [...servers.filter((server) => !isPaused(server)), ...servers.filter(isPaused)];
+    const changes = planRoles(inOrder, ({ id }) => {
       const { prefills, continuations, wholes } = this.deps.occupancy.total(id);
       return prefills + continuations + wholes === 0;
     }, this.currentShortageMs(service), this.deps.isScaled(service));
-    await Promise.all(changes.filter(({ server }) => this.mayBeOrdered(server))
+    await Promise.all(changes.filter(({ server }) => !isPaused(server) && this.mayBeOrdered(server))
       .map((change) => this.orderRole(change, term)));
   }
 
@@ -158,8 +162,9 @@
       log.warn('role_not_ordered', { server: server.id, reason: 'no report' });
       return;
     }
-    if (this.deps.registry.isLeaving(server)) {
-      log.warn('role_not_ordered', { server: server.id, reason: 'the server leaves' });
+    if (!this.deps.fleet.takesRequests(server)) {
+      const reason = this.deps.registry.isLeaving(server) ? 'the server leaves' : 'the server has asked for a pause';
+      log.warn('role_not_ordered', { server: server.id, reason });
       return;
     }
     if (state.changing || state.role === String(role)) return;
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -98,11 +98,34 @@
     case 'answered': return outcome.head;
     case 'not_executed': return outcome;
     case 'not_sent':
+    case 'withheld':
     case 'broken': return { serverLeaves: false, pauseMs: null };
     default: return assertNever(outcome);
   }
 }
 
+/** Records what the outcome of a send says about the health of its server; nothing where this process gave it up. */
+function recordHealth(backend: BackendServer, outcome: SendOutcome, isGivenUp: boolean): void {
+  switch (outcome.type) {
+    case 'answered':
+      backend.succeeded();
+      break;
+    case 'not_executed':
+      if (outcome.pauseMs === null) backend.refused();
+      else backend.askedForPause();
+      break;
+    case 'not_sent':
+      if (!isGivenUp) backend.wasUnreachable();
+      break;
+    case 'broken':
+      if (!isGivenUp) backend.refused();
+      break;
+    case 'withheld':
+      break;
+    default: assertNever(outcome);
+  }
+}
+
 /** Sends calls to backend servers within the retry budget. */
 export class Sender {
   public constructor(
@@ -118,7 +141,7 @@
   public async prefill(context: CallContext, tried: Set<string>, isRetry: boolean): Promise<PrefillResult> {
     const { service, trace } = context;
     const { clock, budget, codec: platformCodec } = this.deps;
-    for (let attempts = 0; ; attempts += 1) {
+    for (let mustTake = isRetry; ;) {
       const reserved = await this.slotAllocator.reservePrefill(context, tried);
       addStep(trace, reserved.success ? 'line' : 'line:refused', clock.monotonic());
       if (!reserved.success) return { type: 'refused', refusal: reserved.error };
@@ -127,15 +150,20 @@
         reservation.dispose();
         return { type: 'refused', refusal: { code: 'expired', retryAfterMs: RETRY_AFTER_MS } };
       }
-      if ((isRetry || attempts > 0) && !budget(service.name).take()) {
+      if (mustTake && !budget(service.name).take()) {
         reservation.dispose();
         addStep(trace, 'prefill:budget', clock.monotonic());
         return { type: 'refused', refusal: { code: 'not_executed', retryAfterMs: RETRY_AFTER_MS } };
       }
-      tried.add(server.id);
       const {
         backend, upstream, outcome, tookMs, timedOut,
       } = await this.send(context, reserved.data, { type: 'prefill' });
+      if (outcome.type === 'withheld') {
+        if (mustTake) budget(service.name).giveBack();
+        continue;
+      }
+      tried.add(server.id);
+      mustTake = true;
       const estimates = this.deps.estimates.forService(service.name);
       const work = prefillWork(context, reserved.data);
       if (timedOut) estimates.recordSilence(backend.times, work, tookMs);
@@ -164,6 +192,12 @@
     return false;
   }
 
+  /** Takes back what {@link reserveSend} has counted, for a send that was withheld. */
+  public returnSend({ trace, service }: CallContext): void {
+    trace.countedSends -= 1;
+    if (trace.countedSends > 0) this.deps.budget(service.name).giveBack();
+  }
+
   /** Sends a call once and waits for the head of the answer; the slot is released when the answer has ended. */
   public async send(
     context: CallContext,
@@ -201,8 +235,8 @@
       caller: context.caller,
       work,
     }, context.body, {
-      // The server may have said that it leaves while this call waited for a connection.
-      mayBeSent: () => !fleet.isLeaving(server),
+      // The server may have said that it leaves, or asked for a pause, while this call waited for a connection.
+      mayBeSent: () => fleet.takesRequests(server),
       written: () => {
         trace.writtenMs = Math.round(clock.monotonic() - sentAt);
         if (run !== null) backend.runs.written(run);
@@ -246,14 +280,8 @@
     }
     const mayHaveRun = outcome.type === 'answered' || outcome.type === 'broken';
     if (context.service.engine === null && mayHaveRun) this.countBegin(context);
-    if (outcome.type === 'answered') {
-      backend.succeeded();
-      this.deps.prompts.recordAnswer(server, sentAt);
-    } else if (outcome.type === 'not_executed') backend.refused();
-    else if (!context.ended.aborted) {
-      if (outcome.type === 'not_sent') backend.wasUnreachable();
-      else backend.refused();
-    }
+    if (outcome.type === 'answered') this.deps.prompts.recordAnswer(server, sentAt);
+    recordHealth(backend, outcome, context.ended.aborted);
     const pause = pauseMs === null ? '' : `:pause=${Math.round(pauseMs)}`;
     addStep(context.trace, `${work.type}:${server.id}:${outcome.type}${pause}`, clock.monotonic());
     return {
@@ -269,12 +297,12 @@
   }
 
   /**
-   * Records whether a call could continue from a prefill of the given engine. A broken connection to the decoder is not
-   * counted, because it says nothing about that engine.
+   * Records whether a call could continue from a prefill of the given engine. A broken connection to the decoder and a
+   * pause that it asks for are not counted, because they say nothing about that engine.
    */
   public recordHandover({ handovers }: BackendServer, { outcome, timedOut }: SendResult): void {
     if (outcome.type === 'answered') handovers.succeeded();
-    else if (outcome.type === 'not_executed' || timedOut) handovers.failed();
+    else if ((outcome.type === 'not_executed' && outcome.pauseMs === null) || timedOut) handovers.failed();
   }
 
   /** Frees the KV cache of a prefill from which no engine will continue. */
--- a/src/gateway/slotallocator.ts
+++ b/src/gateway/slotallocator.ts
@@ -2,6 +2,7 @@
   Clock, Disposable, Meter, Random,
 } from '../core/interfaces/index.js';
 import { Role } from '../core/interfaces/index.js';
+import { DisposableStore } from '../core/disposables.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
 import type { ForwardingService } from './configuration.js';
@@ -11,10 +12,11 @@
 import type { AvoidanceTracker, BackendFleet } from './fleet.js';
 import type { Occupancy, OpenCalls } from './occupancy.js';
 import type { Refusal } from './outcome.js';
+import type { ServerPauses } from './pauses.js';
 import type { PlaceExchange } from './places/index.js';
 import {
-  suspectFailedHandovers, mayTakeLateCall, selectPreferredEngines, pickLeastOccupied, promptSize, sharedPartId,
-  withRole,
+  firstPauseEnd, suspectFailedHandovers, mayTakeLateCall, selectPreferredEngines, pickLeastOccupied, promptSize,
+  sharedPartId, withoutPaused, withRole,
 } from './placement.js';
 import type { Candidate } from './placement.js';
 import { PrefillPlaces } from './prefillplaces.js';
@@ -49,6 +51,9 @@
 
 const RETRY_AFTER_MS = 250;
 
+/** Time in ms over which callers return after the end of a pause. */
+const PAUSE_SPREAD_MS = 250;
+
 const NO_PROMPT: PromptSize = { promptTokens: 0, ownTokens: 0 };
 
 /** What a call in a queue waits for; times in ms. */
@@ -59,6 +64,7 @@
 
 /** What the choice of a server needs to know of the fleet. */
 export interface SlotFleet extends Pick<BackendFleet, 'candidates' | 'record'> {
+  readonly pauses: Pick<ServerPauses, 'size' | 'onEnd'>;
   readonly serverFor: (record: ServerRecord) => {
     readonly handovers: Pick<AvoidanceTracker, 'isAvoided'>;
     readonly times: EngineTimes;
@@ -88,14 +94,15 @@
 
   private readonly prefillPlaces: PrefillPlaces;
 
-  private readonly subscription: Disposable;
+  private readonly disposables = new DisposableStore();
 
   public constructor(
     private readonly deps: SlotAllocatorDependencies,
     private readonly opts: { readonly failureDomain: string; readonly transitMs: number },
   ) {
     this.prefillPlaces = new PrefillPlaces(deps);
-    this.subscription = deps.occupancy.onChange(() => this.assignFreeSlots());
+    this.disposables.add(deps.occupancy.onChange(() => this.assignFreeSlots()));
+    this.disposables.add(deps.fleet.pauses.onEnd(() => this.assignFreeSlots()));
     deps.occupancy.setDemandSource(() => this.demand());
   }
 
@@ -113,10 +120,12 @@
   ): Promise<Result<ReservedServer, Refusal>> {
     const { call: { generation }, route, service } = context;
     this.recordAsk(context);
-    const candidates = this.prefillCandidates(service).filter(({ record }) => !tried.has(record.id));
-    if (candidates.length === 0) return fail({ code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS });
+    const all = this.prefillCandidates(service).filter(({ record }) => !tried.has(record.id));
+    const candidates = withoutPaused(all);
+    if (all.length === 0) return fail({ code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS });
     // A prefill is useless while no decoder has room to continue from it.
-    if (!this.workCandidates(service).some(({ open, limit }) => open < limit)) return fail(this.noSlotRefusal(service));
+    const refusal = this.refusalOf(service);
+    if (refusal !== null) return fail(refusal);
     const part = generation === null ? null : sharedPartId(generation);
     const preferredEngines = part === null ? [] : selectPreferredEngines(candidates, part, PREFERRED_ENGINES_PER_PART);
     const estimates = this.deps.estimates.forService(service.name);
@@ -131,7 +140,10 @@
     const readBy = context.trace.arrivedAt + route.targetMs - estimates.continuationMeanMs - this.opts.transitMs;
     const call = { ...queued, ...this.queueTimes(context, expectedMs), readBy };
     const given = await this.prefillPlaces.reserve(context, call, candidates);
-    if (given === null) return this.waitInQueue(this.prefillQueue(service), context, request);
+    if (given === null) {
+      const reserved = await this.waitInQueue(this.prefillQueue(service), context, request);
+      return this.orPaused(reserved, this.prefillCandidates(service));
+    }
     if (given.success) this.recordWork(context);
     return given;
   }
@@ -147,9 +159,10 @@
     const { service } = context;
     if (service.engine === null || tried.size > 0) return this.reserveLeastOccupied(service, tried, 'wholes');
     this.recordAsk(context);
-    return this.waitInQueue(this.wholeCallQueue(service), context, {
+    const reserved = await this.waitInQueue(this.wholeCallQueue(service), context, {
       preferredEngines: [], otherEngineAfterMs: 0, expectedMs: 0,
     });
+    return this.orPaused(reserved, this.wholeCallCandidates(service));
   }
 
   /** Reserves a slot at a decoder, not in `tried`, for the rest of a call whose prefill is done. */
@@ -159,18 +172,21 @@
 
   /** Steps of a call with the servers that it would use now; nothing is reserved. */
   public explain({ call: { generation }, service }: CallContext, needsPrefill: boolean): readonly ExplainedStep[] {
+    const now = this.deps.clock.monotonic();
     const steps: ExplainedStep[] = [];
     if (needsPrefill && generation !== null) {
       const candidates = this.prefillCandidates(service);
       const part = sharedPartId(generation);
       const preferred = part === null ? null
-        : selectPreferredEngines(candidates, part, PREFERRED_ENGINES_PER_PART)[0] ?? null;
-      const hasRoom = ({ open, limit, suspect }: Candidate): boolean => open < limit && !suspect;
+        : selectPreferredEngines(withoutPaused(candidates), part, PREFERRED_ENGINES_PER_PART)[0] ?? null;
+      const hasRoom = ({
+        open, limit, suspect, pausedUntil,
+      }: Candidate): boolean => open < limit && !suspect && pausedUntil === null;
       const ordered = [...candidates].sort((left, right) => Number(hasRoom(right)) - Number(hasRoom(left))
         || Number(right.record.id === preferred) - Number(left.record.id === preferred) || left.open - right.open);
       steps.push({
         step: 'prefill',
-        servers: ordered.map((candidate) => explainServer(candidate, preferred)),
+        servers: ordered.map((candidate) => explainServer(candidate, preferred, now)),
         waiting: this.prefillQueues.get(service.name)?.length ?? 0,
         placesAreOwned: this.deps.places() !== null,
       });
@@ -179,7 +195,7 @@
     const candidates = isStreamed ? this.wholeCallCandidates(service) : this.workCandidates(service);
     steps.push({
       step: steps.length === 0 ? 'whole' : 'continuation',
-      servers: this.inOrder(candidates, isStreamed).map((candidate) => explainServer(candidate, null)),
+      servers: this.inOrder(candidates, isStreamed).map((candidate) => explainServer(candidate, null, now)),
       waiting: isStreamed ? this.wholeCallQueues.get(service.name)?.length ?? 0 : 0,
       placesAreOwned: false,
     });
@@ -188,16 +204,22 @@
 
   /** Refusal of a call for which no server has room or is there at all, or `null`. */
   public refusalOf(service: ForwardingService): Refusal | null {
-    return this.workCandidates(service).some(({ open, limit }) => open < limit) ? null : this.noSlotRefusal(service);
+    const all = this.workCandidates(service);
+    return withoutPaused(all).some(({ open, limit }) => open < limit) ? null : this.noSlotRefusal(all);
+  }
+
+  /** Refusal of a call while all servers that could take it have asked for a pause, or `null`. */
+  public pausedRefusal(service: ForwardingService): Refusal | null {
+    return this.refusalIfPaused(this.workCandidates(service));
   }
 
   /** Whether a server other than the given one may take whole calls or continuations now. */
   public hasOtherServer(service: ForwardingService, id: string): boolean {
-    return this.workCandidates(service).some(({ record, suspect }) => record.id !== id && !suspect);
+    return withoutPaused(this.workCandidates(service)).some(({ record, suspect }) => record.id !== id && !suspect);
   }
 
   public dispose(): void {
-    this.subscription.dispose();
+    this.disposables.dispose();
     for (const all of [this.prefillQueues, this.wholeCallQueues]) for (const queue of all.values()) queue.dispose();
   }
 
@@ -211,10 +233,11 @@
     tried: ReadonlySet<string>,
     kind: keyof OpenCalls,
   ): Result<ReservedServer, Refusal> {
-    const candidates = this.workCandidates(service).filter(({ record }) => !tried.has(record.id));
+    const all = this.workCandidates(service);
+    const candidates = withoutPaused(all).filter(({ record }) => !tried.has(record.id));
     const { random } = this.deps;
     const chosen = pickLeastOccupied(candidates, this.opts.failureDomain, () => random.float());
-    if (chosen === null) return fail(this.noSlotRefusal(service));
+    if (chosen === null) return fail(this.noSlotRefusal(all));
     return ok(this.reserved(chosen.record, this.deps.occupancy.countCall(chosen.record.id, kind)));
   }
 
@@ -318,12 +341,13 @@
 
   /** Candidates in the order in which calls would use them, apart from draws between equal ones. */
   private inOrder(candidates: readonly Candidate[], isStreamed: boolean): readonly Candidate[] {
-    if (isStreamed) return [...candidates].sort((left, right) => left.open - right.open);
+    const paused = candidates.filter(({ pausedUntil }) => pausedUntil !== null);
+    let left = withoutPaused(candidates);
+    if (isStreamed) return [...[...left].sort((one, other) => one.open - other.open), ...paused];
     const ordered: Candidate[] = [];
-    let left = candidates;
     for (;;) {
       const next = pickLeastOccupied(left, this.opts.failureDomain, () => 0);
-      if (next === null) return [...ordered, ...left];
+      if (next === null) return [...ordered, ...left, ...paused];
       ordered.push(next);
       left = left.filter((candidate) => candidate !== next);
     }
@@ -338,7 +362,7 @@
   ): SlotQueue {
     const known = queues.get(service.name);
     if (known !== undefined) return known;
-    const freeSlots = (): readonly FreeSlot[] => candidates()
+    const freeSlots = (): readonly FreeSlot[] => withoutPaused(candidates())
       .filter(({ open, limit, suspect }) => open < limit && !suspect)
       .sort((left, right) => left.open - right.open)
       .map(({ record, open, limit }) => ({
@@ -348,15 +372,35 @@
         isOpenTo: (rank) => rank === UNRANKED || limit - open > this.deps.occupancy.waitingAtPeers(record.id, rank),
       }));
     const queue = new SlotQueue({
-      clock: this.deps.clock, freeSlots, reserve: (server) => this.deps.occupancy.countCall(server, kind),
+      clock: this.deps.clock,
+      freeSlots,
+      pausedUntil: () => (this.deps.fleet.pauses.size === 0 ? null : firstPauseEnd(candidates())),
+      reserve: (server) => this.deps.occupancy.countCall(server, kind),
     });
     queues.set(service.name, queue);
     return queue;
   }
 
-  private noSlotRefusal(service: ForwardingService): Refusal {
-    return this.workCandidates(service).length === 0
-      ? { code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS }
-      : { code: 'occupied', retryAfterMs: RETRY_AFTER_MS };
+  private noSlotRefusal(candidates: readonly Candidate[]): Refusal {
+    if (candidates.length === 0) return { code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS };
+    return this.refusalIfPaused(candidates) ?? { code: 'occupied', retryAfterMs: RETRY_AFTER_MS };
+  }
+
+  private refusalIfPaused(candidates: readonly Candidate[]): Refusal | null {
+    const endsAt = firstPauseEnd(candidates);
+    if (endsAt === null) return null;
+    const { clock, random } = this.deps;
+    return {
+      code: 'paused', retryAfterMs: Math.ceil(endsAt - clock.monotonic() + PAUSE_SPREAD_MS * random.float()),
+    };
+  }
+
+  /** Result of a wait, with the reason why there is no slot where all candidates have asked for a pause. */
+  private orPaused(
+    reserved: Result<ReservedServer, Refusal>,
+    candidates: readonly Candidate[],
+  ): Result<ReservedServer, Refusal> {
+    const paused = reserved.success ? null : this.refusalIfPaused(candidates);
+    return paused === null ? reserved : fail(paused);
   }
 }
--- a/src/gateway/slotqueue.ts
+++ b/src/gateway/slotqueue.ts
@@ -52,6 +52,8 @@
   readonly clock: Clock;
   /** Servers that can take one more call now. */
   readonly freeSlots: () => readonly FreeSlot[];
+  /** Monotonic time in ms until which no server takes calls, as all have asked for a pause; `null` otherwise. */
+  readonly pausedUntil?: () => number | null;
   /** Reserves a slot at a server synchronously, so that no other call gets it. */
   readonly reserve: (server: string) => Disposable;
 }
@@ -94,6 +96,9 @@
 /** Least share of the slots that late calls are assumed to get, because they get more once a load peak has passed. */
 const MIN_LATE_SHARE = 0.1;
 
+/** Largest share of the time that a call has left for which it waits for the end of a pause. */
+const MAX_PAUSE_SHARE = 1 / 2;
+
 /** Time in ms between two checks of a queue that is not empty. */
 const SWEEP_PERIOD_MS = 20;
 
@@ -255,7 +260,10 @@
     return Math.max(1, late, this.recentReservations.length * this.minLateShare) / RATE_WINDOW_MS;
   }
 
-  /** Refuses the calls whose deadline has passed, and late ones that would not get a slot before it. */
+  /**
+   * Refuses the calls whose deadline has passed or is too near to the end of a pause of all servers, and late ones that
+   * would not get a slot before it.
+   */
   private refuseUnreachable(): void {
     const now = this.deps.clock.monotonic();
     const callsPerMs = this.lateCallsPerMs();
@@ -263,7 +271,9 @@
       .map((entry) => ({ entry, rank: rankOf(entry) }))
       .sort((left, right) => left.rank - right.rank || left.entry.expiresAt - right.entry.expiresAt);
     let ahead = 0;
-    const refused = new Set(this.entries.filter(({ expiresAt }) => now > expiresAt));
+    const pausedMs = (this.deps.pausedUntil?.() ?? now) - now;
+    const refused = new Set(this.entries.filter(({ expiresAt }) => (
+      now > expiresAt || pausedMs > MAX_PAUSE_SHARE * (expiresAt - now))));
     for (const { entry } of late) {
       if (now + ahead / callsPerMs > entry.expiresAt) refused.add(entry);
       else ahead += 1;
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -8,6 +8,8 @@
 export type SendOutcome =
   /** No byte of the call was written. */
   | { readonly type: 'not_sent'; readonly message: string }
+  /** The same, because the observer had it held back just before; this says nothing of the backend server. */
+  | { readonly type: 'withheld'; readonly message: string }
   /** The backend server states that it did not execute the call. */
   | {
     readonly type: 'not_executed';
@@ -70,6 +72,8 @@
 
   private isResolved = false;
 
+  private isWithheld = false;
+
   private isAborted = false;
 
   private bodyState: 'open' | 'complete' | 'broken' = 'open';
@@ -149,7 +153,8 @@
   }
 
   public mayBeSent(): boolean {
-    return this.observer.mayBeSent?.() ?? true;
+    this.isWithheld = this.observer.mayBeSent?.() === false;
+    return !this.isWithheld;
   }
 
   public sent(): void {
@@ -197,7 +202,8 @@
     if (this.bodyState !== 'open') return;
     this.bodyState = 'broken';
     this.failure = message;
-    this.finish(this.isWritten ? { type: 'broken', message } : { type: 'not_sent', message });
+    if (this.isWritten) this.finish({ type: 'broken', message });
+    else this.finish({ type: this.isWithheld ? 'withheld' : 'not_sent', message });
     this.bodySink?.failed(message);
     this.resolveClosed(this.isAborted ? UpstreamEnd.Aborted : UpstreamEnd.Broken);
   }
--- a/test/forwardingdecisions.test.ts
+++ b/test/forwardingdecisions.test.ts
@@ -31,7 +31,7 @@
 
 function candidate(id: string, open: number, changes: Partial<Candidate> = {}): Candidate {
   return {
-    record: createServerRecord(id), open, limit: 10, suspect: false, ...changes,
+    record: createServerRecord(id), open, limit: 10, suspect: false, pausedUntil: null, ...changes,
   };
 }
 
