--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -9,12 +9,15 @@
 export type SendOutcome =
   /** No byte of the call was written. */
   | { readonly type: 'not_sent'; readonly message: string }
+  /** The same, because the observer had it held back just before; this says nothing of the backend server. */
+  | { readonly type: 'withheld'; readonly message: string }
   /** The backend server states that it did not execute the call. */
   | {
     readonly type: 'not_executed';
     readonly status: number;
     readonly message: string;
     readonly serverLeaves: boolean;
+    readonly pauseMs: number | null;
   }
   /** The call was written, and it is unknown whether it was executed. */
   | { readonly type: 'broken'; readonly message: string }
@@ -81,6 +84,8 @@
 
   private isResolved = false;
 
+  private isWithheld = false;
+
   private isAborted = false;
 
   private bodyState: 'open' | 'complete' | 'broken' = 'open';
@@ -162,7 +167,8 @@
   }
 
   public mayBeSent(): boolean {
-    return this.observer.mayBeSent?.() ?? true;
+    this.isWithheld = this.observer.mayBeSent?.() === false;
+    return !this.isWithheld;
   }
 
   public sent(): void {
@@ -179,9 +185,9 @@
     // On a connection with an earlier request, an answer without an id may be a copy of the one to that request.
     if (!head.matchesCall || (isReused && !head.namesCall)) this.abort('the answer belongs to another call');
     else if (head.execution === Execution.NotExecuted) {
-      const { serverLeaves } = head;
+      const { serverLeaves, pauseMs } = head;
       this.finish({
-        type: 'not_executed', status, message: `refused with status ${status}`, serverLeaves,
+        type: 'not_executed', status, message: `refused with status ${status}`, serverLeaves, pauseMs,
       });
       // The body is read only so that the connection can be used for the next call.
       void this.collect(MAX_REFUSAL_BYTES);
@@ -214,7 +220,8 @@
     this.failure = message;
     const how = this.isAborted ? UpstreamEnd.Aborted : UpstreamEnd.Broken;
     this.observer.ended?.({ how, connection, bytes: this.receivedBytes });
-    this.finish(this.isWritten ? { type: 'broken', message } : { type: 'not_sent', message });
+    if (this.isWritten) this.finish({ type: 'broken', message });
+    else this.finish({ type: this.isWithheld ? 'withheld' : 'not_sent', message });
     this.bodySink?.failed(message);
     this.resolveClosed(how);
   }
