Test that a frozen gateway tells a reset of a stream from its close

Cause: the tests of resets run in the process of the gateway. On the machines of the users gateways stood still (SIGSTOP) meanwhile.

Change: 20 streams at a gateway process that stands still for 100 ms while their server writes an event and closes or resets.

--- a/test/gatewayends.test.ts
+++ b/test/gatewayends.test.ts
@@ -16,6 +16,7 @@
 import type { Answer } from '../src/emulator/sendcall.js';
 import { GatewayProcess } from '../src/soak/processes.js';
 import { configuration } from './support/gateway.js';
+import { waitUntil } from './support/waituntil.js';
 
 const root = fileURLToPath(new URL('..', import.meta.url));
 
@@ -53,7 +54,7 @@
   server = new ServerStandIn('i-1', (res, call) => respond(res, call));
   await server.start();
   store.put('servers/i-1', server.serverRecord('ledger', { slots: 64 }));
-  store.put('servers/e-1', server.serverRecord('engine', { slots: 64, stage: 'decode' }));
+  for (const id of ['e-1', 'e-2']) store.put(`servers/${id}`, server.serverRecord('engine', { slots: 64, stage: 'decode' }));
   const base = JSON.parse(configuration()) as { routes: object[] };
   const routes = base.routes.map((route) => ({ ...route, 'timeout-ms': 20_000 }));
   store.put('op/config', JSON.stringify({ ...base, routes }));
@@ -128,6 +129,40 @@
   }, 20_000);
 });
 
+describe('a stream without length whose connection ends while the gateway stands still', () => {
+  const STREAMS = 20;
+
+  // Guards against resets that are read together with the bytes before them, and against closes that count as resets.
+  it.each([
+    ['is whole after an ordinary close', (res: ServerResponse) => res.end(), '', STREAMS],
+    ['goes on after a reset, or breaks off where the retry budget is used up', (res: ServerResponse) => res.socket?.resetAndDestroy(), 'id: 3\n\n', 1],
+  ])('%s', async (_what, end, rest, least) => {
+    const open: ServerResponse[] = [];
+    respond = (res, { headers }) => {
+      res.useChunkedEncodingByDefault = false;
+      res.shouldKeepAlive = false;
+      res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', 'Content-Type': 'text/event-stream' });
+      if (headers['last-event-id'] === '2') res.end('id: 3\n\n');
+      else {
+        res.write('id: 1\n\n');
+        open.push(res);
+      }
+    };
+    const answers = Array.from({ length: STREAMS }, () => sendCall(gateway.callerAddress, '/long/x', {
+      method: 'POST', body: 'p', headers: { connection: 'close', 'catkinscale-token-count': '100,90' },
+    }));
+    await waitUntil(() => open.length === STREAMS);
+    await wait(50);
+    const paused = gateway.pause(100);
+    await wait(20);
+    for (const res of open) res.write('id: 2\n\n', () => end(res));
+    await paused;
+    const whole = (await Promise.all(answers)).filter(({ broken, body }) => !broken && body.endsWith('\n\n'));
+    expect(whole.filter(({ body }) => body !== `id: 1\n\nid: 2\n\n${rest}`).length).toBe(0);
+    expect(whole.length).toBeGreaterThanOrEqual(least);
+  }, 20_000);
+});
+
 describe('an order at a gateway that stops as planned', () => {
   // Guards against orders that are taken late in the grace period, passed on and cut at its end.
   it('gets its answer if it was passed on, whenever it was sent', async () => {
