Fail answers of plain services whose connection was reset

Cause: the client of plain services, engines and the platform's store and provider (`HttpConnection`) leaves the end of an answer to the client library, which takes a reset for the end of an answer without length: also one that arrives alone, and is reported as ECONNRESET. A part of a plain service's answer was passed on as its whole body. Answers in JSON were not concerned but for an empty body.

Change: each connection notes a reset before the client library hears of it, as those of the gateways do, and fails the answer.

--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -1,7 +1,7 @@
-import { DecoratorHandler, Pool } from 'undici';
+import { Client, DecoratorHandler, Pool } from 'undici';
 import type { Dispatcher } from 'undici';
 import { fail, ok } from '../core/result.js';
-import { openSocket } from './sockets.js';
+import { openSocket, wasResetAtEnd } from './sockets.js';
 import type { Result } from '../core/result.js';
 
 /** Failure of an HTTP call; `sent` is false only if no byte of the request was written. */
@@ -31,11 +31,15 @@
   sent: boolean;
 }
 
-interface StartHandler {
+type Trailers = Record<string, string | string[] | undefined>;
+
+interface EventHandler {
   onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void;
+  onResponseEnd(controller: Dispatcher.DispatchController, trailers: Trailers): void;
+  onResponseError(controller: Dispatcher.DispatchController, err: Error): void;
 }
 
-type ForwardingHandler = new (handler: Dispatcher.DispatchHandler) => StartHandler;
+type ForwardingHandler = new (handler: Dispatcher.DispatchHandler) => EventHandler;
 
 // undici's type declarations omit the methods that its DecoratorHandler forwards.
 const ForwardingDecorator = DecoratorHandler as unknown as ForwardingHandler;
@@ -60,6 +64,44 @@
   }
 }
 
+/** Fails an answer that ends with a reset of its connection; the client library would end it as complete. */
+class ResetGuard extends ForwardingDecorator {
+  public constructor(handler: Dispatcher.DispatchHandler, private readonly wasReset: () => boolean) {
+    super(handler);
+  }
+
+  public override onResponseEnd(controller: Dispatcher.DispatchController, trailers: Trailers): void {
+    if (this.wasReset()) super.onResponseError(controller, new Error('connection reset'));
+    else super.onResponseEnd(controller, trailers);
+  }
+}
+
+/** Client of one connection whose answers without length fail where the connection was reset. */
+class ResetAwareClient extends Client {
+  private wasReset = false;
+
+  public constructor(origin: string | URL, connectTimeoutMs: number, opts: Client.Options) {
+    super(origin, {
+      ...opts,
+      connect: ({ hostname, port }, callback) => {
+        this.wasReset = false;
+        const socket = openSocket(hostname, Number(port), connectTimeoutMs, callback);
+        // These listeners run before those of the client library, which end the answer.
+        socket.once('end', () => {
+          if (wasResetAtEnd(socket)) this.wasReset = true;
+        });
+        socket.on('error', () => {
+          this.wasReset = true;
+        });
+      },
+    });
+  }
+
+  public override dispatch(opts: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+    return super.dispatch(opts, new ResetGuard(handler, () => this.wasReset));
+  }
+}
+
 const KEEP_ALIVE_MS = 30_000;
 const DEFAULT_CONNECT_TIMEOUT_MS = 2_000;
 
@@ -82,9 +124,7 @@
     this.pool = new Pool(`http://${address}`, {
       connections,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: (opts, callback) => {
-        openSocket(opts.hostname, Number(opts.port), connectTimeoutMs, callback);
-      },
+      factory: (origin, opts) => new ResetAwareClient(origin, connectTimeoutMs, opts),
       bodyTimeout: 0,
     });
   }
--- a/test/brokenstreams.test.ts
+++ b/test/brokenstreams.test.ts
@@ -1,9 +1,11 @@
+import { once } from 'node:events';
 import { request as httpRequest } from 'node:http';
-import { createServer } from 'node:net';
+import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
 import {
   afterAll, beforeAll, describe, expect, it,
 } from 'vitest';
+import { HttpService } from '../src/adapters/service.js';
 import type { Log } from '../src/core/interfaces/index.js';
 import { createServerRecord } from '../src/emulator/backend.js';
 import { listenOnFreePort } from '../src/emulator/listen.js';
@@ -166,3 +168,49 @@
     expect(answers.filter(({ status, broken, body }) => status !== 200 || broken || body !== 'ok')).toEqual([]);
   });
 });
+
+describe('a request that its caller resets behind its last bytes', () => {
+  // Guards against a part of a request that runs as if it were whole.
+  it.each([
+    ['a length', 'Content-Length: 10\r\n\r\npart'],
+    ['chunks', 'Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n'],
+    ['an incomplete head', 'Content-Length: 0\r\n'],
+  ])('is not passed on where it is cut and has %s', async (_what, rest) => {
+    let arrived = 0;
+    respond = (socket, head) => {
+      arrived += 1;
+      socket.end(`${head}Content-Length: 0\r\n\r\n`);
+    };
+    const [host, port] = gateway.callers.split(':');
+    for (let run = 0; run < RUNS; run += 1) {
+      const socket = connect(Number(port), host);
+      socket.once('connect', () => {
+        writeAndReset(socket, `POST /order/x HTTP/1.1\r\nHost: shop.example\r\nCatkinscale-Request-Id: cut${run}\r\n${rest}`);
+      });
+      await once(socket, 'close');
+    }
+    expect((await ask('/order/x')).status).toBe(200);
+    expect(arrived).toBe(1);
+  });
+});
+
+describe('an answer of a plain service without length', () => {
+  // Guards against a client library that ends an answer as complete where its connection was reset.
+  it.each([
+    ['together with its last bytes', writeAndReset],
+    ['behind them', (socket: Socket, bytes: string) => socket.write(bytes, () => setTimeout(() => socket.resetAndDestroy(), 10))],
+  ])('is broken where its connection is reset %s', async (_when, end) => {
+    const address = await listenOnFreePort(createServer((socket) => {
+      socket.on('error', () => {});
+      socket.once('data', () => end(socket, 'HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nConnection: close\r\n\r\npart'));
+    }));
+    const service = new HttpService('s', address);
+    const call = {
+      requestId: 'r1', attemptId: 'a1', workspace: 'w', operation: 'o', body: '{}',
+    };
+    const results = [];
+    for (let run = 0; run < RUNS; run += 1) results.push(await service.call(call, { timeoutMs: 1_000 }));
+    service.dispose();
+    expect(results.filter(({ success }) => success).length).toBe(0);
+  });
+});
