--- a/test/slotqueue.test.ts
+++ b/test/slotqueue.test.ts
@@ -321,4 +321,22 @@
     expect(queue.length).toBe(0);
     expect(got).toEqual(['refused']);
   });
+
+  // Guards against calls that wait until their deadline although all servers have asked for a longer pause meanwhile.
+  it('refuses waiting calls once all servers are paused until shortly before their deadline', async () => {
+    const clock = new SimulatedClock();
+    let pausedUntil = 0;
+    const queue = new SlotQueue({
+      clock, freeSlots: () => [], reserve: () => ({ dispose: () => {} }), pausedUntil: () => pausedUntil || null,
+    });
+    const got: string[] = [];
+    for (let calls = 0; calls < 2; calls += 1) enqueue(queue, clock, ['a'], got);
+    await clock.advance(20);
+    pausedUntil = EXPIRY_MS / 2;
+    await clock.advance(20);
+    expect(got).toEqual([]);
+    pausedUntil = EXPIRY_MS / 2 + 40;
+    await clock.advance(20);
+    expect(got).toEqual(['refused', 'refused']);
+  });
 });
