Send a refused generation to its engine again only after the time that it asked for

What callers saw: a completion that a full engine had refused went back to the same engine at once, at the cost of an attempt and of the retry budget. Change: the request counts that engine among those to avoid until the time has passed; other engines may take it after the usual backoff. A time beyond the end of the request counts up to that end.

--- a/src/daemon/generationrun.ts
+++ b/src/daemon/generationrun.ts
@@ -274,6 +274,7 @@
       }
       const { error, exclude } = started.error;
       if (exclude) this.avoidedEngines.add(started.error.engine);
+      else if (error.retryAfterMs !== undefined) this.avoidFor(started.error.engine, error.retryAfterMs);
       this.finishAttempt(AttemptOutcome.Failed);
       this.attempts += 1;
       this.context.log.warn('attempt_failed', {
@@ -285,6 +286,16 @@
     }
   }
 
+  /** Does not send the request to an engine again before the time in ms that the engine asked for has passed. */
+  private avoidFor(engine: string, forMs: number): void {
+    const { clock } = this.context;
+    const { avoidedEngines } = this;
+    avoidedEngines.add(engine);
+    // By the end of the longer of both times, the request has ended.
+    const longestMs = Math.max(STALL_TIMEOUT_MS, this.deadline - clock.monotonic());
+    clock.after(Math.min(forMs, longestMs), () => avoidedEngines.delete(engine));
+  }
+
   private ranAfterFailure(error: EngineError): RanStatus {
     if (this.nextIndex > 0) return RanStatus.Yes;
     return error.code === EngineErrorCode.Broken || this.attempts > 1 ? RanStatus.Unknown : RanStatus.No;
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -1,6 +1,9 @@
 import {
-  afterAll, beforeAll, describe, expect, it,
+  afterAll, beforeAll, describe, expect, it, vi,
 } from 'vitest';
+import { HttpEngine } from '../src/adapters/engine.js';
+import { EngineErrorCode } from '../src/core/interfaces/index.js';
+import { fail } from '../src/core/result.js';
 import { answerText } from '../src/emulator/text.js';
 import { eventually, startLoopback } from './support/loopback.js';
 import type { Loopback } from './support/loopback.js';
@@ -50,6 +53,25 @@
     expect(events.map(({ text }) => text).join('')).toBe(answerText(prompt, 50));
   });
 
+  // Guards against a request that comes back to a full engine at once, although others may have room.
+  it('send a request again to an engine that has refused it only after the time that the engine asked for', async () => {
+    const sentAt = new Map<string, number[]>();
+
+    const { generate } = HttpEngine.prototype;
+    const spy = vi.spyOn(HttpEngine.prototype, 'generate').mockImplementation(function send(this: HttpEngine, ...args) {
+      const times = sentAt.get(this.name) ?? [];
+      sentAt.set(this.name, [...times, performance.now()]);
+      return times.length > 0 ? generate.apply(this, args)
+        : Promise.resolve(fail({ code: EngineErrorCode.Refused, message: 'full', retryAfterMs: 500 }));
+    });
+    const res = await post(0, '/v1/completions', { model: 'advice', prompt: 'which hem [answer-tokens=3]', max_tokens: 5 });
+    spy.mockRestore();
+    expect(res.status).toBe(200);
+    const gaps = [...sentAt.values()].flatMap(([first, second]) => (second === undefined ? [] : [second - first!]));
+    expect(gaps).toHaveLength(1);
+    expect(gaps[0]).toBeGreaterThan(490);
+  });
+
   // Guards against answers that are lost with the entry that started them.
   it('continue an answer at another entry without running the prompt again', async () => {
     const prompt = 'long reply please [answer-tokens=30]';
