--- a/src/emulator/gatewaygroup.ts
+++ b/src/emulator/gatewaygroup.ts
@@ -67,6 +67,7 @@
       slots: 8,
       draining: false,
       reclaimable: false,
+  softwareVersion: 'v1',
       role: Role.Prefill,
       models: [],
     };
@@ -162,6 +163,7 @@
   slots: 1_000_000,
   draining: false,
   reclaimable: false,
+  softwareVersion: 'v1',
   role: Role.Decode,
   models: [],
 };
--- a/src/emulator/quarantinegroup.ts
+++ b/src/emulator/quarantinegroup.ts
@@ -47,6 +47,7 @@
     slots: 4,
     draining: false,
     reclaimable: false,
+    softwareVersion: 'v1',
     role: null,
     models: [],
   };
--- a/src/gateway/callcontext.ts
+++ b/src/gateway/callcontext.ts
@@ -6,6 +6,8 @@
 
 /** One send of a call to a backend server, for the log line of the call. */
 export interface SendTrace {
+  /** Version of the server's software. */
+  readonly softwareVersion: string;
   /** Store revision of the record by which the server was chosen; `null` where the server was removed meanwhile. */
   readonly revision: number | null;
   /** Time in ms from the choice of the server to the write of the request; `null` while it is not written. */
--- a/src/gateway/codec.ts
+++ b/src/gateway/codec.ts
@@ -35,6 +35,8 @@
   readonly generation: Generation | null;
   /** Id of the last event that the caller received, after which a stream is to be resumed; not among `headers`. */
   readonly lastEventId: string | null;
+  /** Request id of the attempt that brought the first event of the stream that the caller takes up; `null` if unstated. */
+  readonly resumes: string | null;
   /** Key that the call presents; not among `headers`. */
   readonly credential: Credential;
   /** `Authorization` headers as received, alternating names and values; only for deployments that check no keys. */
--- a/src/gateway/explanation.ts
+++ b/src/gateway/explanation.ts
@@ -44,6 +44,7 @@
     credential: digest === undefined ? { type: 'none' } : { type: 'key', digest },
     deadlineMs: null,
     lastEventId: null,
+    resumes: null,
     generation: prompt === undefined || output === undefined ? null : {
       model: null, promptTokens: prompt, maxOutputTokens: output, parts: parts ?? [],
     },
--- a/src/gateway/report.ts
+++ b/src/gateway/report.ts
@@ -56,6 +56,7 @@
   meter.record('forward_ms', tookMs, { route: kind });
   const fields = {
     request: call?.id,
+    resumes: call?.resumes ?? undefined,
     route: route?.name,
     parts: call?.generation === undefined || call.generation === null
       ? undefined : describeParts(call.generation.parts.map(({ id }) => id), ' '),
@@ -65,6 +66,7 @@
     servers_age_ms: Math.round(context.recordsAgeMs),
     steps: trace.steps.join(' '),
     rank: trace.rank,
+    software: trace.sends.map(({ softwareVersion }) => softwareVersion).join(' '),
     revisions: trace.sends.map(({ revision }) => revision ?? 'gone').join(' '),
     written_ms: trace.sends.map(({ writtenMs }) => writtenMs ?? '-').join(' '),
     first_ms: trace.firstMs === null ? undefined : Math.round(trace.firstMs),
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -172,7 +172,9 @@
     const backend = fleet.serverFor(server);
     const probe = backend.countProbe();
     const sentAt = clock.monotonic();
-    const trace: SendTrace = { revision: fleet.revision(server.id), writtenMs: null };
+    const trace: SendTrace = {
+      softwareVersion: server.softwareVersion, revision: fleet.revision(server.id), writtenMs: null,
+    };
     context.trace.sends.push(trace);
     // A prefill writes no answer.
     const run = work.type === 'prefill'
--- a/src/gateway/serverregistry.ts
+++ b/src/gateway/serverregistry.ts
@@ -21,6 +21,8 @@
   /** IP address and port. */
   readonly address: string;
   readonly failureDomain: string;
+  /** Version of the server's software, not of its weights. */
+  readonly softwareVersion: string;
   /** Number of requests that the server runs at once. */
   readonly slots: number;
   readonly draining: boolean;
@@ -173,6 +175,7 @@
     this.deps.log.info('server', {
       server: record.id,
       service: record.service,
+      software: record.softwareVersion,
       draining: record.draining,
       role: record.role,
       born: record.bornAt,
--- a/test/support/serverrecord.ts
+++ b/test/support/serverrecord.ts
@@ -12,6 +12,7 @@
     slots: 6,
     draining: false,
     reclaimable: false,
+    softwareVersion: 'v1',
     role: null,
     models: [],
     ...changes,
