Keep streams at the software version that began them, in memory

No code compared versions: the gateway's own resume of a broken stream and a client's take-up went to any server. A gateway now records the version of the server that brings the first event of a resumable stream, under the id of the attempt (Resumes) and of each attempt that goes on with it, until the client's deadline and 2 s. Its own resume goes to that version only, and so does a take-up; where the version is not known for certain (version_unknown) or no server has it (version_gone), the call is refused with 503 at once, and has not run. A KV cache that was handed over is no text, so that the engine that prefills may have any version.

--- a/src/emulator/gatewaygroup.ts
+++ b/src/emulator/gatewaygroup.ts
@@ -67,7 +67,7 @@
       slots: 8,
       draining: false,
       reclaimable: false,
-  softwareVersion: 'v1',
+      softwareVersion: 'v1',
       role: Role.Prefill,
       models: [],
     };
@@ -226,6 +226,7 @@
       priority: call.priority,
       deadline: arrivedAt + call.timeoutMs,
       retried: false,
+      softwareVersion: null,
       trace: { arrivedAt, steps: [] },
       ended: ended.signal,
     } as unknown as CallContext;
@@ -315,6 +316,7 @@
       ranksCalls: true,
       meter: new CountingMeter(),
       places: () => places,
+      streams: { mayBegin: () => true },
     }, { failureDomain: members.self().failureDomain, transitMs: 2 });
     void occupancy.run(this.stop.signal);
     return {
--- a/src/gateway/callcontext.ts
+++ b/src/gateway/callcontext.ts
@@ -40,6 +40,8 @@
   readonly route: Route;
   readonly service: ForwardingService;
   readonly caller: Caller;
+  /** Version of the software that began the stream of this call and must go on with it; `null` while any may run it. */
+  readonly softwareVersion: string | null;
   /** Priority of the call; 0 is the most urgent. */
   readonly priority: number;
   /** Monotonic time in ms by which the final answer is due. */
--- a/src/gateway/codec.ts
+++ b/src/gateway/codec.ts
@@ -35,7 +35,7 @@
   readonly generation: Generation | null;
   /** Id of the last event that the caller received, after which a stream is to be resumed; not among `headers`. */
   readonly lastEventId: string | null;
-  /** Request id of the attempt that brought the first event of the stream that the caller takes up; `null` if unstated. */
+  /** Request id of the attempt that brought the first event of the stream that the caller takes up, if stated. */
   readonly resumes: string | null;
   /** Key that the call presents; not among `headers`. */
   readonly credential: Credential;
--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -112,7 +112,7 @@
     const sink: BodySink = {
       push: (chunk) => {
         boundary?.push(chunk);
-        const bytes = stream === null ? chunk : stream.splitter.push(chunk);
+        const bytes = stream === null ? chunk : stream.push(chunk);
         return writeChunk(held === null || bytes.length === 0 ? bytes : held.push(bytes));
       },
       end: () => {
@@ -120,7 +120,7 @@
           sink.failed('the stream ended inside an event');
           return;
         }
-        const rest = stream === null ? Buffer.alloc(0) : stream.splitter.flush();
+        const rest = stream === null ? Buffer.alloc(0) : stream.flush();
         writeChunk(held === null ? rest : Buffer.concat([held.push(rest), held.flush()]));
         sendHead();
         res.end();
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -1,4 +1,5 @@
 import type { AnswerHead } from './codec.js';
+import type { ServerRecord } from './serverregistry.js';
 import type { Upstream } from './upstream.js';
 
 const EVENT_STREAM = 'text/event-stream';
@@ -159,20 +160,38 @@
 /** Further run of a stream at another server. */
 export interface ResumedStream {
   readonly upstream: Upstream;
-  /** Id of the server that runs it. */
-  readonly server: string;
+  /** Server that runs it. */
+  readonly server: ServerRecord;
+}
+
+/** What a {@link ResumableStream} asks of its call. */
+export interface StreamCall {
+  /** Starts a run after an event at a server other than `failed`; `begun` is the server of the first event, if any. */
+  startRun(lastEventId: string | null, failed: ServerRecord, begun: ServerRecord | null): Promise<ResumedStream | null>;
+  /** Called before the first event is passed on. */
+  began(server: ServerRecord): void;
 }
 
 /** Event stream that is resumed at another server when it breaks off. */
 export class ResumableStream {
-  public readonly splitter = new EventSplitter();
+  private readonly splitter = new EventSplitter();
 
   private resumes = 0;
 
-  public constructor(
-    private readonly startRun: (lastEventId: string | null, failed: string) => Promise<ResumedStream | null>,
-    private server: string,
-  ) {}
+  /** Server that brought the first event. */
+  private begun: ServerRecord | null = null;
+
+  public constructor(private readonly call: StreamCall, private server: ServerRecord) {}
+
+  /** Adds a chunk and returns the events that it completes; may be empty. */
+  public push(chunk: Buffer): Buffer {
+    return this.passOn(this.splitter.push(chunk));
+  }
+
+  /** Removes and returns the bytes of an event that is not complete. */
+  public flush(): Buffer {
+    return this.passOn(this.splitter.flush());
+  }
 
   /** Starts a run that continues after the last complete event; `null` where that is not possible or not allowed. */
   public async resume(): Promise<Upstream | null> {
@@ -180,9 +199,17 @@
     this.resumes += 1;
     // The new run sends the event again of which only a part has arrived.
     this.splitter.flush();
-    const resumed = await this.startRun(this.splitter.lastEventId, this.server);
+    const resumed = await this.call.startRun(this.splitter.lastEventId, this.server, this.begun);
     if (resumed === null) return null;
     this.server = resumed.server;
     return resumed.upstream;
   }
+
+  private passOn(bytes: Buffer): Buffer {
+    if (bytes.length > 0 && this.begun === null) {
+      this.begun = this.server;
+      this.call.began(this.server);
+    }
+    return bytes;
+  }
 }
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -19,11 +19,13 @@
 import { rankOf } from './shares/index.js';
 import type { WorkLedger } from './shares/index.js';
 import { SlotAllocator } from './slotallocator.js';
+import type { ServerRecord } from './serverregistry.js';
 import { sendRefusal, recordCall } from './report.js';
 import { RetriedCallDetector } from './retriedcalls.js';
 import { mayRunTwice, Sender } from './sending.js';
 import type { PrefilledPrompt, SenderDependencies } from './sending.js';
 import type { Upstream } from './upstream.js';
+import type { StreamVersions } from './streamversions.js';
 import { AbortReason, addStep } from './callcontext.js';
 import type { Delivery, Trace, CallContext } from './callcontext.js';
 import { callPriority, identifyCaller } from './workspaces.js';
@@ -36,6 +38,7 @@
   readonly occupancy: Occupancy;
   readonly answers: AnswerMemory;
   readonly ledger: WorkLedger;
+  readonly streams: Pick<StreamVersions, 'originOf' | 'bind' | 'finish' | 'mayBegin'>;
   /** Whether calls of workspaces are ranked by their shares and by urgency. */
   readonly ranksCalls: boolean;
   /** Gives out places of engines; `null` while gateways count the open calls of each other. */
@@ -85,9 +88,14 @@
 
 /** Answer of a backend server whose head has arrived, or the result for the caller where there is none. */
 type ObtainedAnswer =
-  | { readonly type: 'answer'; readonly upstream: Upstream; readonly head: AnswerHead; readonly server: string }
+  | { readonly type: 'answer'; readonly upstream: Upstream; readonly head: AnswerHead; readonly server: ServerRecord }
   | Delivery;
 
+/** Whether streams of a route may go on at another server. */
+function mayBeResumed({ kind, resumable }: Route): boolean {
+  return kind === CallKind.Stream && resumable;
+}
+
 function refused(refusal: Refusal): Delivery {
   return { type: 'refused', refusal };
 }
@@ -148,9 +156,11 @@
     const {
       route, service, caller, priority,
     } = routed;
-    const context = { ...routed, call, body: null } as unknown as CallContext;
+    const context = {
+      ...routed, call, body: null, softwareVersion: null,
+    } as unknown as CallContext;
     const refusal = this.quarantineGate.refusalOf(context)
-      ?? (this.activeCalls >= this.opts.maxCalls ? OCCUPIED : this.slotAllocator.refusalOf(service));
+      ?? (this.activeCalls >= this.opts.maxCalls ? OCCUPIED : this.slotAllocator.refusalOf(context));
     return {
       refusal: refusal === null ? null : explainRefusal(refusal),
       route: route.name,
@@ -259,6 +269,7 @@
       ...routed,
       call,
       body: hasBody ? bytes : null,
+      softwareVersion: null,
       deadline: trace.arrivedAt + waitMs,
       retried: this.retriedCalls.isRetried(routed.route.name, call.deadlineMs),
       trace,
@@ -268,7 +279,10 @@
     const watch = this.quarantineGate.watch(context, () => ended.abort(AbortReason.Quarantined));
     try {
       await waitForSocketReads();
-      return ended.signal.aborted ? this.endResult(context) : await this.obtainAndDeliver(context);
+      if (ended.signal.aborted) return this.endResult(context);
+      const taken = await this.bindTakeUp(context);
+      if (ended.signal.aborted) return this.endResult(context);
+      return 'code' in taken ? refused(taken) : await this.obtainAndDeliver(taken);
     } catch (err) {
       // Nobody reads the answer of a server any more.
       ended.abort(AbortReason.Failed);
@@ -282,6 +296,20 @@
     }
   }
 
+  /** Restricts a call that takes up a stream to the version of the software that began the stream. */
+  private async bindTakeUp(context: CallContext): Promise<CallContext | Refusal> {
+    const { call, route, trace } = context;
+    if (!mayBeResumed(route) || call.lastEventId === null) return context;
+    const origin = await this.deps.streams.originOf(call, [
+      context.service.name, ...route.destinations.map(({ service }) => service),
+    ]);
+    addStep(trace, `origin:${origin.success ? origin.data.softwareVersion : origin.error.code}`, this.deps.clock.monotonic());
+    if (!origin.success) return origin.error;
+    const { softwareVersion, service: name } = origin.data;
+    const service = this.deps.routes()?.configuration.services.get(name) ?? context.service;
+    return { ...context, service, softwareVersion };
+  }
+
   private async obtainAndDeliver(context: CallContext): Promise<Delivery> {
     const quarantined = await this.quarantineGate.admit(context);
     if (context.ended.aborted) return this.endResult(context);
@@ -293,17 +321,33 @@
     const deliveryIfNothingSent = (message: string): Delivery => (
       context.ended.aborted ? this.endResult(context) : refused({ code: 'outcome_unknown', message })
     );
-    const stream = context.route.kind === CallKind.Stream && context.route.resumable && isEventStream(head)
-      ? new ResumableStream(async (lastEventId, failed) => {
-        const next = await this.resume(context, lastEventId, failed);
+    const mayResume = mayBeResumed(context.route);
+    const stream = mayResume && isEventStream(head) ? this.resumableStream(context, head, answer.server) : null;
+    // A caller may also take up a stream that this process does not split into events.
+    if (mayResume && stream === null && head.status === 200) this.bindStream(context, answer.server);
+    const delivery = await deliver(context, upstream, head, {
+      clock: this.deps.clock, memory: this.deps.answers, deliveryIfNothingSent, stream,
+    });
+    if (mayResume && delivery.type === 'delivered') this.deps.streams.finish(context.call);
+    return delivery;
+  }
+
+  private resumableStream(context: CallContext, head: AnswerHead, server: ServerRecord): ResumableStream {
+    return new ResumableStream({
+      startRun: async (lastEventId, failed, begun) => {
+        const softwareVersion = begun?.softwareVersion ?? context.softwareVersion;
+        const next = await this.resume({ ...context, softwareVersion }, lastEventId, failed);
         // The close that ends a stream without length must not become an end that the caller takes for certain.
         if (next === null || head.endsWithConnection || !next.head.endsWithConnection) return next;
         next.upstream.abort('the end of the stream is not marked');
         return null;
-      }, answer.server) : null;
-    return deliver(context, upstream, head, {
-      clock: this.deps.clock, memory: this.deps.answers, deliveryIfNothingSent, stream,
-    });
+      },
+      began: (first) => this.bindStream(context, first),
+    }, server);
+  }
+
+  private bindStream({ call, service }: CallContext, { softwareVersion }: ServerRecord): void {
+    this.deps.streams.bind(call, { service: service.name, softwareVersion });
   }
 
   /** Sends a call to one server after another until one answers or the call must not be sent again. */
@@ -331,8 +375,8 @@
         reserved.data.reservation.dispose();
         break;
       }
-      const server = reserved.data.server.id;
-      tried.add(server);
+      const { server } = reserved.data;
+      tried.add(server.id);
       const plannedWork: SendPlan['work'] = prefilled === null
         ? { type: 'whole' } : { type: 'decode', handle: prefilled.handle };
       const sending = await this.sender.send(context, reserved.data, plannedWork);
@@ -376,17 +420,20 @@
       && this.deps.estimates.forService(service.name).isLongPrompt(promptSize(generation), route.targetMs);
   }
 
-  /** Continues a stream after the last event that its caller has received, at a server other than the failed one. */
+  /**
+   * Continues a stream after the last event that its caller has received, at a server other than the failed one and of
+   * the version of the software that began it. The engine that prefills may have any version: a KV cache is no text.
+   */
   private async resume(
     context: CallContext,
     lastEventId: string | null,
-    failed: string,
+    failed: ServerRecord,
   ): Promise<Extract<ObtainedAnswer, { readonly type: 'answer' }> | null> {
     if (context.ended.aborted || this.quarantineGate.refusalOf(context) !== null) return null;
     addStep(context.trace, 'resume', this.deps.clock.monotonic());
     const call = lastEventId === null ? context.call : { ...context.call, lastEventId };
     try {
-      const answer = await this.obtainAnswer({ ...context, call }, new Set([failed]));
+      const answer = await this.obtainAnswer({ ...context, call }, new Set([failed.id]));
       if (answer.type !== 'answer') return null;
       if (isEventStream(answer.head) && answer.head.signed) return answer;
       answer.upstream.abort('no stream to go on with');
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -39,6 +39,7 @@
 import { RoleBalancer } from './rolebalancer.js';
 import { ServerRegistry } from './serverregistry.js';
 import { WorkLedger } from './shares/index.js';
+import { StreamBindings, StreamVersions } from './streamversions.js';
 import { MAX_PREFILLS_PER_ENGINE, MAX_PREFILLS_WHEN_IDLE } from './slotallocator.js';
 import type { GatewaySettings } from './settings.js';
 import { listenDirectory, listenMetrics, listenReadiness } from './endpoints.js';
@@ -145,6 +146,8 @@
 
   private readonly places: PlaceExchange;
 
+  private readonly bindings: StreamBindings;
+
   private routes: RouteTable | null = null;
 
   private listener: HttpListener | null = null;
@@ -194,6 +197,7 @@
       ...deps, registry: this.registry, announcements: this.membership,
     }));
     this.ledger = new WorkLedger(clock);
+    this.bindings = new StreamBindings(clock);
     this.occupancy = new Occupancy({
       clock, members: this.membership, datagrams: deps.datagrams, ledger: this.ledger,
     });
@@ -254,6 +258,13 @@
       estimates: this.estimates,
       answers: this.answers,
       ledger: this.ledger,
+      streams: new StreamVersions({
+        registry: this.registry,
+        bindings: this.bindings,
+        fleet: {
+          find: () => null, versions: () => [], mayBegin: () => true, read: () => Promise.resolve(true),
+        },
+      }),
       ranksCalls: settings.workspaces.shares,
       places: () => (this.placesAreOwned() ? this.places : null),
       prompts: this.quarantine,
@@ -376,6 +387,7 @@
       occupancy: this.occupancy.dump(),
       places: { owned: this.placesAreOwned(), ...this.places.dump() },
       shares: this.ledger.dump(),
+      streams: { bound: this.bindings.size },
       estimates: this.estimates.dump(),
       quarantine: this.quarantine.dump(),
       duties: this.duties.dump(),
--- a/src/gateway/outcome.ts
+++ b/src/gateway/outcome.ts
@@ -19,6 +19,10 @@
   | { readonly code: 'quarantined'; readonly part: string; readonly retryAfterMs: number }
   /** This process stops before the end of the call is certain; another gateway can serve it. */
   | { readonly code: 'stopping'; readonly retryAfterMs: number }
+  /** It is not known at which version of the software the stream began that the caller takes up. */
+  | { readonly code: 'version_unknown'; readonly retryAfterMs: number }
+  /** No backend server has the version of the software at which the stream began that the caller takes up. */
+  | { readonly code: 'version_gone'; readonly retryAfterMs: number }
   /** The deadline of the caller or the timeout of the route passed before the call was sent. */
   | { readonly code: 'expired'; readonly retryAfterMs: number }
   /** The call may have been executed, and its answer was lost. */
@@ -46,6 +50,8 @@
     case 'not_executed':
     case 'quarantined':
     case 'stopping':
+    case 'version_unknown':
+    case 'version_gone':
     case 'expired': return { status: 503, retryAfterMs: refusal.retryAfterMs };
     case 'outcome_unknown': return { status: 502, retryAfterMs: null };
     case 'timeout': return { status: 504, retryAfterMs: null };
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -208,7 +208,7 @@
       // A prefill may be repeated, because it does not execute the call. It is aborted even if the server answers other
       // calls, because the server may still never answer this one. A slow answer is better than none, so that a call
       // that no other server could run is not aborted.
-      const isRepeatable = mayRunTwice(context) && this.slotAllocator.hasOtherServer(context.service, server.id);
+      const isRepeatable = mayRunTwice(context) && this.slotAllocator.hasOtherServer(context, server.id);
       if (work.type === 'prefill' || isRepeatable) upstream.abort('no answer in the usual time');
     });
     let answered = false;
--- a/src/gateway/slotallocator.ts
+++ b/src/gateway/slotallocator.ts
@@ -27,6 +27,7 @@
 import type { WorkLedger } from './shares/index.js';
 import { SlotQueue } from './slotqueue.js';
 import type { FreeSlot, QueuedCall, WaitingCalls } from './slotqueue.js';
+import type { StreamVersions } from './streamversions.js';
 import type { CallContext } from './callcontext.js';
 
 /** Number of engines that should cache one shared prompt part. */
@@ -76,16 +77,23 @@
   /** Whether calls of workspaces are ranked by their shares and by urgency. */
   readonly ranksCalls: boolean;
   readonly meter: Meter;
+  readonly streams: Pick<StreamVersions, 'mayBegin'>;
   /** Gives out places of engines; `null` while gateways count the open calls of each other. */
   readonly places: () => PlaceExchange | null;
 }
 
+/** Service of a call, and the version of the software to which the call is restricted. */
+type Restriction = Pick<CallContext, 'service' | 'softwareVersion'>;
+
 /** Chooses the server of a call and reserves a slot there; calls to engines wait in a queue while none is free. */
 export class SlotAllocator implements Disposable {
   private readonly prefillQueues = new Map<string, SlotQueue>();
 
   private readonly wholeCallQueues = new Map<string, SlotQueue>();
 
+  /** Queues of calls that one version of the software must run, by service and version, while any call waits there. */
+  private readonly versionQueues = new Map<string, SlotQueue>();
+
   private readonly prefillPlaces: PrefillPlaces;
 
   private readonly subscription: Disposable;
@@ -101,7 +109,8 @@
 
   /** Gives free slots to waiting calls; to be called whenever a slot may have become free. */
   public assignFreeSlots(): void {
-    for (const all of [this.prefillQueues, this.wholeCallQueues]) {
+    // Fewer servers can run a call that is restricted to a version, so that it goes first.
+    for (const all of [this.versionQueues, this.prefillQueues, this.wholeCallQueues]) {
       for (const queue of all.values()) if (queue.length > 0) queue.assignFreeSlots();
     }
   }
@@ -116,7 +125,7 @@
     const candidates = this.prefillCandidates(service).filter(({ record }) => !tried.has(record.id));
     if (candidates.length === 0) return fail({ code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS });
     // A prefill is useless while no decoder has room to continue from it.
-    if (!this.workCandidates(service).some(({ open, limit }) => open < limit)) return fail(this.noSlotRefusal(service));
+    if (!this.workCandidates(context).some(({ open, limit }) => open < limit)) return fail(this.noSlotRefusal(context));
     const part = generation === null ? null : sharedPartId(generation);
     const preferredEngines = part === null ? [] : selectPreferredEngines(candidates, part, PREFERRED_ENGINES_PER_PART);
     const estimates = this.deps.estimates.forService(service.name);
@@ -145,20 +154,21 @@
     tried: ReadonlySet<string>,
   ): Promise<Result<ReservedServer, Refusal>> {
     const { service } = context;
-    if (service.engine === null || tried.size > 0) return this.reserveLeastOccupied(service, tried, 'wholes');
+    if (service.engine === null || tried.size > 0) return this.reserveLeastOccupied(context, tried, 'wholes');
     this.recordAsk(context);
-    return this.waitInQueue(this.wholeCallQueue(service), context, {
-      preferredEngines: [], otherEngineAfterMs: 0, expectedMs: 0,
-    });
+    const request = { preferredEngines: [], otherEngineAfterMs: 0, expectedMs: 0 };
+    if (context.softwareVersion === null) return this.waitInQueue(this.wholeCallQueue(service), context, request);
+    return this.waitForVersion(context, request);
   }
 
   /** Reserves a slot at a decoder, not in `tried`, for the rest of a call whose prefill is done. */
   public reserveContinuation(context: CallContext, tried: ReadonlySet<string>): Result<ReservedServer, Refusal> {
-    return this.reserveLeastOccupied(context.service, tried, 'continuations');
+    return this.reserveLeastOccupied(context, tried, 'continuations');
   }
 
   /** Steps of a call with the servers that it would use now; nothing is reserved. */
-  public explain({ call: { generation }, service }: CallContext, needsPrefill: boolean): readonly ExplainedStep[] {
+  public explain(context: CallContext, needsPrefill: boolean): readonly ExplainedStep[] {
+    const { call: { generation }, service } = context;
     const steps: ExplainedStep[] = [];
     if (needsPrefill && generation !== null) {
       const candidates = this.prefillCandidates(service);
@@ -176,7 +186,7 @@
       });
     }
     const isStreamed = service.engine !== null && steps.length === 0;
-    const candidates = isStreamed ? this.wholeCallCandidates(service) : this.workCandidates(service);
+    const candidates = isStreamed ? this.wholeCallCandidates(context) : this.workCandidates(context);
     steps.push({
       step: steps.length === 0 ? 'whole' : 'continuation',
       servers: this.inOrder(candidates, isStreamed).map((candidate) => explainServer(candidate, null)),
@@ -187,18 +197,20 @@
   }
 
   /** Refusal of a call for which no server has room or is there at all, or `null`. */
-  public refusalOf(service: ForwardingService): Refusal | null {
-    return this.workCandidates(service).some(({ open, limit }) => open < limit) ? null : this.noSlotRefusal(service);
+  public refusalOf(call: Restriction): Refusal | null {
+    return this.workCandidates(call).some(({ open, limit }) => open < limit) ? null : this.noSlotRefusal(call);
   }
 
-  /** Whether a server other than the given one may take whole calls or continuations now. */
-  public hasOtherServer(service: ForwardingService, id: string): boolean {
-    return this.workCandidates(service).some(({ record, suspect }) => record.id !== id && !suspect);
+  /** Whether a server other than the given one may take a call, or continue it, now. */
+  public hasOtherServer(call: Restriction, id: string): boolean {
+    return this.workCandidates(call).some(({ record, suspect }) => record.id !== id && !suspect);
   }
 
   public dispose(): void {
     this.subscription.dispose();
-    for (const all of [this.prefillQueues, this.wholeCallQueues]) for (const queue of all.values()) queue.dispose();
+    for (const all of [this.versionQueues, this.prefillQueues, this.wholeCallQueues]) {
+      for (const queue of all.values()) queue.dispose();
+    }
   }
 
   /** Waiting prefills that are still on time. */
@@ -207,14 +219,14 @@
   }
 
   private reserveLeastOccupied(
-    service: ForwardingService,
+    call: Restriction,
     tried: ReadonlySet<string>,
     kind: keyof OpenCalls,
   ): Result<ReservedServer, Refusal> {
-    const candidates = this.workCandidates(service).filter(({ record }) => !tried.has(record.id));
+    const candidates = this.workCandidates(call).filter(({ record }) => !tried.has(record.id));
     const { random } = this.deps;
     const chosen = pickLeastOccupied(candidates, this.opts.failureDomain, () => random.float());
-    if (chosen === null) return fail(this.noSlotRefusal(service));
+    if (chosen === null) return fail(this.noSlotRefusal(call));
     return ok(this.reserved(chosen.record, this.deps.occupancy.countCall(chosen.record.id, kind)));
   }
 
@@ -248,6 +260,15 @@
     return fail({ code: 'no_server', retryAfterMs: RETRY_AFTER_MS });
   }
 
+  private async waitForVersion(context: CallContext, request: QueueRequest): Promise<Result<ReservedServer, Refusal>> {
+    const { service, softwareVersion } = context;
+    const key = `${service.name}\n${softwareVersion}`;
+    const queue = this.queueFor(this.versionQueues, key, 'wholes', () => this.wholeCallCandidates(context), Infinity);
+    const reserved = await this.waitInQueue(queue, context, request);
+    if (queue.length === 0 && this.versionQueues.get(key) === queue) this.versionQueues.delete(key);
+    return reserved;
+  }
+
   private recordAsk({ caller }: CallContext): void {
     if (this.deps.ranksCalls && caller.type !== 'unchecked') this.deps.ledger.ask(shareHolder(caller));
   }
@@ -275,13 +296,20 @@
   }
 
   /** Servers that may take whole calls and continuations. */
-  private workCandidates(service: ForwardingService): readonly Candidate[] {
+  private workCandidates({ service, softwareVersion }: Restriction): readonly Candidate[] {
     const all = this.deps.fleet.candidates(
       service.name,
       ({ continuations, wholes }) => continuations + wholes,
       ({ slots }) => slots * MAX_CALLS_PER_SLOT,
     );
-    return service.engine === null ? all : this.decoders(service, all);
+    return this.withVersion(service.engine === null ? all : this.decoders(service, all), softwareVersion);
+  }
+
+  /** Servers of a version of the software, or those at which any stream may begin. */
+  private withVersion(all: readonly Candidate[], softwareVersion: string | null): readonly Candidate[] {
+    return all.filter(({ record }) => (
+      softwareVersion === null ? this.deps.streams.mayBegin(record) : record.softwareVersion === softwareVersion
+    ));
   }
 
   /** Engines that decode and are not about to change their role. */
@@ -295,7 +323,7 @@
   private prefillQueue(service: ForwardingService): SlotQueue {
     return this.queueFor(
       this.prefillQueues,
-      service,
+      service.name,
       'prefills',
       () => this.prefillCandidates(service),
       MAX_PREFILLS_WHEN_IDLE,
@@ -303,17 +331,17 @@
   }
 
   /** Engines that may run calls from beginning to end. */
-  private wholeCallCandidates(service: ForwardingService): readonly Candidate[] {
-    return this.decoders(service, this.deps.fleet.candidates(
+  private wholeCallCandidates({ service, softwareVersion }: Restriction): readonly Candidate[] {
+    return this.withVersion(this.decoders(service, this.deps.fleet.candidates(
       service.name,
       ({ wholes }) => wholes,
       ({ slots }) => Math.max(1, slots - SLOTS_KEPT_FOR_CONTINUATIONS),
-    ));
+    )), softwareVersion);
   }
 
   private wholeCallQueue(service: ForwardingService): SlotQueue {
-    const candidates = (): readonly Candidate[] => this.wholeCallCandidates(service);
-    return this.queueFor(this.wholeCallQueues, service, 'wholes', candidates, Infinity);
+    const candidates = (): readonly Candidate[] => this.wholeCallCandidates({ service, softwareVersion: null });
+    return this.queueFor(this.wholeCallQueues, service.name, 'wholes', candidates, Infinity);
   }
 
   /** Candidates in the order in which calls would use them, apart from draws between equal ones. */
@@ -331,12 +359,12 @@
 
   private queueFor(
     queues: Map<string, SlotQueue>,
-    service: ForwardingService,
+    name: string,
     kind: keyof OpenCalls,
     candidates: () => readonly Candidate[],
     maxCallsWhenIdle: number,
   ): SlotQueue {
-    const known = queues.get(service.name);
+    const known = queues.get(name);
     if (known !== undefined) return known;
     const freeSlots = (): readonly FreeSlot[] => candidates()
       .filter(({ open, limit, suspect }) => open < limit && !suspect)
@@ -350,12 +378,12 @@
     const queue = new SlotQueue({
       clock: this.deps.clock, freeSlots, reserve: (server) => this.deps.occupancy.countCall(server, kind),
     });
-    queues.set(service.name, queue);
+    queues.set(name, queue);
     return queue;
   }
 
-  private noSlotRefusal(service: ForwardingService): Refusal {
-    return this.workCandidates(service).length === 0
+  private noSlotRefusal(call: Restriction): Refusal {
+    return this.workCandidates(call).length === 0
       ? { code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS }
       : { code: 'occupied', retryAfterMs: RETRY_AFTER_MS };
   }
--- /dev/null
+++ b/src/gateway/streamversions.ts
@@ -0,0 +1,193 @@
+import { createHash } from 'node:crypto';
+import type { Clock } from '../core/interfaces/index.js';
+import { fail, ok } from '../core/result.js';
+import type { Result } from '../core/result.js';
+import type { Call } from './codec.js';
+import type { Refusal } from './outcome.js';
+import type { ServerRegistry } from './serverregistry.js';
+
+/** Where a stream began: the service, and the version of the software of the server that brought its first event. */
+export interface StreamOrigin {
+  readonly service: string;
+  readonly softwareVersion: string;
+}
+
+/** Stream that may still be taken up. */
+interface Binding extends StreamOrigin {
+  /** Monotonic time in ms after which no caller takes the stream up. */
+  expiresAt: number;
+  finished: boolean;
+}
+
+/** Largest number of streams whose origin is kept; the oldest are dropped first. */
+const MAX_BINDINGS = 20_000;
+
+/** Time in ms beyond the deadline of its caller for which the origin of a stream is kept. */
+const MARGIN_MS = 2_000;
+
+/** Longest time in ms for which callers take a stream up where they state no deadline. */
+export const MAX_TAKE_UP_MS = 60_000;
+
+/** Longest id that is kept as it is, in characters; others are kept as their digest. */
+const MAX_ID_CHARACTERS = 64;
+
+const RETRY_AFTER_MS = 250;
+
+/** Retry delay in ms where no server of the version is there; one may have started meanwhile. */
+const NO_VERSION_RETRY_MS = 500;
+
+function keyOf(id: string): string {
+  return id.length <= MAX_ID_CHARACTERS ? id : createHash('sha256').update(id).digest('hex');
+}
+
+/** Versions of the software by service. */
+export class ServiceVersions {
+  private readonly byService = new Map<string, Set<string>>();
+
+  public add({ service, softwareVersion }: StreamOrigin): void {
+    const known = this.byService.get(service);
+    if (known === undefined) this.byService.set(service, new Set([softwareVersion]));
+    else known.add(softwareVersion);
+  }
+
+  public has({ service, softwareVersion }: StreamOrigin): boolean {
+    return this.byService.get(service)?.has(softwareVersion) === true;
+  }
+
+  public of(service: string): readonly string[] {
+    return [...this.byService.get(service) ?? []];
+  }
+
+  public get services(): readonly string[] {
+    return [...this.byService.keys()];
+  }
+}
+
+/** Origins of the streams that this gateway has passed on, by the ids of the attempts that brought them. */
+export class StreamBindings {
+  private readonly bindings = new Map<string, Binding>();
+
+  public constructor(private readonly clock: Clock) {}
+
+  /** Records where the stream of a call began, under the attempt that began it and under this one. */
+  public bind({ id, resumes, deadlineMs }: Call, origin: StreamOrigin): void {
+    const expiresAt = this.clock.monotonic() + (deadlineMs ?? MAX_TAKE_UP_MS) + MARGIN_MS;
+    for (const name of new Set([resumes ?? id, id])) {
+      if (name === null) continue;
+      const key = keyOf(name);
+      // A known origin stays: all later attempts go on with the stream that the first one began.
+      const { service, softwareVersion, expiresAt: until } = this.bindings.get(key) ?? { ...origin, expiresAt };
+      this.bindings.delete(key);
+      this.bindings.set(key, {
+        service, softwareVersion, expiresAt: Math.max(until, expiresAt), finished: false,
+      });
+    }
+    this.dropExpired();
+  }
+
+  /** Records that the whole stream of a call was passed on. */
+  public finish({ id, resumes }: Call): void {
+    for (const name of [resumes, id]) {
+      const binding = name === null ? undefined : this.bindings.get(keyOf(name));
+      if (binding !== undefined) binding.finished = true;
+    }
+  }
+
+  public find(id: string): StreamOrigin | null {
+    return this.bindings.get(keyOf(id)) ?? null;
+  }
+
+  /** Streams that callers may still take up, with their ids and whether they were passed on as a whole. */
+  public* unexpired(): Iterable<readonly [string, Readonly<Binding>]> {
+    const now = this.clock.monotonic();
+    for (const entry of this.bindings) if (entry[1].expiresAt > now) yield entry;
+  }
+
+  public get size(): number {
+    return this.bindings.size;
+  }
+
+  private dropExpired(): void {
+    const now = this.clock.monotonic();
+    for (const [id, { expiresAt }] of this.bindings) {
+      if (expiresAt > now && this.bindings.size <= MAX_BINDINGS) return;
+      this.bindings.delete(id);
+    }
+  }
+}
+
+/** What all gateways have written down of streams. */
+export interface FleetStreams {
+  find(id: string): StreamOrigin | null;
+  /** Versions that gateways have had in use for the streams of a service. */
+  versions(service: string): readonly string[];
+  /** Whether a server may begin streams: its version is written down. */
+  mayBegin(server: StreamOrigin): boolean;
+  /** Reads what is written now; false where the store does not answer. */
+  read(): Promise<boolean>;
+}
+
+/** Dependencies of {@link StreamVersions}. */
+export interface StreamVersionsDependencies {
+  readonly registry: Pick<ServerRegistry, 'all' | 'available'>;
+  readonly bindings: StreamBindings;
+  readonly fleet: FleetStreams;
+}
+
+/** Finds the version of the software at which a stream must go on that a caller takes up. */
+export class StreamVersions {
+  public constructor(private readonly deps: StreamVersionsDependencies) {}
+
+  /**
+   * Origin of the stream that a call takes up, which may go to one of `services`; refused where the origin is not
+   * known for certain, or where no server there can go on with the stream.
+   */
+  public async originOf({ resumes }: Call, services: readonly string[]): Promise<Result<StreamOrigin, Refusal>> {
+    const origin = await this.find(resumes, services);
+    if (origin === null) return fail({ code: 'version_unknown', retryAfterMs: RETRY_AFTER_MS });
+    // A route that has moved to another service goes on there at the same version.
+    const service = services.includes(origin.service) ? origin.service : services[0] ?? origin.service;
+    const canGoOn = this.deps.registry.available(service).some(({ softwareVersion }) => (
+      softwareVersion === origin.softwareVersion
+    ));
+    return canGoOn ? ok({ ...origin, service }) : fail({ code: 'version_gone', retryAfterMs: NO_VERSION_RETRY_MS });
+  }
+
+  /** Whether a server may begin streams. */
+  public mayBegin(server: StreamOrigin): boolean {
+    return this.deps.fleet.mayBegin(server);
+  }
+
+  /** Records where the stream of a call began. */
+  public bind(call: Call, origin: StreamOrigin): void {
+    this.deps.bindings.bind(call, origin);
+  }
+
+  /** Records that the whole stream of a call was passed on. */
+  public finish(call: Call): void {
+    this.deps.bindings.finish(call);
+  }
+
+  private async find(id: string | null, services: readonly string[]): Promise<StreamOrigin | null> {
+    const { bindings, fleet } = this.deps;
+    const known = (): StreamOrigin | null => (id === null ? null : bindings.find(id) ?? fleet.find(id));
+    const remembered = known();
+    if (remembered !== null) return remembered;
+    if (!await fleet.read()) return null;
+    return known() ?? this.onlyOrigin(services);
+  }
+
+  /** The one version that the stream can have, or `null` where there are several. */
+  private onlyOrigin(services: readonly string[]): StreamOrigin | null {
+    const { registry, fleet } = this.deps;
+    const servers = registry.all().filter(({ service }) => services.includes(service));
+    const versions = new Set([
+      ...servers.map(({ softwareVersion }) => softwareVersion),
+      ...services.flatMap((service) => fleet.versions(service)),
+    ]);
+    const [softwareVersion] = versions;
+    const [service] = services;
+    if (versions.size !== 1 || softwareVersion === undefined || service === undefined) return null;
+    return { service, softwareVersion };
+  }
+}
--- a/test/streamversions.test.ts
+++ b/test/streamversions.test.ts
@@ -39,7 +39,11 @@
   const answer = (res: ServerResponse, { headers }: ReceivedCall): void => {
     res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', 'Content-Type': 'text/event-stream' });
     if (headers['last-event-id'] !== undefined) res.end(event(2, version));
-    else res.write(event(1, version), () => { if (breakAfterFirst) setTimeout(() => res.destroy(), 20); });
+    else {
+      res.write(event(1, version), () => {
+        if (breakAfterFirst) setTimeout(() => res.destroy(), 20);
+      });
+    }
   };
   for (const id of ids) {
     const engine = new ServerStandIn(id, answer);
