Write down where streams began, for gateways that start anew

Each gateway now keeps leased keys in the store, streams/GATEWAY/ INCARNATION/N: the versions that it has in use by service and, while there are several, its unfinished streams. The lease outlives the process by a minute. A server of a new version begins streams once its version is written down, or after a second without the store. A take-up goes by the gateway's memory, else by a read of all these keys, else to the only version that any gateway or server has; else it is refused with 503. A store that came back from a copy (Store-Era) or lost the lease gets everything again.

--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -13,6 +13,13 @@
 /** Status, headers and body stream of an HTTP response. */
 export type HttpResponse = Dispatcher.ResponseData;
 
+/** Status, headers and JSON body of an HTTP response. */
+export interface JsonResponse {
+  readonly status: number;
+  readonly headers: HttpResponse['headers'];
+  readonly body: unknown;
+}
+
 /** Options of {@link HttpConnection.send}. */
 export interface SendOptions {
   readonly method: 'GET' | 'POST' | 'DELETE';
@@ -119,12 +126,13 @@
   }
 
   /** Sends one request and parses the JSON body of the response, whatever its status; `undefined` for no body. */
-  public async requestJson(opts: SendOptions): Promise<Result<{ status: number; body: unknown }, HttpFailure>> {
+  public async requestJson(opts: SendOptions): Promise<Result<JsonResponse, HttpFailure>> {
     const response = await this.send(opts);
     if (!response.success) return response;
     try {
       const text = await response.data.body.text();
-      return ok({ status: response.data.statusCode, body: text === '' ? undefined : JSON.parse(text) });
+      const { statusCode: status, headers } = response.data;
+      return ok({ status, headers, body: text === '' ? undefined : JSON.parse(text) });
     } catch (err) {
       return fail({ sent: true, message: err instanceof Error ? err.message : String(err) });
     }
--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -11,6 +11,8 @@
   readonly output?: number | undefined;
   /** Parts of the prompt as `ID:TOKENS`, separated by commas. */
   readonly parts?: string | undefined;
+  /** Request id of the attempt that began the stream that the caller takes up. */
+  readonly resumes?: string | undefined;
 }
 
 const TIMEOUT_MS = 5_000;
@@ -18,11 +20,11 @@
 const MS_PER_S = 1_000;
 
 function describeServer({
-  server, failureDomain, open, limit, suspect, preferred,
+  server, failureDomain, softwareVersion, open, limit, suspect, preferred,
 }: ExplainedServer): string {
   const notes = [preferred ? 'preferred' : '', suspect ? 'avoided' : '', open >= limit ? 'full' : '']
     .filter((note) => note !== '');
-  return `    ${server} (${failureDomain}) ${open} of ${limit} open${notes.length === 0 ? '' : `, ${notes.join(', ')}`}`;
+  return `    ${server} (${failureDomain}, ${softwareVersion}) ${open} of ${limit} open${notes.length === 0 ? '' : `, ${notes.join(', ')}`}`;
 }
 
 function describeStep({
@@ -35,7 +37,7 @@
 
 /** Formats an explanation for a person. */
 export function formatExplanation({
-  refusal, route, workspace, rank, service, destinations, steps, retriesLeft, beliefs,
+  refusal, route, workspace, rank, service, softwareVersion, destinations, steps, retriesLeft, beliefs,
 }: Explanation): string {
   const retry = refusal === null || refusal.retryAfterMs === null
     ? '' : `, again after ${(refusal.retryAfterMs / MS_PER_S).toFixed(2)} s`;
@@ -48,6 +50,7 @@
     const shares = destinations.map(({ service: name, weight }) => `${name} ${weight}`).join(', ');
     lines.push(`  service: ${service}, drawn from ${shares}; ${retriesLeft ?? 0} retries left`);
   }
+  if (softwareVersion !== null) lines.push(`  stream: goes on at ${softwareVersion} only`);
   lines.push(...steps.map(describeStep));
   const heard = Math.round(beliefs.heardShare * 100);
   lines.push(`  believed: configuration ${beliefs.configurationVersion ?? 'none'}, servers ${beliefs.recordsAgeMs} ms old, ${heard}% of the gateways heard`);
@@ -56,10 +59,10 @@
 
 /** Asks a gateway where a call would go now, and why; nothing is sent to a backend server. */
 export function explain(at: string, {
-  host, target, workspace, prompt, output, parts,
+  host, target, workspace, prompt, output, parts, resumes,
 }: ExplainArguments): Promise<Outcome> {
   const given = Object.entries({
-    host, target, workspace, prompt, output, parts,
+    host, target, workspace, prompt, output, parts, resumes,
   }).flatMap(([name, value]) => (value === undefined ? [] : [[name, String(value)] as [string, string]]));
   return readFromEntry({
     address: at, method: 'GET', path: `/explain?${new URLSearchParams(given)}`, timeoutMs: TIMEOUT_MS,
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -149,6 +149,7 @@
         .option('prompt', { type: 'number', describe: 'tokens of the prompt' })
         .option('output', { type: 'number', describe: 'largest number of tokens of the answer' })
         .option('parts', { type: 'string', describe: 'parts of the prompt as ID:TOKENS, separated by commas' })
+        .option('resumes', { type: 'string', describe: 'request id of the attempt that began a stream, to take it up' })
         .coerce(['prompt', 'output'], wholeNumber)
         .option('at', { type: 'string', demandOption: true, describe: 'IP address and port of a gateway\'s metrics' }),
       async (args) => finish(await explain(args.at, args), args.json),
--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -82,6 +82,11 @@
   readonly workspaces: readonly Workspace[] | null;
 }
 
+/** Whether streams of a route may go on at another server. */
+export function mayBeResumed({ kind, resumable }: Route): boolean {
+  return kind === CallKind.Stream && resumable;
+}
+
 /** Finds the route of a call: the longest prefix among the routes of its host. */
 export class RouteTable {
   private readonly byHost = new Map<string, Route[]>();
@@ -89,7 +94,13 @@
   /** Keys of the callers, or `null` where they need none. */
   public readonly keys: WorkspaceKeys | null;
 
+  /** Services to which routes lead whose streams may go on at another server. */
+  public readonly resumableServices: ReadonlySet<string>;
+
   public constructor(public readonly configuration: ForwardingConfiguration) {
+    this.resumableServices = new Set(configuration.routes.filter(mayBeResumed).flatMap(({ destinations }) => (
+      destinations.map(({ service }) => service)
+    )));
     this.keys = configuration.workspaces === null ? null : new WorkspaceKeys(configuration.workspaces);
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
--- a/src/gateway/explanation.ts
+++ b/src/gateway/explanation.ts
@@ -24,6 +24,8 @@
   prompt: countSchema.optional(),
   output: countSchema.optional(),
   parts: partsSchema.optional(),
+  /** Request id of the attempt that brought the first event of a stream that the caller takes up. */
+  resumes: z.string().min(1).optional(),
 });
 
 /** Call that an operator asks about. */
@@ -31,7 +33,7 @@
 
 /** Call as a caller of the named workspace would send it; the workspace's key is known by its digest only. */
 export function callOf({
-  host, target, workspace, prompt, output, parts,
+  host, target, workspace, prompt, output, parts, resumes,
 }: ExplainedCall, workspaces: readonly Workspace[]): Call {
   const digest = workspaces.find(({ name }) => name === workspace)?.keyDigests[0];
   return {
@@ -44,7 +46,7 @@
     credential: digest === undefined ? { type: 'none' } : { type: 'key', digest },
     deadlineMs: null,
     lastEventId: null,
-    resumes: null,
+    resumes: resumes ?? null,
     generation: prompt === undefined || output === undefined ? null : {
       model: null, promptTokens: prompt, maxOutputTokens: output, parts: parts ?? [],
     },
@@ -55,6 +57,8 @@
 export interface ExplainedServer {
   readonly server: string;
   readonly failureDomain: string;
+  /** Version of the server's software. */
+  readonly softwareVersion: string;
   readonly role: string | null;
   /** Calls that are open there as far as this gateway knows, and the most that may be. */
   readonly open: number;
@@ -93,6 +97,8 @@
   /** Rank among the waiting calls; `null` where calls are not ranked. */
   readonly rank: number | null;
   readonly service: string | null;
+  /** Version of the software that the taken-up stream needs, as far as this gateway remembers; else `null`. */
+  readonly softwareVersion: string | null;
   /** Services of the route with their weights, one of which is drawn for each call. */
   readonly destinations: readonly { readonly service: string; readonly weight: number }[];
   readonly steps: readonly ExplainedStep[];
@@ -117,6 +123,7 @@
   return {
     server: record.id,
     failureDomain: record.failureDomain,
+    softwareVersion: record.softwareVersion,
     role: record.role,
     open,
     limit,
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -3,7 +3,7 @@
 import { reportUnexpected } from '../core/unexpected.js';
 import { readBytes, waitForSocketReads } from '../daemon/http.js';
 import type { AnswerMemory } from './answermemory.js';
-import { CallKind, chooseDestination } from './configuration.js';
+import { chooseDestination, mayBeResumed } from './configuration.js';
 import type { ForwardingService, Route, RouteTable } from './configuration.js';
 import { deliver } from './delivery.js';
 import type { AnswerHead, Call, SendPlan } from './codec.js';
@@ -38,7 +38,7 @@
   readonly occupancy: Occupancy;
   readonly answers: AnswerMemory;
   readonly ledger: WorkLedger;
-  readonly streams: Pick<StreamVersions, 'originOf' | 'bind' | 'finish' | 'mayBegin'>;
+  readonly streams: Pick<StreamVersions, 'originOf' | 'remembered' | 'bind' | 'finish' | 'mayBegin'>;
   /** Whether calls of workspaces are ranked by their shares and by urgency. */
   readonly ranksCalls: boolean;
   /** Gives out places of engines; `null` while gateways count the open calls of each other. */
@@ -79,7 +79,14 @@
 
 /** Explanation of a call without a route or a caller. */
 const NOTHING_EXPLAINED = {
-  workspace: null, priority: null, rank: null, service: null, destinations: [], steps: [], retriesLeft: null,
+  workspace: null,
+  priority: null,
+  rank: null,
+  service: null,
+  softwareVersion: null,
+  destinations: [],
+  steps: [],
+  retriesLeft: null,
 } as const;
 
 function explainRefusal(refusal: Refusal): ExplainedRefusal {
@@ -91,11 +98,6 @@
   | { readonly type: 'answer'; readonly upstream: Upstream; readonly head: AnswerHead; readonly server: ServerRecord }
   | Delivery;
 
-/** Whether streams of a route may go on at another server. */
-function mayBeResumed({ kind, resumable }: Route): boolean {
-  return kind === CallKind.Stream && resumable;
-}
-
 function refused(refusal: Refusal): Delivery {
   return { type: 'refused', refusal };
 }
@@ -156,8 +158,9 @@
     const {
       route, service, caller, priority,
     } = routed;
+    const softwareVersion = this.deps.streams.remembered(call)?.softwareVersion ?? null;
     const context = {
-      ...routed, call, body: null, softwareVersion: null,
+      ...routed, call, body: null, softwareVersion,
     } as unknown as CallContext;
     const refusal = this.quarantineGate.refusalOf(context)
       ?? (this.activeCalls >= this.opts.maxCalls ? OCCUPIED : this.slotAllocator.refusalOf(context));
@@ -168,6 +171,7 @@
       priority,
       rank: this.deps.ranksCalls && caller.type !== 'unchecked' ? rankOf(routed, this.deps.ledger) : null,
       service: service.name,
+      softwareVersion,
       destinations: route.destinations,
       steps: this.slotAllocator.explain(context, this.needsPrefill(context)),
       retriesLeft: this.deps.budget(service.name).available,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -39,6 +39,7 @@
 import { RoleBalancer } from './rolebalancer.js';
 import { ServerRegistry } from './serverregistry.js';
 import { WorkLedger } from './shares/index.js';
+import { StreamRecords } from './streamrecords.js';
 import { StreamBindings, StreamVersions } from './streamversions.js';
 import { MAX_PREFILLS_PER_ENGINE, MAX_PREFILLS_WHEN_IDLE } from './slotallocator.js';
 import type { GatewaySettings } from './settings.js';
@@ -52,7 +53,7 @@
   readonly random: Random;
   readonly log: Log;
   readonly meter: Metrics;
-  readonly store: KeyValue & KeySource;
+  readonly store: KeyValue & KeySource & { readonly era: number };
   readonly codec: Codec;
   readonly peerClient: PeerClient;
   readonly peerServer: PeerServer;
@@ -148,6 +149,8 @@
 
   private readonly bindings: StreamBindings;
 
+  private readonly streamRecords: StreamRecords;
+
   private routes: RouteTable | null = null;
 
   private listener: HttpListener | null = null;
@@ -248,6 +251,14 @@
     this.places = this.disposables.add(new PlaceExchange({
       ...deps, members: this.membership, cacheTokens: (engine) => this.cacheTokens(engine),
     }, { places: MAX_PREFILLS_PER_ENGINE, maxWhenIdle: MAX_PREFILLS_WHEN_IDLE }));
+    this.streamRecords = new StreamRecords({
+      ...deps,
+      registry: this.registry,
+      bindings: this.bindings,
+      services: () => this.routes?.resumableServices ?? new Set(),
+      gatewayCount: () => this.peers.gatewayCount,
+      storeEra: () => deps.store.era,
+    }, { name: settings.gateway.name, incarnation: this.membership.self().incarnation });
     const budgets = new RetryBudgets(settings.retries, () => this.peers.gatewayCount);
     this.forwarder = this.disposables.add(new Forwarder({
       ...deps,
@@ -259,11 +270,7 @@
       answers: this.answers,
       ledger: this.ledger,
       streams: new StreamVersions({
-        registry: this.registry,
-        bindings: this.bindings,
-        fleet: {
-          find: () => null, versions: () => [], mayBegin: () => true, read: () => Promise.resolve(true),
-        },
+        registry: this.registry, bindings: this.bindings, fleet: this.streamRecords,
       }),
       ranksCalls: settings.workspaces.shares,
       places: () => (this.placesAreOwned() ? this.places : null),
@@ -341,6 +348,7 @@
       roles: this.roles,
       occupancy: this.occupancy,
       quarantine: this.quarantineExchange,
+      streams: this.streamRecords,
       ...this.duties.loops,
     };
     for (const [task, loop] of Object.entries(loops)) {
@@ -387,7 +395,7 @@
       occupancy: this.occupancy.dump(),
       places: { owned: this.placesAreOwned(), ...this.places.dump() },
       shares: this.ledger.dump(),
-      streams: { bound: this.bindings.size },
+      streams: { bound: this.bindings.size, ...this.streamRecords.dump() },
       estimates: this.estimates.dump(),
       quarantine: this.quarantine.dump(),
       duties: this.duties.dump(),
--- a/src/gateway/slotallocator.ts
+++ b/src/gateway/slotallocator.ts
@@ -91,9 +91,6 @@
 
   private readonly wholeCallQueues = new Map<string, SlotQueue>();
 
-  /** Queues of calls that one version of the software must run, by service and version, while any call waits there. */
-  private readonly versionQueues = new Map<string, SlotQueue>();
-
   private readonly prefillPlaces: PrefillPlaces;
 
   private readonly subscription: Disposable;
@@ -109,8 +106,7 @@
 
   /** Gives free slots to waiting calls; to be called whenever a slot may have become free. */
   public assignFreeSlots(): void {
-    // Fewer servers can run a call that is restricted to a version, so that it goes first.
-    for (const all of [this.versionQueues, this.prefillQueues, this.wholeCallQueues]) {
+    for (const all of [this.prefillQueues, this.wholeCallQueues]) {
       for (const queue of all.values()) if (queue.length > 0) queue.assignFreeSlots();
     }
   }
@@ -147,18 +143,20 @@
 
   /**
    * Reserves a slot for a call that one server runs from beginning to end, at a server that is not in `tried`. The
-   * first attempt at an engine waits for a slot; others are refused where no server has room.
+   * first attempt at an engine waits for a slot; others, and streams that go on at one version of the software, are
+   * refused where no server has room.
    */
   public async reserveWholeCall(
     context: CallContext,
     tried: ReadonlySet<string>,
   ): Promise<Result<ReservedServer, Refusal>> {
-    const { service } = context;
-    if (service.engine === null || tried.size > 0) return this.reserveLeastOccupied(context, tried, 'wholes');
+    const { service, softwareVersion } = context;
+    // Few servers may have the version, and a caller gives a stream up after a pause.
+    if (service.engine === null || tried.size > 0 || softwareVersion !== null) return this.reserveLeastOccupied(context, tried, 'wholes');
     this.recordAsk(context);
-    const request = { preferredEngines: [], otherEngineAfterMs: 0, expectedMs: 0 };
-    if (context.softwareVersion === null) return this.waitInQueue(this.wholeCallQueue(service), context, request);
-    return this.waitForVersion(context, request);
+    return this.waitInQueue(this.wholeCallQueue(service), context, {
+      preferredEngines: [], otherEngineAfterMs: 0, expectedMs: 0,
+    });
   }
 
   /** Reserves a slot at a decoder, not in `tried`, for the rest of a call whose prefill is done. */
@@ -208,9 +206,7 @@
 
   public dispose(): void {
     this.subscription.dispose();
-    for (const all of [this.versionQueues, this.prefillQueues, this.wholeCallQueues]) {
-      for (const queue of all.values()) queue.dispose();
-    }
+    for (const all of [this.prefillQueues, this.wholeCallQueues]) for (const queue of all.values()) queue.dispose();
   }
 
   /** Waiting prefills that are still on time. */
@@ -232,12 +228,13 @@
 
   private queueTimes(context: CallContext, expectedMs: number): Pick<QueuedCall, 'targetAt' | 'expiresAt' | 'rank'> {
     const {
-      route, trace, deadline, retried,
+      route, trace, deadline, retried, softwareVersion,
     } = context;
     const restMs = expectedMs + this.opts.transitMs;
     return {
-      // The target time starts with the caller's first attempt, so a retried call has missed it already.
-      targetAt: retried ? -Infinity : trace.arrivedAt + route.targetMs - restMs,
+      // The target time starts with the caller's first attempt, so a retried call has missed it already. A stream that
+      // goes on was on time, and its caller gives it up after a pause.
+      targetAt: retried && softwareVersion === null ? -Infinity : trace.arrivedAt + route.targetMs - restMs,
       expiresAt: deadline - restMs,
       rank: () => (this.deps.ranksCalls ? rankOf(context, this.deps.ledger) : UNRANKED),
     };
@@ -260,15 +257,6 @@
     return fail({ code: 'no_server', retryAfterMs: RETRY_AFTER_MS });
   }
 
-  private async waitForVersion(context: CallContext, request: QueueRequest): Promise<Result<ReservedServer, Refusal>> {
-    const { service, softwareVersion } = context;
-    const key = `${service.name}\n${softwareVersion}`;
-    const queue = this.queueFor(this.versionQueues, key, 'wholes', () => this.wholeCallCandidates(context), Infinity);
-    const reserved = await this.waitInQueue(queue, context, request);
-    if (queue.length === 0 && this.versionQueues.get(key) === queue) this.versionQueues.delete(key);
-    return reserved;
-  }
-
   private recordAsk({ caller }: CallContext): void {
     if (this.deps.ranksCalls && caller.type !== 'unchecked') this.deps.ledger.ask(shareHolder(caller));
   }
@@ -323,7 +311,7 @@
   private prefillQueue(service: ForwardingService): SlotQueue {
     return this.queueFor(
       this.prefillQueues,
-      service.name,
+      service,
       'prefills',
       () => this.prefillCandidates(service),
       MAX_PREFILLS_WHEN_IDLE,
@@ -341,7 +329,7 @@
 
   private wholeCallQueue(service: ForwardingService): SlotQueue {
     const candidates = (): readonly Candidate[] => this.wholeCallCandidates({ service, softwareVersion: null });
-    return this.queueFor(this.wholeCallQueues, service.name, 'wholes', candidates, Infinity);
+    return this.queueFor(this.wholeCallQueues, service, 'wholes', candidates, Infinity);
   }
 
   /** Candidates in the order in which calls would use them, apart from draws between equal ones. */
@@ -359,12 +347,12 @@
 
   private queueFor(
     queues: Map<string, SlotQueue>,
-    name: string,
+    service: ForwardingService,
     kind: keyof OpenCalls,
     candidates: () => readonly Candidate[],
     maxCallsWhenIdle: number,
   ): SlotQueue {
-    const known = queues.get(name);
+    const known = queues.get(service.name);
     if (known !== undefined) return known;
     const freeSlots = (): readonly FreeSlot[] => candidates()
       .filter(({ open, limit, suspect }) => open < limit && !suspect)
@@ -378,7 +366,7 @@
     const queue = new SlotQueue({
       clock: this.deps.clock, freeSlots, reserve: (server) => this.deps.occupancy.countCall(server, kind),
     });
-    queues.set(name, queue);
+    queues.set(service.name, queue);
     return queue;
   }
 
--- a/src/gateway/streamversions.ts
+++ b/src/gateway/streamversions.ts
@@ -33,10 +33,11 @@
 
 const RETRY_AFTER_MS = 250;
 
-/** Retry delay in ms where no server of the version is there; one may have started meanwhile. */
-const NO_VERSION_RETRY_MS = 500;
+/** Retry delay in ms where no server of the version is there; one that is alive has registered again by then. */
+const NO_VERSION_RETRY_MS = 2_000;
 
-function keyOf(id: string): string {
+/** Key of a stream: the id of the attempt that brought its first event, or the digest of a long one. */
+export function streamKey(id: string): string {
   return id.length <= MAX_ID_CHARACTERS ? id : createHash('sha256').update(id).digest('hex');
 }
 
@@ -74,7 +75,7 @@
     const expiresAt = this.clock.monotonic() + (deadlineMs ?? MAX_TAKE_UP_MS) + MARGIN_MS;
     for (const name of new Set([resumes ?? id, id])) {
       if (name === null) continue;
-      const key = keyOf(name);
+      const key = streamKey(name);
       // A known origin stays: all later attempts go on with the stream that the first one began.
       const { service, softwareVersion, expiresAt: until } = this.bindings.get(key) ?? { ...origin, expiresAt };
       this.bindings.delete(key);
@@ -88,13 +89,13 @@
   /** Records that the whole stream of a call was passed on. */
   public finish({ id, resumes }: Call): void {
     for (const name of [resumes, id]) {
-      const binding = name === null ? undefined : this.bindings.get(keyOf(name));
+      const binding = name === null ? undefined : this.bindings.get(streamKey(name));
       if (binding !== undefined) binding.finished = true;
     }
   }
 
   public find(id: string): StreamOrigin | null {
-    return this.bindings.get(keyOf(id)) ?? null;
+    return this.bindings.get(streamKey(id)) ?? null;
   }
 
   /** Streams that callers may still take up, with their ids and whether they were passed on as a whole. */
@@ -142,17 +143,22 @@
    * Origin of the stream that a call takes up, which may go to one of `services`; refused where the origin is not
    * known for certain, or where no server there can go on with the stream.
    */
-  public async originOf({ resumes }: Call, services: readonly string[]): Promise<Result<StreamOrigin, Refusal>> {
-    const origin = await this.find(resumes, services);
+  public async originOf(call: Call, services: readonly string[]): Promise<Result<StreamOrigin, Refusal>> {
+    const origin = await this.find(call, services);
     if (origin === null) return fail({ code: 'version_unknown', retryAfterMs: RETRY_AFTER_MS });
     // A route that has moved to another service goes on there at the same version.
     const service = services.includes(origin.service) ? origin.service : services[0] ?? origin.service;
-    const canGoOn = this.deps.registry.available(service).some(({ softwareVersion }) => (
+    const canGoOn = origin.softwareVersion !== '' && this.deps.registry.available(service).some(({ softwareVersion }) => (
       softwareVersion === origin.softwareVersion
     ));
     return canGoOn ? ok({ ...origin, service }) : fail({ code: 'version_gone', retryAfterMs: NO_VERSION_RETRY_MS });
   }
 
+  /** Origin of the stream that a call takes up, as far as it is known without the store. */
+  public remembered({ resumes }: Call): StreamOrigin | null {
+    return resumes === null ? null : this.deps.bindings.find(resumes) ?? this.deps.fleet.find(resumes);
+  }
+
   /** Whether a server may begin streams. */
   public mayBegin(server: StreamOrigin): boolean {
     return this.deps.fleet.mayBegin(server);
@@ -168,13 +174,11 @@
     this.deps.bindings.finish(call);
   }
 
-  private async find(id: string | null, services: readonly string[]): Promise<StreamOrigin | null> {
-    const { bindings, fleet } = this.deps;
-    const known = (): StreamOrigin | null => (id === null ? null : bindings.find(id) ?? fleet.find(id));
-    const remembered = known();
+  private async find(call: Call, services: readonly string[]): Promise<StreamOrigin | null> {
+    const remembered = this.remembered(call);
     if (remembered !== null) return remembered;
-    if (!await fleet.read()) return null;
-    return known() ?? this.onlyOrigin(services);
+    if (!await this.deps.fleet.read()) return null;
+    return this.remembered(call) ?? this.onlyOrigin(services);
   }
 
   /** The one version that the stream can have, or `null` where there are several. */
--- /dev/null
+++ b/test/streamrecords.test.ts
@@ -0,0 +1,171 @@
+import {
+  beforeEach, describe, expect, it,
+} from 'vitest';
+import { SimulatedClock } from '../src/emulator/clock.js';
+import { silentLogAndMeter } from '../src/emulator/entry.js';
+import { EmulatedKeyValue, KeyValueStore } from '../src/emulator/keyvalue.js';
+import { SeededRandom } from '../src/emulator/random.js';
+import type { Call } from '../src/gateway/codec.js';
+import { StoreContact } from '../src/gateway/contact.js';
+import { RecordOrigin } from '../src/gateway/records.js';
+import { ServerRegistry } from '../src/gateway/serverregistry.js';
+import { StreamRecords } from '../src/gateway/streamrecords.js';
+import { StreamBindings, StreamVersions } from '../src/gateway/streamversions.js';
+import { createServerRecord } from './support/serverrecord.js';
+
+const SOURCE = { origin: RecordOrigin.Change, revision: 1 };
+
+let clock: SimulatedClock;
+let store: KeyValueStore;
+let era: number;
+let started = 0;
+
+function call(id: string, resumes: string | null = null): Call {
+  return { id, resumes, deadlineMs: 15_000 } as Call;
+}
+
+function originAt(softwareVersion: string) {
+  return { service: 'ledger', softwareVersion };
+}
+
+/** Gateway that knows a server of each version. */
+function startNode(versions: readonly string[]) {
+  const deps = { clock, log: silentLogAndMeter, meter: silentLogAndMeter };
+  const registry = new ServerRegistry({ ...deps, contact: new StoreContact(clock) });
+  const bindings = new StreamBindings(clock);
+  started += 1;
+  const records = new StreamRecords({
+    ...deps,
+    random: new SeededRandom(started),
+    store: new EmulatedKeyValue(store, clock),
+    registry,
+    bindings,
+    services: () => new Set(['ledger']),
+    gatewayCount: () => 6,
+    storeEra: () => era,
+  }, { name: 'g', incarnation: `incarnation${started}` });
+  const addServer = (softwareVersion: string): void => (
+    registry.put(createServerRecord(`server ${softwareVersion}`, { softwareVersion }), SOURCE)
+  );
+  versions.forEach(addServer);
+  const stop = new AbortController();
+  void records.run(stop.signal);
+  return {
+    registry,
+    bindings,
+    records,
+    addServer,
+    streams: new StreamVersions({ registry, bindings, fleet: records }),
+    stop: () => stop.abort(),
+  };
+}
+
+/** Version at which a stream goes on, or the code of the refusal. */
+async function originOf({ streams }: ReturnType<typeof startNode>, resumes: string | null): Promise<string> {
+  const origin = streams.originOf(call('take-up', resumes), ['ledger']);
+  await clock.advance(1_000);
+  const result = await origin;
+  return result.success ? result.data.softwareVersion : result.error.code;
+}
+
+function written(): string {
+  return store.list('streams/').map(({ value }) => value).join();
+}
+
+beforeEach(() => {
+  clock = new SimulatedClock();
+  store = new KeyValueStore(clock);
+  era = 0;
+});
+
+describe('the record of a gateway\'s streams', () => {
+  it('names a version before streams begin there, unless the store does not answer for a second', async () => {
+    const node = startNode(['v1']);
+    expect(node.records.mayBegin(originAt('v1'))).toBe(false);
+    await clock.advance(300);
+    expect([node.records.mayBegin(originAt('v1')), written()]).toEqual([true, '{"ledger":{"v1":[]}}']);
+    store.down = true;
+    node.addServer('v2');
+    const may: boolean[] = [];
+    for (let tries = 0; tries < 3; tries += 1) {
+      may.push(node.records.mayBegin(originAt('v2')));
+      await clock.advance(600);
+    }
+    expect(may).toEqual([false, false, true]);
+  });
+
+  it('lists unfinished streams only while several versions are in use', async () => {
+    const node = startNode(['v1']);
+    node.bindings.bind(call('a'), originAt('v1'));
+    node.bindings.bind(call('b'), originAt('v1'));
+    node.bindings.finish(call('b'));
+    await clock.advance(500);
+    expect(written()).toBe('{"ledger":{"v1":[]}}');
+    node.addServer('v2');
+    await clock.advance(500);
+    expect(written()).toBe('{"ledger":{"v1":["a"],"v2":[]}}');
+    node.registry.removeInvalid('server v1', SOURCE);
+    await clock.advance(18_000);
+    expect(written()).toBe('{"ledger":{"v2":[]}}');
+  });
+
+  it.each([
+    ['its lease has ended', () => store.leaseIds().forEach((id) => store.expireLease(id)), 16_000],
+    ['answers of the store are lost', () => {
+      store.loseAnswers = 3;
+    }, 3_000],
+    ['the store is back from a copy without it', () => {
+      const [entry] = store.list('streams/');
+      store.applyAll([{ key: entry!.key, expected: entry!.version, value: '{"ledger":{"v1":[]}}' }]);
+      era += 1;
+    }, 1_000],
+  ])('is written again where %s', async (_why, disturb, afterMs) => {
+    const node = startNode(['v1', 'v2']);
+    node.bindings.bind({ ...call('a'), deadlineMs: 60_000 }, originAt('v2'));
+    await clock.advance(500);
+    disturb();
+    node.bindings.bind({ ...call('b'), deadlineMs: 60_000 }, originAt('v1'));
+    await clock.advance(afterMs);
+    expect(written()).toBe('{"ledger":{"v1":["b"],"v2":["a"]}}');
+    await clock.advance(90_000);
+    expect(written()).toBe('{"ledger":{"v1":[],"v2":[]}}');
+  });
+
+  it('is split where it has more streams than one value may list, and the oldest are dropped', async () => {
+    const node = startNode(['v1', 'v2']);
+    for (let id = 0; id < 20_100; id += 1) node.bindings.bind(call(`stream ${id}`), originAt('v1'));
+    await clock.advance(500);
+    expect(node.bindings.size).toBe(20_000);
+    expect(store.list('streams/').map(({ value }) => value.split('stream').length - 1)).toEqual([4_000, 4_000, 4_000, 4_000, 4_000]);
+    await clock.advance(20_000);
+    expect(store.list('streams/')).toHaveLength(1);
+  });
+});
+
+describe('a stream that a client takes up at a gateway that has just started', () => {
+  it('goes on only at the version that began it, also if the attempt that is named took it up itself', async () => {
+    const dead = startNode(['v1', 'v2']);
+    dead.bindings.bind(call('a'), originAt('v1'));
+    dead.bindings.bind(call('b'), originAt('v2'));
+    dead.bindings.bind(call('c', 'b'), originAt('v2'));
+    await clock.advance(500);
+    dead.stop();
+    const node = startNode(['v2']);
+    expect([await originOf(node, 'a'), await originOf(node, 'b'), await originOf(node, 'c')]).toEqual(['version_gone', 'v2', 'v2']);
+    expect([await originOf(node, 'x'), await originOf(node, null)]).toEqual(['version_unknown', 'version_unknown']);
+    await clock.advance(160_000);
+    expect([await originOf(node, 'x'), await originOf(node, null)]).toEqual(['v2', 'v2']);
+  });
+
+  it('is refused until the store has answered once, and afterwards goes by what was read and seen', async () => {
+    store.down = true;
+    const node = startNode(['v1']);
+    expect(await originOf(node, 'a')).toBe('version_unknown');
+    store.down = false;
+    await clock.advance(3_000);
+    store.down = true;
+    expect(await originOf(node, 'a')).toBe('v1');
+    node.addServer('v2');
+    expect(await originOf(node, 'a')).toBe('version_unknown');
+  });
+});
--- a/test/streamversions.test.ts
+++ b/test/streamversions.test.ts
@@ -4,6 +4,8 @@
 import {
   afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
+import { explain } from '../src/cli/explain.js';
+import type { Explanation } from '../src/gateway/explanation.js';
 import { sendCall } from '../src/emulator/sendcall.js';
 import type { Answer } from '../src/emulator/sendcall.js';
 import { ServerStandIn } from '../src/emulator/backend.js';
@@ -124,6 +126,8 @@
     await start();
     const streams = await beginAll();
     for (const stream of streams) stream.close();
+    const explained = await explain(gateway.metrics, { host: 'shop.example', target: '/long/x', resumes: streams[0]!.id });
+    expect((explained.json as Explanation).softwareVersion).toBe(streams[0]!.version);
     const answers = await Promise.all(streams.map((stream) => takeUp(stream)));
     expect(answers.map(({ body }) => body)).toEqual(streams.map(({ version }) => event(2, version)));
   });
