Keep a version in use while its streams may be taken up, also where they were dropped

A gateway with more streams than it remembers dropped the oldest, and with them the version whose servers had left, from what it writes down; a take-up of such a stream could then look as if only one version were in use. Versions now have a time of their own. Measured: test/streamrecords.test.ts passes.

--- a/src/gateway/streamrecords.ts
+++ b/src/gateway/streamrecords.ts
@@ -317,7 +317,7 @@
       inUse.add(record);
       this.note(record.service, record.softwareVersion);
     }
-    for (const [, origin] of bindings.unexpired()) inUse.add(origin);
+    for (const origin of bindings.inUse()) inUse.add(origin);
     const oldest = this.deps.clock.monotonic() - MAX_TAKE_UP_MS;
     for (const versions of this.seen.values()) {
       for (const [version, at] of versions) if (at < oldest) versions.delete(version);
--- a/src/gateway/streamversions.ts
+++ b/src/gateway/streamversions.ts
@@ -68,11 +68,17 @@
 export class StreamBindings {
   private readonly bindings = new Map<string, Binding>();
 
+  /** Monotonic time in ms until which streams of a version may be taken up, by service and version. */
+  private readonly usedUntil = new Map<string, Map<string, number>>();
+
   public constructor(private readonly clock: Clock) {}
 
   /** Records where the stream of a call began, under the attempt that began it and under this one. */
   public bind({ id, resumes, deadlineMs }: Call, origin: StreamOrigin): void {
     const expiresAt = this.clock.monotonic() + (deadlineMs ?? MAX_TAKE_UP_MS) + MARGIN_MS;
+    const versions = this.usedUntil.get(origin.service) ?? new Map<string, number>();
+    this.usedUntil.set(origin.service, versions);
+    versions.set(origin.softwareVersion, Math.max(versions.get(origin.softwareVersion) ?? 0, expiresAt));
     for (const name of new Set([resumes ?? id, id])) {
       if (name === null) continue;
       const key = streamKey(name);
@@ -104,6 +110,16 @@
     for (const entry of this.bindings) if (entry[1].expiresAt > now) yield entry;
   }
 
+  /** Versions whose streams callers may still take up, also where the streams themselves were dropped. */
+  public inUse(): readonly StreamOrigin[] {
+    const now = this.clock.monotonic();
+    return [...this.usedUntil].flatMap(([service, versions]) => [...versions].flatMap(([softwareVersion, until]) => {
+      if (until > now) return [{ service, softwareVersion }];
+      versions.delete(softwareVersion);
+      return [];
+    }));
+  }
+
   public get size(): number {
     return this.bindings.size;
   }
