Wait for the held call before the explanation is checked for reservations

The test compared open calls before and after 20 questions; a call held by the test before it ends at its timeout of 600 ms, and once did so in between, on a machine with two plays. It now waits for that end first.

--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -81,6 +81,8 @@
   it('sends nothing, reserves nothing and draws on no budget', async () => {
     const before = received();
     const open = (): string => JSON.stringify((gateway.gateway.dump().occupancy as { own: unknown }).own);
+    // The held call of the test before ends at its timeout.
+    await waitUntil(() => open() === '{}');
     const [openBefore, first] = [open(), await ask('/safe/x')];
     for (let index = 0; index < 20; index += 1) await ask('/long/x', { prompt: 9_000, output: 2, parts: 'aa:6000,bb:3000' });
     expect(received()).toBe(before);
