--- a/test/streamrecords.test.ts
+++ b/test/streamrecords.test.ts
@@ -133,9 +133,11 @@
 
   it('is split where it has more streams than one value may list, and the oldest are dropped', async () => {
     const node = startNode(['v1', 'v2']);
+    node.bindings.bind(call('oldest'), originAt('v0'));
     for (let id = 0; id < 20_100; id += 1) node.bindings.bind(call(`stream ${id}`), originAt('v1'));
     await clock.advance(500);
-    expect(node.bindings.size).toBe(20_000);
+    expect([node.bindings.size, node.bindings.find('oldest')]).toEqual([20_000, null]);
+    expect(store.list('streams/').every(({ value }) => value.includes('"v0":[]'))).toBe(true);
     expect(store.list('streams/').map(({ value }) => value.split('stream').length - 1)).toEqual([4_000, 4_000, 4_000, 4_000, 4_000]);
     await clock.advance(20_000);
     expect(store.list('streams/')).toHaveLength(1);
