--- a/src/gateway/callcontext.ts
+++ b/src/gateway/callcontext.ts
@@ -7,6 +7,8 @@
 
 /** One send of a call to a backend server, for the log line of the call. */
 export interface SendTrace {
+  /** Version of the server's software. */
+  readonly softwareVersion: string;
   /** Store revision of the record by which the server was chosen; `null` where the server was removed meanwhile. */
   readonly revision: number | null;
   /** Time in ms from the choice of the server to the write of the request; `null` while it is not written. */
@@ -45,6 +47,8 @@
   readonly route: Route;
   readonly service: ForwardingService;
   readonly caller: Caller;
+  /** Version of the software that began the stream of this call and must go on with it; `null` while any may run it. */
+  readonly softwareVersion: string | null;
   /** Priority of the call; 0 is the most urgent. */
   readonly priority: number;
   /** Monotonic time in ms by which the final answer is due. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -41,6 +41,8 @@
 import { RoleBalancer } from './rolebalancer.js';
 import { ServerRegistry } from './serverregistry.js';
 import { WorkLedger } from './shares/index.js';
+import { StreamRecords } from './streamrecords.js';
+import { StreamBindings, StreamVersions } from './streamversions.js';
 import { MAX_PREFILLS_PER_ENGINE, MAX_PREFILLS_WHEN_IDLE } from './slotallocator.js';
 import type { GatewaySettings } from './settings.js';
 import { listenDirectory, listenMetrics, listenReadiness } from './endpoints.js';
@@ -53,7 +55,7 @@
   readonly random: Random;
   readonly log: Log;
   readonly meter: Metrics;
-  readonly store: KeyValue & KeySource;
+  readonly store: KeyValue & KeySource & { readonly era: number };
   readonly codec: Codec;
   readonly peerClient: PeerClient;
   readonly peerServer: PeerServer;
@@ -147,6 +149,10 @@
 
   private readonly places: PlaceExchange;
 
+  private readonly bindings: StreamBindings;
+
+  private readonly streamRecords: StreamRecords;
+
   private routes: RouteTable | null = null;
 
   private listener: HttpListener | null = null;
@@ -198,6 +204,7 @@
     const pauses = this.disposables.add(new ServerPauses(deps));
     const control = new ControlClient({ ...deps, leaving, pauses });
     this.ledger = new WorkLedger(clock);
+    this.bindings = new StreamBindings(clock);
     this.occupancy = new Occupancy({
       clock, members: this.membership, datagrams: deps.datagrams, ledger: this.ledger,
     });
@@ -248,6 +255,14 @@
     this.places = this.disposables.add(new PlaceExchange({
       ...deps, members: this.membership, cacheTokens: (engine) => this.cacheTokens(engine),
     }, { places: MAX_PREFILLS_PER_ENGINE, maxWhenIdle: MAX_PREFILLS_WHEN_IDLE }));
+    this.streamRecords = new StreamRecords({
+      ...deps,
+      registry: this.registry,
+      bindings: this.bindings,
+      services: () => this.routes?.resumableServices ?? new Set(),
+      gatewayCount: () => this.peers.gatewayCount,
+      storeEra: () => deps.store.era,
+    }, { name: settings.gateway.name, incarnation: this.membership.self().incarnation });
     const budgets = new RetryBudgets(settings.retries, () => this.peers.gatewayCount);
     this.forwarder = this.disposables.add(new Forwarder({
       ...deps,
@@ -258,6 +273,9 @@
       estimates: this.estimates,
       answers: this.answers,
       ledger: this.ledger,
+      streams: new StreamVersions({
+        registry: this.registry, bindings: this.bindings, fleet: this.streamRecords,
+      }),
       ranksCalls: settings.workspaces.shares,
       places: () => (this.placesAreOwned() ? this.places : null),
       prompts: this.quarantine,
@@ -336,6 +354,7 @@
       roles: this.roles,
       occupancy: this.occupancy,
       quarantine: this.quarantineExchange,
+      streams: this.streamRecords,
       ...this.duties.loops,
     };
     for (const [task, loop] of Object.entries(loops)) {
@@ -382,6 +401,7 @@
       occupancy: this.occupancy.dump(),
       places: { owned: this.placesAreOwned(), ...this.places.dump() },
       shares: this.ledger.dump(),
+      streams: { bound: this.bindings.size, ...this.streamRecords.dump() },
       estimates: this.estimates.dump(),
       quarantine: this.quarantine.dump(),
       duties: this.duties.dump(),
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -222,7 +222,9 @@
     const backend = fleet.serverFor(server);
     const probe = backend.countProbe();
     const sentAt = clock.monotonic();
-    const trace: SendTrace = { revision: fleet.revision(server.id), writtenMs: null, end: null };
+    const trace: SendTrace = {
+      softwareVersion: server.softwareVersion, revision: fleet.revision(server.id), writtenMs: null, end: null,
+    };
     context.trace.sends.push(trace);
     // A prefill writes no answer.
     const run = work.type === 'prefill'
@@ -259,7 +261,7 @@
       // A prefill may be repeated, because it does not execute the call. It is aborted even if the server answers other
       // calls, because the server may still never answer this one. A slow answer is better than none, so that a call
       // that no other server could run is not aborted.
-      const isRepeatable = mayRunTwice(context) && this.slotAllocator.hasOtherServer(context.service, server.id);
+      const isRepeatable = mayRunTwice(context) && this.slotAllocator.hasOtherServer(context, server.id);
       if (work.type === 'prefill' || isRepeatable) upstream.abort('no answer in the usual time');
     });
     let answered = false;
--- a/src/gateway/slotallocator.ts
+++ b/src/gateway/slotallocator.ts
@@ -29,6 +29,7 @@
 import type { WorkLedger } from './shares/index.js';
 import { SlotQueue } from './slotqueue.js';
 import type { FreeSlot, QueuedCall, WaitingCalls } from './slotqueue.js';
+import type { StreamVersions } from './streamversions.js';
 import type { CallContext } from './callcontext.js';
 
 /** Number of engines that should cache one shared prompt part. */
@@ -82,10 +83,14 @@
   /** Whether calls of workspaces are ranked by their shares and by urgency. */
   readonly ranksCalls: boolean;
   readonly meter: Meter;
+  readonly streams: Pick<StreamVersions, 'mayBegin'>;
   /** Gives out places of engines; `null` while gateways count the open calls of each other. */
   readonly places: () => PlaceExchange | null;
 }
 
+/** Service of a call, and the version of the software to which the call is restricted. */
+type Restriction = Pick<CallContext, 'service' | 'softwareVersion'>;
+
 /** Chooses the server of a call and reserves a slot there; calls to engines wait in a queue while none is free. */
 export class SlotAllocator implements Disposable {
   private readonly prefillQueues = new Map<string, SlotQueue>();
@@ -124,7 +129,7 @@
     const candidates = withoutPaused(all);
     if (all.length === 0) return fail({ code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS });
     // A prefill is useless while no decoder has room to continue from it.
-    const refusal = this.refusalOf(service);
+    const refusal = this.refusalOf(context);
     if (refusal !== null) return fail(refusal);
     const part = generation === null ? null : sharedPartId(generation);
     const preferredEngines = part === null ? [] : selectPreferredEngines(candidates, part, PREFERRED_ENGINES_PER_PART);
@@ -150,28 +155,31 @@
 
   /**
    * Reserves a slot for a call that one server runs from beginning to end, at a server that is not in `tried`. The
-   * first attempt at an engine waits for a slot; others are refused where no server has room.
+   * first attempt at an engine waits for a slot; others, and streams that go on at one version of the software, are
+   * refused where no server has room.
    */
   public async reserveWholeCall(
     context: CallContext,
     tried: ReadonlySet<string>,
   ): Promise<Result<ReservedServer, Refusal>> {
-    const { service } = context;
-    if (service.engine === null || tried.size > 0) return this.reserveLeastOccupied(service, tried, 'wholes');
+    const { service, softwareVersion } = context;
+    // Few servers may have the version, and a caller gives a stream up after a pause.
+    if (service.engine === null || tried.size > 0 || softwareVersion !== null) return this.reserveLeastOccupied(context, tried, 'wholes');
     this.recordAsk(context);
     const reserved = await this.waitInQueue(this.wholeCallQueue(service), context, {
       preferredEngines: [], otherEngineAfterMs: 0, expectedMs: 0,
     });
-    return this.orPaused(reserved, this.wholeCallCandidates(service));
+    return this.orPaused(reserved, this.wholeCallCandidates(context));
   }
 
   /** Reserves a slot at a decoder, not in `tried`, for the rest of a call whose prefill is done. */
   public reserveContinuation(context: CallContext, tried: ReadonlySet<string>): Result<ReservedServer, Refusal> {
-    return this.reserveLeastOccupied(context.service, tried, 'continuations');
+    return this.reserveLeastOccupied(context, tried, 'continuations');
   }
 
   /** Steps of a call with the servers that it would use now; nothing is reserved. */
-  public explain({ call: { generation }, service }: CallContext, needsPrefill: boolean): readonly ExplainedStep[] {
+  public explain(context: CallContext, needsPrefill: boolean): readonly ExplainedStep[] {
+    const { call: { generation }, service } = context;
     const now = this.deps.clock.monotonic();
     const steps: ExplainedStep[] = [];
     if (needsPrefill && generation !== null) {
@@ -192,7 +200,7 @@
       });
     }
     const isStreamed = service.engine !== null && steps.length === 0;
-    const candidates = isStreamed ? this.wholeCallCandidates(service) : this.workCandidates(service);
+    const candidates = isStreamed ? this.wholeCallCandidates(context) : this.workCandidates(context);
     steps.push({
       step: steps.length === 0 ? 'whole' : 'continuation',
       servers: this.inOrder(candidates, isStreamed).map((candidate) => explainServer(candidate, null, now)),
@@ -203,19 +211,19 @@
   }
 
   /** Refusal of a call for which no server has room or is there at all, or `null`. */
-  public refusalOf(service: ForwardingService): Refusal | null {
-    const all = this.workCandidates(service);
+  public refusalOf(call: Restriction): Refusal | null {
+    const all = this.workCandidates(call);
     return withoutPaused(all).some(({ open, limit }) => open < limit) ? null : this.noSlotRefusal(all);
   }
 
   /** Refusal of a call while all servers that could take it have asked for a pause, or `null`. */
-  public pausedRefusal(service: ForwardingService): Refusal | null {
-    return this.refusalIfPaused(this.workCandidates(service));
+  public pausedRefusal(call: Restriction): Refusal | null {
+    return this.refusalIfPaused(this.workCandidates(call));
   }
 
-  /** Whether a server other than the given one may take whole calls or continuations now. */
-  public hasOtherServer(service: ForwardingService, id: string): boolean {
-    return withoutPaused(this.workCandidates(service)).some(({ record, suspect }) => record.id !== id && !suspect);
+  /** Whether a server other than the given one may take a call, or continue it, now. */
+  public hasOtherServer(call: Restriction, id: string): boolean {
+    return withoutPaused(this.workCandidates(call)).some(({ record, suspect }) => record.id !== id && !suspect);
   }
 
   public dispose(): void {
@@ -229,11 +237,11 @@
   }
 
   private reserveLeastOccupied(
-    service: ForwardingService,
+    call: Restriction,
     tried: ReadonlySet<string>,
     kind: keyof OpenCalls,
   ): Result<ReservedServer, Refusal> {
-    const all = this.workCandidates(service);
+    const all = this.workCandidates(call);
     const candidates = withoutPaused(all).filter(({ record }) => !tried.has(record.id));
     const { random } = this.deps;
     const chosen = pickLeastOccupied(candidates, this.opts.failureDomain, () => random.float());
@@ -243,12 +251,13 @@
 
   private queueTimes(context: CallContext, expectedMs: number): Pick<QueuedCall, 'targetAt' | 'expiresAt' | 'rank'> {
     const {
-      route, trace, deadline, retried,
+      route, trace, deadline, retried, softwareVersion,
     } = context;
     const restMs = expectedMs + this.opts.transitMs;
     return {
-      // The target time starts with the caller's first attempt, so a retried call has missed it already.
-      targetAt: retried ? -Infinity : trace.arrivedAt + route.targetMs - restMs,
+      // The target time starts with the caller's first attempt, so a retried call has missed it already. A stream that
+      // goes on was on time, and its caller gives it up after a pause.
+      targetAt: retried && softwareVersion === null ? -Infinity : trace.arrivedAt + route.targetMs - restMs,
       expiresAt: deadline - restMs,
       rank: () => (this.deps.ranksCalls ? rankOf(context, this.deps.ledger) : UNRANKED),
     };
@@ -298,13 +307,20 @@
   }
 
   /** Servers that may take whole calls and continuations. */
-  private workCandidates(service: ForwardingService): readonly Candidate[] {
+  private workCandidates({ service, softwareVersion }: Restriction): readonly Candidate[] {
     const all = this.deps.fleet.candidates(
       service.name,
       ({ continuations, wholes }) => continuations + wholes,
       ({ slots }) => slots * MAX_CALLS_PER_SLOT,
     );
-    return service.engine === null ? all : this.decoders(service, all);
+    return this.withVersion(service.engine === null ? all : this.decoders(service, all), softwareVersion);
+  }
+
+  /** Servers of a version of the software, or those at which any stream may begin. */
+  private withVersion(all: readonly Candidate[], softwareVersion: string | null): readonly Candidate[] {
+    return all.filter(({ record }) => (
+      softwareVersion === null ? this.deps.streams.mayBegin(record) : record.softwareVersion === softwareVersion
+    ));
   }
 
   /** Engines that decode and are not about to change their role. */
@@ -326,16 +342,16 @@
   }
 
   /** Engines that may run calls from beginning to end. */
-  private wholeCallCandidates(service: ForwardingService): readonly Candidate[] {
-    return this.decoders(service, this.deps.fleet.candidates(
+  private wholeCallCandidates({ service, softwareVersion }: Restriction): readonly Candidate[] {
+    return this.withVersion(this.decoders(service, this.deps.fleet.candidates(
       service.name,
       ({ wholes }) => wholes,
       ({ slots }) => Math.max(1, slots - SLOTS_KEPT_FOR_CONTINUATIONS),
-    ));
+    )), softwareVersion);
   }
 
   private wholeCallQueue(service: ForwardingService): SlotQueue {
-    const candidates = (): readonly Candidate[] => this.wholeCallCandidates(service);
+    const candidates = (): readonly Candidate[] => this.wholeCallCandidates({ service, softwareVersion: null });
     return this.queueFor(this.wholeCallQueues, service, 'wholes', candidates, Infinity);
   }
 
