Test that a frozen gateway cuts no stream in the ordinary way

Change: two cases of a gateway process that stands still: past the deadline of its streams, and past the grace period of its stop.

--- a/test/gatewayends.test.ts
+++ b/test/gatewayends.test.ts
@@ -14,7 +14,7 @@
 import { StoreStandIn } from '../src/emulator/platformstore.js';
 import { sendCall } from '../src/emulator/sendcall.js';
 import type { Answer } from '../src/emulator/sendcall.js';
-import { GatewayProcess } from '../src/soak/processes.js';
+import { GatewayProcess, GRACE_MS } from '../src/soak/processes.js';
 import { configuration } from './support/gateway.js';
 import { waitUntil } from './support/waituntil.js';
 
@@ -107,8 +107,12 @@
 }
 
 describe.each(['/talk/x', '/long/x'])('a stream without length on %s', (path) => {
-  const talk = () => sendCall(gateway.callerAddress, path, {
-    method: 'POST', body: 'p', headers: { connection: 'close', 'catkinscale-token-count': '100,90' },
+  const talk = (deadlineMs = 15_000) => sendCall(gateway.callerAddress, path, {
+    method: 'POST',
+    body: 'p',
+    headers: {
+      connection: 'close', 'catkinscale-token-count': '100,90', 'catkinscale-deadline-ms': String(deadlineMs),
+    },
   });
 
   it('is passed on whole', async () => {
@@ -121,12 +125,26 @@
   // Guards against a stream that the end of the gateway cuts and that looks complete to its caller.
   it.each(['SIGKILL', 'SIGTERM'] as const)('does not look whole when %s ends the gateway before it', async (signal) => {
     events = 2_000;
-    const answers = Array.from({ length: 20 }, talk);
+    const answers = Array.from({ length: 20 }, () => talk());
     await wait(400);
     await gateway.terminate(signal);
     const whole = (await Promise.all(answers)).filter(looksWhole);
     expect(whole.map(({ body }) => body.length)).toEqual([]);
   }, 20_000);
+
+  // Guards against a deadline or planned stop that is met late and closes a cut stream in the ordinary way.
+  it.each([
+    ['deadline', 500, 400, null], ['grace period', 15_000, GRACE_MS, 'SIGTERM'],
+  ] as const)('does not look whole when the %s passes while the gateway stands still', async (_what, deadline, pauseMs, signal) => {
+    events = 2_000;
+    const answers = Array.from({ length: 20 }, () => talk(deadline));
+    await wait(300);
+    const stopped = signal === null ? null : gateway.terminate(signal);
+    await gateway.pause(pauseMs);
+    const whole = (await Promise.all(answers)).filter(looksWhole);
+    expect(whole.map(({ body }) => body.length)).toEqual([]);
+    await stopped;
+  }, 20_000);
 });
 
 describe('a stream without length whose connection ends while the gateway stands still', () => {
