Reject answers whose status is above 599

What callers saw: an answer of status 600, 700 or 999 was passed on with that status, to callers of plain calls and of streams; a client of a plain service took it for an answer too. HTTP defines the classes 1xx to 5xx.

Cause: the parser of the client library takes any three digits, and nothing behind it checks them. It rejects the users' status 000 and all others below 100 by an assertion.

Change: the head is checked in one place (`findHeadProblem`), which the connections of gateways, the shared client over HTTP, calls between peers and the command line use. The connection is given up and the outcome of the call is unknown.

--- a/src/adapters/http.ts
+++ b/src/adapters/http.ts
@@ -1,6 +1,7 @@
 import { DecoratorHandler, Pool } from 'undici';
 import type { Dispatcher } from 'undici';
 import { fail, ok } from '../core/result.js';
+import { rejectInvalidHeads } from './answers.js';
 import { openSocket } from './sockets.js';
 import type { Result } from '../core/result.js';
 
@@ -93,7 +94,7 @@
   public async send(opts: SendOptions): Promise<Result<HttpResponse, HttpFailure>> {
     const state: SendState = { sent: false };
     const guard = opts.mayStillSend ?? (() => true);
-    const dispatcher = this.pool.compose((dispatch) => (options, handler) => (
+    const dispatcher = this.pool.compose(rejectInvalidHeads, (dispatch) => (options, handler) => (
       dispatch(options, new SendGuard(handler, state, guard))
     ));
     // Node.js timers need whole milliseconds, but remaining times are fractional.
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -1,4 +1,5 @@
 import { Pool } from 'undici';
+import { rejectInvalidHeads } from '../adapters/answers.js';
 import type { Secret } from '../core/configuration/index.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
@@ -44,7 +45,7 @@
   let pool: Pool | null = null;
   try {
     pool = new Pool(`http://${req.address}`);
-    const res = await pool.request({
+    const res = await pool.compose(rejectInvalidHeads).request({
       path: req.path,
       method: req.method,
       headers: {
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -6,6 +6,7 @@
 } from 'json-rpc-2.0';
 import type { JSONRPCResponse } from 'json-rpc-2.0';
 import { Agent } from 'undici';
+import { rejectInvalidHeads } from '../adapters/answers.js';
 import { listenHttp, readBody, sendRefusal } from './http.js';
 import type { HttpLimits, HttpListener, ListenError } from './http.js';
 import { httpRefusalAnswer, refusalAnswer } from './refusals.js';
@@ -154,6 +155,8 @@
     maxResponseSize: MAX_MESSAGE_BYTES,
   });
 
+  private readonly dispatcher = this.agent.compose(rejectInvalidHeads);
+
   private readonly token: string;
 
   private nextId = 1;
@@ -183,7 +186,7 @@
     this.opts.meter.count('peer_calls', 1, { method });
     this.opts.meter.count('peer_sent_bytes', Buffer.byteLength(body), { method });
     try {
-      const answer = await this.agent.request({
+      const answer = await this.dispatcher.request({
         origin: `http://${address}`,
         path: '/',
         method: 'POST',
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { Client } from 'undici';
 import type { Dispatcher } from 'undici';
+import { findHeadProblem } from '../adapters/answers.js';
 import { openSocket } from '../adapters/sockets.js';
 import type { SocketCallback } from '../adapters/sockets.js';
 import type { Disposable } from '../core/interfaces/index.js';
@@ -205,7 +206,13 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (status < 200 || this.aborted) return;
+    if (this.aborted) return;
+    const problem = findHeadProblem(status);
+    if (problem !== null) {
+      this.abort(problem);
+      return;
+    }
+    if (status < 200) return;
     this.headArrived = true;
     this.chunked = headers['transfer-encoding'] !== undefined;
     this.sink.head(status, headers, this.connection.requests > 1);
