Reject answers in an unknown transfer coding

What callers saw: an answer with `Transfer-Encoding: gzip, chunked`, `chunked, chunked` or two such lines was passed on as complete, without that field, so that the body was the coded one and not the server's. A refusal in such a form promised "not run", a stream went on with such a body, and a prefill of this form gave its handle. A client of a plain service also took answers in any other coding that end with the connection.

Cause: the parser takes any coding before or instead of `chunked` and removes the chunks only.

Change: `findHeadProblem` accepts no coding but one `chunked`; the outcome of the call is unknown otherwise.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -207,7 +207,7 @@
     headers: Record<string, string | string[] | undefined>,
   ): void {
     if (this.aborted) return;
-    const problem = findHeadProblem(status);
+    const problem = findHeadProblem(status, headers);
     if (problem !== null) {
       this.abort(problem);
       return;
--- a/test/support/oddanswers.ts
+++ b/test/support/oddanswers.ts
@@ -61,6 +61,13 @@
   ['a length before chunks', (body) => `Content-Length: ${body.length}\r\n${chunked(body)}`],
   ['a length behind chunks', (body) => chunked(body).replace('\r\n\r\n', `\r\nContent-Length: ${body.length}\r\n\r\n`)],
   ['another coding', (body) => `Transfer-Encoding: identity\r\nContent-Length: ${body.length}\r\n\r\n${body}`],
+  ['chunks and then another coding', (body) => chunked(body).replace('chunked', 'chunked, gzip')],
+  ['another coding and then chunks', (body) => chunked(body).replace('chunked', 'gzip, chunked')],
+  ['another coding to the close', (body) => sized(body, 'Connection: close\r\nTransfer-Encoding: gzip')],
+  ['two lines of codings', (body) => chunked(body).replace('chunked', 'chunked\r\nTransfer-Encoding: chunked')],
+  ['chunks twice', (body) => chunked(body).replace('chunked', 'chunked, chunked')],
+  ['a misspelled coding', (body) => chunked(body).replace('chunked', 'xchunked')],
+  ['a coding in quotes', (body) => chunked(body).replace('chunked', '"chunked"')],
   ['a coding with a control byte', (body) => chunked(body).replace('chunked', '\u000bchunked')],
   ['a chunk with 0x', (body) => chunked(body).replace('\r\n\r\n', '\r\n\r\n0x')],
   ['a chunk with a sign', (body) => chunked(body).replace('\r\n\r\n', '\r\n\r\n+')],
@@ -108,7 +115,7 @@
 const SAMPLE: ReadonlySet<string> = new Set([
   '"HTTP/1.1 000 OK"', '"HTTP/1.1 099 OK"', '"HTTP/1.1 600 OK"', '"HTTP/1.1 999 OK"', '"HTTP/1.1 1000 OK"',
   '0x20 inside a name', '0x20 behind a name', '0x01 inside a name', '0x00 behind a name, first', '0x20 inside a name, as a trailer',
-  'blank behind Content-Length', 'differing lengths', 'a length behind chunks',
+  'blank behind Content-Length', 'another coding and then chunks', 'chunks twice', 'differing lengths', 'a length behind chunks',
 ]);
 
 /** One or two forms of each kind. */
