Reject answers whose status line is not one of HTTP/1

What callers saw: an answer that begins with HTTP/0.9, HTTP/2.0 or RTSP/1.0, or whose reason holds a control byte, was passed on as complete, and so were such refusals, further runs of streams and handles.

Cause: the parser accepts these status lines.

Change: the first line after each request is read before the parser gets it (`checkStatusLines`, on the sockets that all clients open; calls between peers use them now too). It is no filter: bytes are looked at up to the first line end and passed on unchanged, or the connection is destroyed. The head behind an interim answer is checked by the parser alone.

--- a/src/adapters/answers.ts
+++ b/src/adapters/answers.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { DecoratorHandler } from 'undici';
 import type { Dispatcher } from 'undici';
 
@@ -44,3 +45,33 @@
 export const rejectInvalidHeads: Dispatcher.DispatcherComposeInterceptor = (dispatch) => (options, handler) => (
   dispatch(options, new HeadCheck(handler))
 );
+
+/** First bytes of each answer. */
+const ANSWER_START = 'HTTP/1.';
+
+// eslint-disable-next-line no-control-regex -- They may not stand in a status line.
+const CONTROL_BYTE = /[\0-\x08\x0b\x0c\x0e-\x1f\x7f]/;
+
+/**
+ * Destroys a connection if the first line after a request is not the status line of an HTTP/1.x answer. The parser also
+ * accepts HTTP/0.9, HTTP/2.0, RTSP/1.0 and any byte in the reason; it tells neither the version nor the whole reason.
+ */
+export function checkStatusLines(socket: Socket): void {
+  let bytesWritten = 0;
+  let start = '';
+  let isOver = false;
+  // The client library reads the socket itself; each chunk is emitted here before it gets it.
+  socket.on('data', (chunk: Buffer) => {
+    if (socket.bytesWritten !== bytesWritten) {
+      bytesWritten = socket.bytesWritten;
+      start = '';
+      isOver = false;
+    }
+    if (isOver) return;
+    const end = chunk.indexOf('\n');
+    const part = chunk.toString('latin1', 0, end === -1 ? chunk.length : end);
+    isOver = end !== -1;
+    start = (start + part).slice(0, ANSWER_START.length);
+    if (!ANSWER_START.startsWith(start) || CONTROL_BYTE.test(part)) socket.destroy(new Error('not an HTTP/1 answer'));
+  });
+}
--- a/src/adapters/sockets.ts
+++ b/src/adapters/sockets.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { checkStatusLines } from './answers.js';
 
 /** Receives either an error or a connected socket. */
 export type SocketCallback = (...args: [Error, null] | [null, Socket]) => void;
@@ -10,6 +11,7 @@
  */
 export function openSocket(host: string, port: number, timeoutMs: number, callback: SocketCallback): Socket {
   const socket = connect({ host, port, noDelay: true });
+  checkStatusLines(socket);
   let isSettled = false;
   let timer: NodeJS.Timeout | null = null;
   const settle = (err: Error | null): void => {
--- a/src/daemon/peers.ts
+++ b/src/daemon/peers.ts
@@ -7,6 +7,7 @@
 import type { JSONRPCResponse } from 'json-rpc-2.0';
 import { Agent } from 'undici';
 import { rejectInvalidHeads } from '../adapters/answers.js';
+import { openSocket } from '../adapters/sockets.js';
 import { listenHttp, readBody, sendRefusal } from './http.js';
 import type { HttpLimits, HttpListener, ListenError } from './http.js';
 import { httpRefusalAnswer, refusalAnswer } from './refusals.js';
@@ -32,6 +33,8 @@
  */
 const CONNECTIONS_PER_PEER = 4;
 
+const CONNECT_TIMEOUT_MS = 2_000;
+
 /** JSON-RPC error code for errors that a handler returned. */
 const HANDLER_ERROR = -32_000;
 
@@ -151,7 +154,9 @@
     connections: CONNECTIONS_PER_PEER,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS - 5_000,
-    connect: { timeout: 2_000 },
+    connect: (opts, callback) => {
+      openSocket(opts.hostname, Number(opts.port), CONNECT_TIMEOUT_MS, callback);
+    },
     maxResponseSize: MAX_MESSAGE_BYTES,
   });
 
--- a/test/oddanswers.test.ts
+++ b/test/oddanswers.test.ts
@@ -178,6 +178,26 @@
     })).toEqual([]);
   }, 60_000);
 
+  // Guards against a check that sees only what arrives in one piece.
+  it('is none for a call if it arrives byte by byte', async () => {
+    expect(await findTaken(SAMPLE_FORMS, ({ socket, id }, form) => {
+      served += 1;
+      const bytes = writeOdd(form, 200, signed(id), 'whole');
+      let sent = 0;
+      const writeNext = (): void => {
+        if (sent === bytes.length || socket.destroyed) socket.end();
+        else {
+          socket.write(bytes.subarray(sent, sent += 1));
+          setImmediate(writeNext);
+        }
+      };
+      writeNext();
+    }, async () => {
+      const { status, complete } = await ask('/order/x');
+      return status !== 502 && (status !== 200 || complete);
+    })).toEqual([]);
+  });
+
   // Guards against a check that is too strict.
   it('is passed on whole where HTTP allows the form', async () => {
     expect(await findTaken(UNUSUAL_FORMS, ({ socket, id }, form) => {
--- a/test/support/oddanswers.ts
+++ b/test/support/oddanswers.ts
@@ -24,8 +24,9 @@
   'HTTP/1.1 000 OK', 'HTTP/1.1 001 OK', 'HTTP/1.1 020 OK', 'HTTP/1.1 099 OK', 'HTTP/1.1 600 OK', 'HTTP/1.1 700 OK', 'HTTP/1.1 999 OK',
   'HTTP/1.1 1000 OK', 'HTTP/1.1 0200 OK', 'HTTP/1.1 2000 OK', 'HTTP/1.1 20 OK', 'HTTP/1.1 2 OK', 'HTTP/1.1  OK', 'HTTP/1.1 2x0 OK',
   'HTTP/1.1 +200 OK', 'HTTP/1.1 -200 OK', 'HTTP/1.1 200OK', 'HTTP/1.1  200 OK', 'HTTP/1.1\t200 OK', 'HTTP/1.1 200\tOK', 'HTTP/1.1200 OK',
-  'HTTP/1.2 200 OK', 'HTTP/2 200 OK', 'HTTP/3.0 200 OK', 'HTTP/11 200 OK', 'HTTP/1.10 200 OK',
-  'HTTP/1 200 OK', 'HTTP 200 OK', 'HTTP/ 1.1 200 OK', 'http/1.1 200 OK', 'ICY 200 OK', ' HTTP/1.1 200 OK',
+  'HTTP/0.9 200 OK', 'HTTP/1.2 200 OK', 'HTTP/2 200 OK', 'HTTP/2.0 200 OK', 'HTTP/3.0 200 OK', 'HTTP/11 200 OK', 'HTTP/1.10 200 OK',
+  'HTTP/1 200 OK', 'HTTP 200 OK', 'HTTP/ 1.1 200 OK', 'http/1.1 200 OK', 'ICY 200 OK', 'RTSP/1.0 200 OK', ' HTTP/1.1 200 OK',
+  'HTTP/1.1 200 O\u0000K', 'HTTP/1.1 200 O\u0001K', 'HTTP/1.1 200 O\u007fK', 'HTTP/1.1 200 O\rK', '200 OK',
 ];
 
 const FIELDS: readonly (readonly [string, string])[] = [
@@ -113,7 +114,7 @@
 ]);
 
 const SAMPLE: ReadonlySet<string> = new Set([
-  '"HTTP/1.1 000 OK"', '"HTTP/1.1 099 OK"', '"HTTP/1.1 600 OK"', '"HTTP/1.1 999 OK"', '"HTTP/1.1 1000 OK"',
+  '"HTTP/1.1 000 OK"', '"HTTP/1.1 099 OK"', '"HTTP/1.1 600 OK"', '"HTTP/1.1 999 OK"', '"HTTP/1.1 1000 OK"', '"HTTP/1.1 200 O\\u0001K"',
   '0x20 inside a name', '0x20 behind a name', '0x01 inside a name', '0x00 behind a name, first', '0x20 inside a name, as a trailer',
   'blank behind Content-Length', 'another coding and then chunks', 'chunks twice', 'differing lengths', 'a length behind chunks',
 ]);
