--- a/test/oddanswers.test.ts
+++ b/test/oddanswers.test.ts
@@ -209,6 +209,15 @@
     })).toEqual([]);
   });
 
+  // Guards against a success that looks as if its server had not signed it.
+  it('keeps its signature if its Connection field lists it', async () => {
+    const field = 'Connection: close, Catkinscale-Server-Signature, Content-Length';
+    server.respond = (req) => answer(req, { field });
+    expect(await ask('/order/x')).toMatchObject({
+      status: 200, complete: true, head: expect.stringMatching(/catkinscale-server-signature: s1/i),
+    });
+  });
+
   it('is none for a call on a connection that was used before', async () => {
     let isFirst = true;
     const used: boolean[] = [];
