--- a/test/earlyanswers.test.ts
+++ b/test/earlyanswers.test.ts
@@ -2,6 +2,7 @@
 import {
   afterAll, beforeAll, beforeEach, describe, expect, it,
 } from 'vitest';
+import { HttpService } from '../src/adapters/service.js';
 import { createServerRecord } from '../src/emulator/backend.js';
 import { StoreStandIn } from '../src/emulator/platformstore.js';
 import { configuration, startGateway } from './support/gateway.js';
@@ -159,3 +160,25 @@
     expect(/^u*$/.test(rest) && rest.length === UPLOAD.length).toBe(true);
   });
 });
+
+// Guards against the same at the shared client over HTTP, which does not use the connections of gateways.
+describe('an answer to the client of a plain service', () => {
+  it.each([
+    ['reset', 0], ['close', 0], ['end', 20],
+  ] as const)('is whole only after an ordinary end: %s', async (end, whole) => {
+    server.respond = ({ socket }) => {
+      socket.write(`HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\n${'a'.repeat(8_000)}`);
+      ENDS[end]!(socket);
+    };
+    let taken = 0;
+    for (let call = 0; call < 20; call += 1) {
+      const service = new HttpService('s', server.address);
+      const result = await service.call({
+        requestId: 'r', attemptId: 'a', workspace: 'w', operation: 'order', body: 'u'.repeat(1_000_000),
+      }, { timeoutMs: 1_000 });
+      if (result.success && result.data.body.length === 8_000) taken += 1;
+      service.dispose();
+    }
+    expect(taken).toBe(whole);
+  });
+});
