Heed the pause that a 503 without a request id asks for

Requests still reached a server that had asked for a pause where its 503 had no request id: on a connection with an earlier request, or without the statement that the call was not run, such an answer counts as one to another call and was given up unread. A copy of an earlier answer can at most prolong a pause that the server has asked for, so that the pause counts; the call's outcome stays unknown. Answers that name another call are left out as before.

--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -98,8 +98,8 @@
     case 'answered': return outcome.head;
     case 'not_executed': return outcome;
     case 'not_sent':
-    case 'withheld':
-    case 'broken': return { serverLeaves: false, pauseMs: null };
+    case 'withheld': return { serverLeaves: false, pauseMs: null };
+    case 'broken': return { serverLeaves: false, pauseMs: outcome.pauseMs };
     default: return assertNever(outcome);
   }
 }
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -20,7 +20,7 @@
     readonly pauseMs: number | null;
   }
   /** The call was written, and it is unknown whether it was executed. */
-  | { readonly type: 'broken'; readonly message: string }
+  | { readonly type: 'broken'; readonly message: string; readonly pauseMs: number | null }
   | { readonly type: 'answered'; readonly head: AnswerHead };
 
 /** How the answer to one send ended. */
@@ -88,6 +88,9 @@
 
   private isAborted = false;
 
+  /** Pause in ms that an answer asked for which may belong to another call; `null` if it did not. */
+  private pauseMs: number | null = null;
+
   private bodyState: 'open' | 'complete' | 'broken' = 'open';
 
   private failure = '';
@@ -183,8 +186,11 @@
   ): void {
     const head = this.codec.readHead(this.call, status, headers);
     // On a connection with an earlier request, an answer without an id may be a copy of the one to that request.
-    if (!head.matchesCall || (isReused && !head.namesCall)) this.abort('the answer belongs to another call');
-    else if (head.execution === Execution.NotExecuted) {
+    if (!head.matchesCall || (isReused && !head.namesCall)) {
+      // A copy of an answer without an id at most prolongs a pause for which the server has asked.
+      if (!head.namesCall) this.pauseMs = head.pauseMs;
+      this.abort('the answer belongs to another call');
+    } else if (head.execution === Execution.NotExecuted) {
       const { serverLeaves, pauseMs } = head;
       this.finish({
         type: 'not_executed', status, message: `refused with status ${status}`, serverLeaves, pauseMs,
@@ -209,7 +215,7 @@
     if (this.bodyState !== 'open') return;
     this.bodyState = 'complete';
     this.observer.ended?.({ how: UpstreamEnd.Complete, connection, bytes: this.receivedBytes });
-    this.finish({ type: 'broken', message: 'the answer has no head' });
+    this.finish({ type: 'broken', message: 'the answer has no head', pauseMs: null });
     this.bodySink?.end();
     this.resolveClosed(UpstreamEnd.Complete);
   }
@@ -220,7 +226,7 @@
     this.failure = message;
     const how = this.isAborted ? UpstreamEnd.Aborted : UpstreamEnd.Broken;
     this.observer.ended?.({ how, connection, bytes: this.receivedBytes });
-    if (this.isWritten) this.finish({ type: 'broken', message });
+    if (this.isWritten) this.finish({ type: 'broken', message, pauseMs: this.pauseMs });
     else this.finish({ type: this.isWithheld ? 'withheld' : 'not_sent', message });
     this.bodySink?.failed(message);
     this.resolveClosed(how);
--- a/test/pauses.test.ts
+++ b/test/pauses.test.ts
@@ -44,12 +44,15 @@
 
   /** Starts servers by id and changes of their records; the first `count` requests that `asks` selects get 503. */
   async function start(all: readonly (readonly [string, object])[], seconds: number, {
-    count = 1, asks = () => true, headers = { 'Catkinscale-Not-Executed': '1' },
-  }: { count?: number; asks?: (call: ReceivedCall) => boolean; headers?: Record<string, string> } = {}): Promise<void> {
+    count = 1, asks = () => true, headers = { 'Catkinscale-Not-Executed': '1' }, isNamed = true,
+  }: {
+    count?: number; asks?: (call: ReceivedCall) => boolean; headers?: Record<string, string>; isNamed?: boolean;
+  } = {}): Promise<void> {
     servers = all.map(([id]) => {
       const server: ServerStandIn = new ServerStandIn(id, (res, received) => {
         if (pauses.length < count && asks(received)) {
           pauses.push({ server, at: performance.now() });
+          if (!isNamed) res.removeHeader('Catkinscale-Request-Id');
           res.writeHead(503, { ...headers, 'Retry-After': String(seconds), 'Content-Length': 0 }).end();
         } else if (pauses.length === 0 && received.url === '/long/broken') {
           res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', 'Content-Type': 'text/event-stream' });
@@ -106,6 +109,7 @@
     ['a whole call', '/long/x', SHORT, {}],
     ['a resumed stream', '/long/broken', SHORT, { asks: ({ headers }) => headers['last-event-id'] === '1' }],
     ['a call that may have run', '/long/x', SHORT, { headers: { 'Catkinscale-Server-Signature': 's1' } }],
+    ['a call whose id it leaves out', '/long/x', SHORT, { headers: {}, isNamed: false }],
   ])('sends it nothing after it has answered %s with 503', async (_kind, path, headers, opts) => {
     await start(ENGINES, 0.6, opts);
     while (pauses.length === 0) await call(path, headers);
