Name the end of the pause to the call that its last prefill engine refuses

The call that itself got the pause from the only prefill engine had tried that engine, so that no candidate was left and it was refused as no_server with 0.50 s: the caller came back into the pause. The refusal now looks at all prefill engines, also those that were tried.

--- a/src/gateway/slotallocator.ts
+++ b/src/gateway/slotallocator.ts
@@ -125,9 +125,10 @@
   ): Promise<Result<ReservedServer, Refusal>> {
     const { call: { generation }, route, service } = context;
     this.recordAsk(context);
-    const all = this.prefillCandidates(service).filter(({ record }) => !tried.has(record.id));
-    const candidates = withoutPaused(all);
-    if (all.length === 0) return fail({ code: 'no_server', retryAfterMs: 2 * RETRY_AFTER_MS });
+    const all = this.prefillCandidates(service);
+    const untried = all.filter(({ record }) => !tried.has(record.id));
+    const candidates = withoutPaused(untried);
+    if (untried.length === 0) return fail(this.refusalIfPaused(all) ?? this.noSlotRefusal([]));
     // A prefill is useless while no decoder has room to continue from it.
     const refusal = this.refusalOf(context);
     if (refusal !== null) return fail(refusal);
--- a/test/brokenstreams.test.ts
+++ b/test/brokenstreams.test.ts
@@ -109,7 +109,7 @@
       }
     };
     const answers = await Promise.all(Array.from({ length: RUNS }, () => ask('/long/x')));
-    expect(answers.filter(({ body }) => body !== EVENTS.join('')).length).toBe(0);
+    expect(answers.filter(({ body }) => body !== EVENTS.join(''))).toEqual([]);
   });
 
   const LARGE = 'x'.repeat(2_000_000);
--- a/test/pauses.test.ts
+++ b/test/pauses.test.ts
@@ -122,6 +122,12 @@
     expect(avoided).not.toContain(server.id);
   });
 
+  it('names the end of the pause to the call that its only prefill engine has refused', async () => {
+    await start([...DECODERS, ENGINES.at(-1)!], 2, { asks: ({ headers }) => headers['catkinscale-stage'] === 'prefill' });
+    await waitUntil(async () => (await call('/long/x', SHORT)).status === 200);
+    expect(retryAfterMs(await call('/long/x', LONG))).toBeGreaterThan(1_800);
+  });
+
   it('refuses calls at once, and names the end of the first pause, while all servers are paused', async () => {
     await start(PLAIN_SERVERS, 2, { count: 2 });
     expect(retryAfterMs(await call())).toBeGreaterThan(1_900);
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -154,7 +154,7 @@
 
   // Guards against requests to a server that has asked for a pause, and against values that take it away for good.
   it.each<[string | string[] | undefined, number | null]>([
-    ['3', 3_000], ['0.25', 250], [' 2. ', 2_000], [['1', '4'], 4_000], ['2, 5', 5_000], ['9'.repeat(400), 3_600_000],
+    ['3', 3_000], ['0.25', 250], [' 2. ', 2_000], ['.5', 500], [['1', '4'], 4_000], ['2, 5', 5_000], ['9'.repeat(400), 3_600_000],
     ['0', null], ['-1', null], ['', null], ['1e3', null], ['0x10', null], ['soon', null], [undefined, null],
     ['Mon, 07 Dec 2026 13:00:00 GMT', null],
   ])('with 503 and Retry-After %j ask for a pause of %j ms', (value, pauseMs) => {
