--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -176,6 +176,9 @@
 
   private headArrived = false;
 
+  /** State of the connection before this process gave the request up and reset it. */
+  private stateAtAbort: ConnectionState | null = null;
+
   /** Bytes that were received on the connection before this request. */
   private readonly bytesBefore: number;
 
@@ -203,6 +206,7 @@
   public abort(message = 'given up'): void {
     if (this.ended || this.aborted) return;
     this.aborted = true;
+    this.stateAtAbort = this.connection.state;
     const reason = new Error(message);
     this.connection.reset(reason);
     if (this.controller === null) void this.connection.client.destroy();
@@ -251,7 +255,7 @@
   public onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
     if (this.ended) return;
     this.ended = true;
-    const { state } = this.connection;
+    const state = this.stateAtAbort ?? this.connection.state;
     this.connection.wasReset = true;
     this.onEnded();
     this.sink.failed(err.message, state);
--- a/test/brokenstreams.test.ts
+++ b/test/brokenstreams.test.ts
@@ -48,8 +48,8 @@
 
 const STREAM = 'Content-Type: text/event-stream\r\n\r\n';
 
-function ask(path: string, body = '{}') {
-  return sendCall(gateway.callers, path, { method: 'POST', body, headers: { 'catkinscale-token-count': '60,9' } });
+function ask(path: string, body = '{}', headers = {}) {
+  return sendCall(gateway.callers, path, { method: 'POST', body, headers: { 'catkinscale-token-count': '60,9', ...headers } });
 }
 
 /** Writes the last bytes of an answer and resets the connection in the same turn, so that both are read in one go. */
@@ -83,19 +83,20 @@
 describe('the log line of a call', () => {
   // Guards against broken streams of which nobody can tell whether their server closed or reset the connection.
   it('tells how the connections of its answers ended', async () => {
-    const ends = async (end: (socket: Socket) => void) => {
+    const ends = async (end: (socket: Socket) => void, headers = {}) => {
       lines.length = 0;
       respond = (socket, head) => {
         socket.write(`${head}${STREAM}${EVENTS[0]}${EVENTS[1]}`);
         end(socket);
       };
-      await ask('/talk/x');
+      await ask('/talk/x', '{}', headers);
       await waitUntil(() => lines.some((line) => 'ends' in line));
       return lines.find((line) => 'ends' in line)!;
     };
     const bytes = EVENTS[0]!.length + EVENTS[1]!.length;
     expect(await ends((socket) => socket.end())).toMatchObject({ ends: `complete/closed/${bytes}`, passed_bytes: bytes });
     expect((await ends((socket) => socket.resetAndDestroy())).ends).toContain(`/reset/${bytes}`);
+    expect((await ends(() => {}, { 'catkinscale-deadline-ms': '200' })).ends).toBe(`aborted/open/${bytes}`);
   });
 });
 
