Count versions that other gateways have written down, for gateways that start

In the second after a read of the records, the versions in them count too. A read that fails takes that back.

--- a/src/gateway/streamrecords.ts
+++ b/src/gateway/streamrecords.ts
@@ -88,6 +88,9 @@
 
   private origins = new Map<string, StreamOrigin>();
 
+  /** Versions that some gateway had written down at the last read. */
+  private recorded = new ServiceVersions();
+
   /** Versions in the records of all gateways and among the servers, with the monotonic time in ms of the last sight. */
   private readonly seen = new Map<string, Map<string, number>>();
 
@@ -144,6 +147,8 @@
     if (this.acknowledged.has(server) || !this.deps.services().has(server.service)) return true;
     const key = `${server.service}\n${server.softwareVersion}`;
     const now = this.deps.clock.monotonic();
+    // The lease of a record that was just read lasts until this gateway has written its own.
+    if (this.recorded.has(server) && now - this.readAt < MAX_UNWRITTEN_MS) return true;
     const since = this.unwrittenSince.get(key) ?? now;
     this.unwrittenSince.set(key, since);
     return now - since >= MAX_UNWRITTEN_MS;
@@ -210,9 +215,13 @@
     const entries = await this.deps.store.range(PREFIX, { timeoutMs: CALL_TIMEOUT_MS });
     this.deps.meter.count('stream_records_read', 1, { outcome: entries.success ? 'read' : entries.error.code });
     // Without the store, what was read before and what was seen of servers since has every version that is in use.
-    if (!entries.success) return this.hasRead;
+    if (!entries.success) {
+      this.recorded = new ServiceVersions();
+      return this.hasRead;
+    }
     this.hasRead = true;
     const origins = new Map<string, StreamOrigin>();
+    const recorded = new ServiceVersions();
     for (const { key, value } of entries.data) {
       const record = recordSchema.safeParse(safeParseJson(value));
       if (!record.success) {
@@ -222,11 +231,13 @@
       for (const [service, versions] of Object.entries(record.data)) {
         for (const [softwareVersion, ids] of Object.entries(versions)) {
           this.note(service, softwareVersion);
+          recorded.add({ service, softwareVersion });
           for (const id of ids) origins.set(id, { service, softwareVersion });
         }
       }
     }
     this.origins = origins;
+    this.recorded = recorded;
     return true;
   }
 
--- a/test/streamrecords.test.ts
+++ b/test/streamrecords.test.ts
@@ -94,6 +94,14 @@
     expect(may).toEqual([false, false, true]);
   });
 
+  it('lets a gateway that starts begin streams at once where others have named the version', async () => {
+    startNode(['v1']);
+    await clock.advance(500);
+    const { records } = startNode(['v1', 'v2']);
+    while (!records.mayBegin(originAt('v1'))) await clock.advance(1);
+    expect([store.list('streams/').length, records.mayBegin(originAt('v2'))]).toEqual([1, false]);
+  });
+
   it('lists unfinished streams only while several versions are in use', async () => {
     const node = startNode(['v1']);
     node.bindings.bind(call('a'), originAt('v1'));
