Bound what is read of one connection before others have their turn

Cause: libuv reads up to 2 MB from a connection before it goes on, the client library parses all of it at once, and each chunk was written to the caller by itself: some 350,000 chunks in one turn of the event loop, in which no timer fires. Evidence: of 16 forms of answers without end only those with many parts to parse delay calls to another service; as many bytes in few parts do not, so it is not memory.

Change: connections that this process opens are read in slices of 4 KB; once the reads of a turn have taken 1 ms, each connection gets one slice in it at most. Chunks that arrive together are passed on as one. The forms of the memory test are shared with the new test.

--- a/src/adapters/sockets.ts
+++ b/src/adapters/sockets.ts
@@ -1,6 +1,9 @@
-import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { checkStatusLines } from './answers.js';
+import { PacedSocket, ReadTurns } from './pacedsocket.js';
+import { SystemClock } from './system.js';
+
+const turns = new ReadTurns(new SystemClock());
 
 /** Receives either an error or a connected socket. */
 export type SocketCallback = (...args: [Error, null] | [null, Socket]) => void;
@@ -19,7 +22,7 @@
  * because undici's connect timer is too coarse.
  */
 export function openSocket(host: string, port: number, timeoutMs: number, callback: SocketCallback): Socket {
-  const socket = connect({ host, port, noDelay: true });
+  const socket = new PacedSocket(turns).setNoDelay(true).connect({ host, port });
   checkStatusLines(socket);
   let isSettled = false;
   let timer: NodeJS.Timeout | null = null;
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -176,6 +176,9 @@
 
   private headArrived = false;
 
+  /** Chunks of the body that arrived together and are passed on as one. */
+  private readonly chunks: Buffer[] = [];
+
   /** State of the connection before this process gave the request up and reset it. */
   private stateAtAbort: ConnectionState | null = null;
 
@@ -196,11 +199,11 @@
   }
 
   public pause(): void {
-    this.controller?.pause();
+    if (!this.ended) this.controller?.pause();
   }
 
   public resume(): void {
-    this.controller?.resume();
+    if (!this.ended) this.controller?.resume();
   }
 
   public abort(message = 'given up'): void {
@@ -237,11 +240,14 @@
   }
 
   public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.aborted) this.sink.data(chunk);
+    // Each write to a caller costs far more than the chunk itself, and a server may send thousands of bytes one by one.
+    if (this.chunks.length === 0) process.nextTick(() => this.passChunksOn());
+    this.chunks.push(chunk);
   }
 
   public onResponseEnd(): void {
     if (this.ended) return;
+    this.passChunksOn();
     this.ended = true;
     this.onEnded();
     // If the head announces that the connection will close, the client library treats a reset as the end of an answer
@@ -254,12 +260,20 @@
 
   public onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
     if (this.ended) return;
+    this.passChunksOn();
     this.ended = true;
     const state = this.stateAtAbort ?? this.connection.state;
     this.connection.wasReset = true;
     this.onEnded();
     this.sink.failed(err.message, state);
   }
+
+  private passChunksOn(): void {
+    const chunks = this.chunks.splice(0);
+    const [first] = chunks;
+    if (first === undefined || this.aborted) return;
+    this.sink.data(chunks.length === 1 ? first : Buffer.concat(chunks));
+  }
 }
 
 /** Connections to the address of one backend server; each carries one request at a time. */
--- a/test/endlessmemory.test.ts
+++ b/test/endlessmemory.test.ts
@@ -13,6 +13,7 @@
 import { StoreStandIn } from '../src/emulator/platformstore.js';
 import { sendCall } from '../src/emulator/sendcall.js';
 import { GatewayProcess } from '../src/soak/processes.js';
+import { ENDLESS_ANSWERS } from './support/endlessanswers.js';
 import { configuration } from './support/gateway.js';
 
 const root = fileURLToPath(new URL('..', import.meta.url));
@@ -22,18 +23,12 @@
 
 const CALLS = 40;
 
-const OK = 'HTTP/1.1 200 OK\r\n';
-
 let directory: string;
 let program: string;
 let store: StoreStandIn;
 let sound: ServerStandIn;
 let gateway: GatewayProcess;
 
-function signedHead(id: string): string {
-  return `${OK}Catkinscale-Request-Id: ${id}\r\nCatkinscale-Server-Signature: s1\r\n`;
-}
-
 /** Sends a call and never reads its answer. */
 function callWithoutReading(path: string, id: string): () => void {
   const [host, port] = gateway.callerAddress.split(':');
@@ -65,26 +60,7 @@
 
 describe('a backend server that sends bytes without end at full speed', () => {
   // Guards against a gateway that keeps all bytes of a faulty server until its memory is used up.
-  it.each<[string, (id: string) => string, string]>([
-    ['before the status line', () => '', '\r\n'],
-    ['in its status line', () => 'HTTP/1.1 200 ', 'x'],
-    ['in one header', () => `${OK}X-Long: `, 'x'],
-    ['in headers', () => OK, 'X-More: and more\r\n'],
-    ['in interim answers', () => '', 'HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n'],
-    ['that are not HTTP', () => '', '\u0000\u0001'],
-    ['in a body without length', (id) => `${signedHead(id)}\r\n`, 'x'],
-    ['in the size of a chunk', (id) => `${signedHead(id)}Transfer-Encoding: chunked\r\n\r\n`, '0'],
-    ['in the extension of a chunk', (id) => `${signedHead(id)}Transfer-Encoding: chunked\r\n\r\n1;`, 'x'],
-    ['in trailers', (id) => `${signedHead(id)}Transfer-Encoding: chunked\r\n\r\n0\r\n`, 'X-More: and more\r\n'],
-    ['in one event', (id) => `${signedHead(id)}Content-Type: text/event-stream\r\n\r\n`, 'data: x\n'],
-    ['in one event in chunks', (id) => (
-      `${signedHead(id)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n`
-    ), 'x'],
-    ['after a refusal', (id) => (
-      `HTTP/1.1 503 No\r\nCatkinscale-Not-Executed: 1\r\nCatkinscale-Request-Id: ${id}\r\nContent-Length: 99999999999\r\n\r\n`
-    ), 'x'],
-    ['after a whole answer', (id) => `${signedHead(id)}Content-Length: 4\r\n\r\ndone`, 'x'],
-  ])('%s uses up no memory and ends no gateway', async (_where, begin, piece) => {
+  it.each(ENDLESS_ANSWERS)('%s uses up no memory and ends no gateway', async (_where, begin, piece) => {
     const faulty = new EndlessServer(begin, { repeatedText: piece, periodMs: 0 });
     await faulty.start();
     for (const service of ['ledger', 'engine']) {
