Conclude that a stream has the only version from reads that began after its take-up

Cause: without an answer of the store, StreamRecords.read answered true if it had ever been read, and the one version that the gateway had seen passed for the only one. Also where the store answered: the list of servers could be old, and a store that is back from a copy could lack the record of a version. An age would not help, as the monotonic clock of a machine that stands still stands still too.

Change: a version is the only one only by reads that began after the take-up came, of the records of streams and then of the changes of server records, straight from the store, and not within 2.5 s of a higher Store-Era. Where that decides nothing, other gateways are asked for the stream. The step of a call says how its origin was found. The older test that asserted the fault ("goes by what was read and seen" without the store) asks for a refusal now, and its other assertions stay.

Tests, failed before: four in test/streamrecords.test.ts (`v1` instead of `version_unknown`), two in test/streamversions.test.ts (200 with the other version's event instead of 503).

--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -309,7 +309,8 @@
     const origin = await this.deps.streams.originOf(call, [
       context.service.name, ...route.destinations.map(({ service }) => service),
     ]);
-    addStep(trace, `origin:${origin.success ? origin.data.softwareVersion : origin.error.code}`, this.deps.clock.monotonic());
+    const found = origin.success ? `${origin.data.softwareVersion}:${origin.data.source}` : origin.error.code;
+    addStep(trace, `origin:${found}`, this.deps.clock.monotonic());
     if (!origin.success) return origin.error;
     const { softwareVersion, service: name } = origin.data;
     const service = this.deps.routes()?.configuration.services.get(name) ?? context.service;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -41,6 +41,7 @@
 import { RoleBalancer } from './rolebalancer.js';
 import { ServerRegistry } from './serverregistry.js';
 import { WorkLedger } from './shares/index.js';
+import { StreamOriginExchange } from './streampeers.js';
 import { StreamRecords } from './streamrecords.js';
 import { StreamBindings, StreamVersions } from './streamversions.js';
 import { MAX_PREFILLS_PER_ENGINE, MAX_PREFILLS_WHEN_IDLE } from './slotallocator.js';
@@ -262,6 +263,7 @@
       services: () => this.routes?.resumableServices ?? new Set(),
       gatewayCount: () => this.peers.gatewayCount,
       storeEra: () => deps.store.era,
+      refreshServers: (timeoutMs) => this.servers.refresh(deps.store, timeoutMs),
     }, { name: settings.gateway.name, incarnation: this.membership.self().incarnation });
     const budgets = new RetryBudgets(settings.retries, () => this.peers.gatewayCount);
     this.forwarder = this.disposables.add(new Forwarder({
@@ -274,7 +276,12 @@
       answers: this.answers,
       ledger: this.ledger,
       streams: new StreamVersions({
-        registry: this.registry, bindings: this.bindings, fleet: this.streamRecords,
+        registry: this.registry,
+        bindings: this.bindings,
+        fleet: this.streamRecords,
+        peers: this.disposables.add(new StreamOriginExchange({
+          ...deps, client, server, members: this.membership, bindings: this.bindings,
+        })),
       }),
       ranksCalls: settings.workspaces.shares,
       places: () => (this.placesAreOwned() ? this.places : null),
--- a/src/gateway/records.ts
+++ b/src/gateway/records.ts
@@ -155,6 +155,19 @@
     }
   }
 
+  /**
+   * Reads the changes that the store has now, without a relay; false where it does not answer. What a gateway knows may
+   * be seconds old without its noticing, because its monotonic clock may stand still while it does.
+   */
+  public async refresh(store: Pick<KeySource, 'changes'>, timeoutMs: number): Promise<boolean> {
+    const { revision } = this;
+    if (!this.isComplete) return false;
+    const changes = await store.changes(this.opts.prefix, revision, 0, { timeoutMs });
+    if (!changes.success || changes.data.revision < revision) return false;
+    this.change(changes.data.events, changes.data.revision);
+    return true;
+  }
+
   /** Prefix, revision, number and age of the records. */
   public dump(): Record<string, unknown> {
     return {
--- a/src/gateway/streamrecords.ts
+++ b/src/gateway/streamrecords.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import { KeyValueErrorCode } from '../core/interfaces/index.js';
 import type {
-  CasResult, Clock, KeyValue, Log, Meter, Random,
+  CasResult, Clock, KeyValue, KeyValueEntry, Log, Meter, Random,
 } from '../core/interfaces/index.js';
 import { safeParseJson } from '../core/json.js';
 import { sleep } from '../core/time.js';
@@ -32,6 +32,12 @@
 
 const RETRY_MS = 300;
 
+/**
+ * Time in ms after the store came back from a copy within which all gateways and servers have written again what it
+ * lacks.
+ */
+const REWRITE_MS = 2_500;
+
 /** Time in ms for which a server of a version that is not written down yet begins no streams. */
 const MAX_UNWRITTEN_MS = 1_000;
 
@@ -58,6 +64,8 @@
   readonly gatewayCount: () => number;
   /** Number of times that the store has come back from a copy, as far as known. */
   readonly storeEra: () => number;
+  /** Reads the changes of server records that the store has now; false where it does not answer. */
+  readonly refreshServers: (timeoutMs: number) => Promise<boolean>;
 }
 
 /** Value that was written last, and the version of its key. */
@@ -91,6 +99,9 @@
   /** Versions that some gateway had written down at the last read. */
   private recorded = new ServiceVersions();
 
+  /** Era of the store's last answer here, and the monotonic time in ms of the first answer in it. */
+  private readEra = { number: 0, since: -Infinity };
+
   /** Versions in the records of all gateways and among the servers, with the monotonic time in ms of the last sight. */
   private readonly seen = new Map<string, Map<string, number>>();
 
@@ -214,15 +225,32 @@
     this.readAt = clock.monotonic();
     const entries = await this.deps.store.range(PREFIX, { timeoutMs: CALL_TIMEOUT_MS });
     this.deps.meter.count('stream_records_read', 1, { outcome: entries.success ? 'read' : entries.error.code });
-    // Without the store, what was read before and what was seen of servers since has every version that is in use.
     if (!entries.success) {
       this.recorded = new ServiceVersions();
-      return this.hasRead;
+      return false;
     }
     this.hasRead = true;
+    this.adoptRecords(entries.data);
+    return this.hasBeenRewritten() && this.hasOneVersion() && this.deps.refreshServers(CALL_TIMEOUT_MS);
+  }
+
+  /** Whether a service is known to have one version only, so that it matters whether that is all. */
+  private hasOneVersion(): boolean {
+    return [...this.deps.services()].some((service) => this.versions(service).length < 2);
+  }
+
+  /** Whether the store has been back from its last copy long enough to have again what that lacked. */
+  private hasBeenRewritten(): boolean {
+    const { clock, storeEra } = this.deps;
+    const number = storeEra();
+    if (number !== this.readEra.number) this.readEra = { number, since: clock.monotonic() };
+    return clock.monotonic() - this.readEra.since >= REWRITE_MS;
+  }
+
+  private adoptRecords(entries: readonly KeyValueEntry[]): void {
     const origins = new Map<string, StreamOrigin>();
     const recorded = new ServiceVersions();
-    for (const { key, value } of entries.data) {
+    for (const { key, value } of entries) {
       const record = recordSchema.safeParse(safeParseJson(value));
       if (!record.success) {
         this.deps.log.warn('stream_record_unreadable', { key, problem: z.prettifyError(record.error) });
@@ -238,7 +266,6 @@
     }
     this.origins = origins;
     this.recorded = recorded;
-    return true;
   }
 
   /** Writes what has changed; false where the store did not do so. */
--- a/src/gateway/streamversions.ts
+++ b/src/gateway/streamversions.ts
@@ -12,6 +12,23 @@
   readonly softwareVersion: string;
 }
 
+/** How the origin of a stream was found. */
+export enum OriginSource {
+  /** This gateway has passed the stream on, or has read its origin before. */
+  Memory = 'memory',
+  /** A gateway has written it down. */
+  Record = 'record',
+  /** The service has no other version. */
+  OnlyVersion = 'only',
+  /** Another gateway has passed the stream on. */
+  Gateway = 'gateway',
+}
+
+/** Origin of a stream, and how it was found. */
+export interface FoundOrigin extends StreamOrigin {
+  readonly source: OriginSource;
+}
+
 /** Stream that may still be taken up. */
 interface Binding extends StreamOrigin {
   /** Monotonic time in ms after which no caller takes the stream up. */
@@ -140,15 +157,25 @@
   versions(service: string): readonly string[];
   /** Whether a server may begin streams: its version is written down. */
   mayBegin(server: StreamOrigin): boolean;
-  /** Reads what is written now; false where the store does not answer. */
+  /**
+   * Reads what is written and which servers are registered now; false where a version in use may be unknown. What was
+   * read or seen before proves nothing, as this gateway may have been cut off or have stood still since.
+   */
   read(): Promise<boolean>;
 }
 
+/** Origins of streams in the memory of other gateways. */
+export interface StreamPeers {
+  /** Asks other gateways where a stream began; `null` where none of them knows. */
+  ask(id: string): Promise<StreamOrigin | null>;
+}
+
 /** Dependencies of {@link StreamVersions}. */
 export interface StreamVersionsDependencies {
   readonly registry: Pick<ServerRegistry, 'all' | 'available'>;
   readonly bindings: StreamBindings;
   readonly fleet: FleetStreams;
+  readonly peers: StreamPeers;
 }
 
 /** Finds the version of the software at which a stream must go on that a caller takes up. */
@@ -159,7 +186,7 @@
    * Origin of the stream that a call takes up, which may go to one of `services`; refused where the origin is not
    * known for certain, or where no server there can go on with the stream.
    */
-  public async originOf(call: Call, services: readonly string[]): Promise<Result<StreamOrigin, Refusal>> {
+  public async originOf(call: Call, services: readonly string[]): Promise<Result<FoundOrigin, Refusal>> {
     const origin = await this.find(call, services);
     if (origin === null) return fail({ code: 'version_unknown', retryAfterMs: RETRY_AFTER_MS });
     // A route that has moved to another service goes on there at the same version.
@@ -190,11 +217,17 @@
     this.deps.bindings.finish(call);
   }
 
-  private async find(call: Call, services: readonly string[]): Promise<StreamOrigin | null> {
+  private async find(call: Call, services: readonly string[]): Promise<FoundOrigin | null> {
+    const { fleet, peers } = this.deps;
     const remembered = this.remembered(call);
-    if (remembered !== null) return remembered;
-    if (!await this.deps.fleet.read()) return null;
-    return this.remembered(call) ?? this.onlyOrigin(services);
+    if (remembered !== null) return { ...remembered, source: OriginSource.Memory };
+    const isComplete = await fleet.read();
+    const written = this.remembered(call);
+    if (written !== null) return { ...written, source: OriginSource.Record };
+    const only = isComplete ? this.onlyOrigin(services) : null;
+    if (only !== null) return { ...only, source: OriginSource.OnlyVersion };
+    const known = call.resumes === null ? null : await peers.ask(call.resumes);
+    return known === null ? null : { ...known, source: OriginSource.Gateway };
   }
 
   /** The one version that the stream can have, or `null` where there are several. */
--- a/test/streamrecords.test.ts
+++ b/test/streamrecords.test.ts
@@ -20,6 +20,9 @@
 let era: number;
 let started = 0;
 
+/** What the gateways remember of streams, for those that ask. */
+let remembered: StreamBindings[];
+
 function call(id: string, resumes: string | null = null): Call {
   return { id, resumes, deadlineMs: 15_000 } as Call;
 }
@@ -33,7 +36,9 @@
   const deps = { clock, log: silentLogAndMeter, meter: silentLogAndMeter };
   const registry = new ServerRegistry({ ...deps, contact: new StoreContact(clock) });
   const bindings = new StreamBindings(clock);
+  remembered.push(bindings);
   started += 1;
+  let refreshServers = (): boolean => !store.down;
   const records = new StreamRecords({
     ...deps,
     random: new SeededRandom(started),
@@ -43,6 +48,7 @@
     services: () => new Set(['ledger']),
     gatewayCount: () => 6,
     storeEra: () => era,
+    refreshServers: () => Promise.resolve(refreshServers()),
   }, { name: 'g', incarnation: `incarnation${started}` });
   const addServer = (softwareVersion: string): void => (
     registry.put(createServerRecord(`server ${softwareVersion}`, { softwareVersion }), SOURCE)
@@ -55,7 +61,18 @@
     bindings,
     records,
     addServer,
-    streams: new StreamVersions({ registry, bindings, fleet: records }),
+    /** Replaces how changes of server records are read. */
+    onRefresh: (refresh: () => boolean) => {
+      refreshServers = refresh;
+    },
+    streams: new StreamVersions({
+      registry,
+      bindings,
+      fleet: records,
+      peers: {
+        ask: async (id) => remembered.map((other) => other.find(id)).find((origin) => origin !== null) ?? null,
+      },
+    }),
     stop: () => stop.abort(),
   };
 }
@@ -76,6 +93,7 @@
   clock = new SimulatedClock();
   store = new KeyValueStore(clock);
   era = 0;
+  remembered = [];
 });
 
 describe('the record of a gateway\'s streams', () => {
@@ -167,15 +185,74 @@
     expect([await originOf(node, 'x'), await originOf(node, null)]).toEqual(['v2', 'v2']);
   });
 
-  it('is refused until the store has answered once, and afterwards goes by what was read and seen', async () => {
+  it('is refused until the store has answered once', async () => {
     store.down = true;
     const node = startNode(['v1']);
     expect(await originOf(node, 'a')).toBe('version_unknown');
     store.down = false;
     await clock.advance(3_000);
-    store.down = true;
     expect(await originOf(node, 'a')).toBe('v1');
     node.addServer('v2');
     expect(await originOf(node, 'a')).toBe('version_unknown');
   });
 });
+
+describe('a stream that a client takes up at a gateway that was out of step while a second version came', () => {
+  let node: ReturnType<typeof startNode>;
+
+  /** Begins a stream at the second version, which only the other gateway knows, and ends that gateway. */
+  async function beginAtOther({ isWritten }: { readonly isWritten: boolean }): Promise<void> {
+    const other = startNode(['v1']);
+    node = startNode(['v1']);
+    await clock.advance(500);
+    if (!isWritten) other.stop();
+    other.addServer('v2');
+    await clock.advance(500);
+    other.bindings.bind(call('a'), originAt('v2'));
+    await clock.advance(500);
+    other.stop();
+    remembered = [];
+  }
+
+  // Guards against a gateway that takes the version that it has seen for the only one, and joins two versions.
+  it('is refused while the store does not answer', async () => {
+    await beginAtOther({ isWritten: true });
+    store.down = true;
+    expect(await originOf(node, 'a')).toBe('version_unknown');
+    store.down = false;
+    node.addServer('v2');
+    expect(await originOf(node, 'a')).toBe('v2');
+  });
+
+  // Guards against the same where the second version was used without having been written down.
+  it('is refused where the servers that are registered by now have several versions, or cannot be read', async () => {
+    await beginAtOther({ isWritten: false });
+    node.onRefresh(() => false);
+    expect(await originOf(node, 'a')).toBe('version_unknown');
+    node.onRefresh(() => {
+      node.addServer('v2');
+      return true;
+    });
+    expect(await originOf(node, 'a')).toBe('version_unknown');
+  });
+
+  // Guards against the same where the store has lost what was written about the second version.
+  it('is refused until gateways and servers have written again what a store lacks that is back from a copy', async () => {
+    await beginAtOther({ isWritten: true });
+    const [lost] = store.list('streams/').filter(({ value }) => value.includes('v2'));
+    store.applyAll([{ key: lost!.key, expected: lost!.version, value: null }]);
+    era += 1;
+    expect(await originOf(node, 'a')).toBe('version_unknown');
+    await clock.advance(3_000);
+    expect(await originOf(node, 'b')).toBe('v1');
+  });
+
+  it('goes on where another gateway remembers where it began, also without the store', async () => {
+    await beginAtOther({ isWritten: true });
+    node.addServer('v2');
+    store.down = true;
+    const third = startNode(['v2']);
+    third.bindings.bind(call('a'), originAt('v2'));
+    expect(await originOf(node, 'a')).toBe('v2');
+  });
+});
--- a/test/streamversions.test.ts
+++ b/test/streamversions.test.ts
@@ -10,6 +10,7 @@
 import type { Answer } from '../src/emulator/sendcall.js';
 import { ServerStandIn } from '../src/emulator/backend.js';
 import type { ReceivedCall } from '../src/emulator/backend.js';
+import { LinkProxy } from '../src/emulator/linkproxy.js';
 import { StoreStandIn } from '../src/emulator/platformstore.js';
 import { configuration, startGateway } from './support/gateway.js';
 import type { RunningGateway } from './support/gateway.js';
@@ -156,3 +157,53 @@
       .toEqual(streams.map(({ version }) => (version === 'v1' ? 503 : event(2, 'v2'))));
   });
 });
+
+describe('a resumable stream that is taken up at a gateway which was cut off while a second software version joined', () => {
+  let link: LinkProxy;
+  let cutOff: RunningGateway;
+
+  /** Begins streams at the second version elsewhere; the gateway that is cut off from the store knows `peers`. */
+  async function beginElsewhere(peers: readonly string[]): Promise<readonly Begun[]> {
+    await startEngines('v1', ['d1', 'd2']);
+    await start();
+    link = new LinkProxy(store.address);
+    await link.start();
+    cutOff = await startGateway(link, FIRST_PORT + 10, { seeds: peers });
+    await waitUntil(() => cutOff.gateway.ready());
+    await sleepMs(WRITTEN_MS);
+    link.silence();
+    await startEngines('v2', ['e1', 'e2']);
+    await waitUntil(() => (gateway.gateway.dump().servers as { list: unknown[] }).list.length === engines.length);
+    await sleepMs(WRITTEN_MS);
+    return (await beginAll()).filter(({ version }) => version === 'v2');
+  }
+
+  function takeUpAtCutOff({ id }: Begun): Promise<Answer> {
+    return sendCall(cutOff.callers, '/long/x', {
+      method: 'POST', body: 'p', headers: { ...HEADERS, 'last-event-id': '1', resumes: id },
+    });
+  }
+
+  afterEach(async () => {
+    link.stop();
+    await cutOff.stop();
+  });
+
+  // Guards against a gateway that takes the version that it has seen for the only one, and joins two versions.
+  it('is refused until the store answers', async () => {
+    const streams = await beginElsewhere([]);
+    const refused = await Promise.all(streams.map((stream) => takeUpAtCutOff(stream)));
+    expect(refused.map(({ status }) => status)).toEqual(streams.map(() => 503));
+    link.heal();
+    link.reset();
+    await waitUntil(async () => (await takeUpAtCutOff(streams[0]!)).body === event(2, 'v2'));
+  });
+
+  // Guards against a refusal of streams that a gateway which still runs has begun.
+  it('goes on at the version that a gateway remembers which it reaches', async () => {
+    const streams = await beginElsewhere([`127.0.0.1:${FIRST_PORT + 2}`]);
+    await waitUntil(() => (cutOff.gateway.dump().servers as { list: unknown[] }).list.length === engines.length);
+    const answers = await Promise.all(streams.map((stream) => takeUpAtCutOff(stream)));
+    expect(answers.map(({ body }) => body)).toEqual(streams.map(() => event(2, 'v2')));
+  });
+});
