Pace callers whose bodies come in tiny chunks

Callers saw: a few clients that send their bodies in chunks of one byte keep a gateway from answering anybody else for seconds.

Cause: Node.js reads up to 2 MB from a connection before it goes on to the next one, and each chunk of a body is handled by itself, at about 3 us.

Change: once 256 chunks of one body were handled in a turn of the event loop, its connection is read 4 KB a turn until the body ends. Ordinary bodies come in at most 32 chunks a turn and keep the parser's direct reads.

A further test checks that such bodies arrive unchanged, one behind another.

--- a/src/daemon/bodies.ts
+++ b/src/daemon/bodies.ts
@@ -2,6 +2,7 @@
 import type { Clock, Disposable } from '../core/interfaces/index.js';
 import { fail, ok } from '../core/result.js';
 import type { Result } from '../core/result.js';
+import { BodyPacer } from './bodypacer.js';
 
 /** Why a body was not received; the request was not run. */
 export type BodyFailure =
@@ -190,11 +191,13 @@
     }
     this.charges.set(req, 0);
     const body = new UnfinishedBody(Number.isNaN(stated) ? null : stated, this.pool);
+    const pacer = new BodyPacer(req.socket);
     return new Promise((resolve) => {
       let settled = false;
       const settle = (result: Result<Buffer, BodyFailure>): void => {
         if (settled) return;
         settled = true;
+        pacer.dispose();
         this.stopReceiving(body);
         req.removeAllListeners('data').removeAllListeners('end').removeAllListeners('close');
         this.charge(req, result.success ? result.data.buffer.byteLength : 0);
@@ -205,6 +208,7 @@
       body.refuse = refuse;
       this.watch(body);
       req.on('data', (chunk: Buffer) => {
+        pacer.count();
         this.countRead(chunk.length);
         body.progressedAt = this.deps.clock.monotonic();
         const capacity = body.capacityFor(chunk.length);
@@ -238,15 +242,21 @@
     this.discarded.add(req);
     const { socket } = req;
     let rest = bytes;
+    const pacer = new BodyPacer(socket);
     const timer = this.deps.clock.after(DISCARD_MS, () => socket.destroy());
     req.on('data', (chunk: Buffer) => {
+      pacer.count();
       this.countRead(chunk.length);
       rest -= chunk.length;
       if (rest < 0) socket.destroy();
     });
     req.on('error', () => {});
-    req.once('end', () => timer.dispose());
-    req.once('close', () => timer.dispose());
+    const stop = (): void => {
+      timer.dispose();
+      pacer.dispose();
+    };
+    req.once('end', stop);
+    req.once('close', stop);
     req.resume();
   }
 
--- a/test/alone/uncontrolledclients.test.ts
+++ b/test/alone/uncontrolledclients.test.ts
@@ -194,4 +194,34 @@
     expect(await answer).toMatch(/^HTTP\/1\.1 200 /);
     expect(server.received.at(-1)?.body.length).toBe(total);
   }, 40_000);
+
+  // Guards against bytes that are lost or reordered when a connection begins and ceases to be paced.
+  it('in chunks of one byte arrives unchanged, also behind another one on its connection', async () => {
+    const bodies = ['0123456789', 'abcdefghij', 'ABCDEFGHIJ'].map((digits) => digits.repeat(3_000));
+    const [host, port] = gateway.callerAddress.split(':');
+    const socket = connect(Number(port), host);
+    crowd.push(socket);
+    for (const [index, body] of bodies.entries()) {
+      const answer = new Promise<string>((resolve) => {
+        socket.once('data', (data) => resolve(data.toString()));
+      });
+      socket.write(`${chunked(`one${index}`)}${[...body].map((byte) => `1\r\n${byte}\r\n`).join('')}0\r\n\r\n`);
+      expect(await answer).toMatch(/^HTTP\/1\.1 200 /);
+    }
+    expect(server.received.map(({ body }) => body)).toEqual(bodies);
+  }, 40_000);
+});
+
+describe('clients that send chunks of one byte', () => {
+  // Guards against a gateway that answers nobody for seconds while it reads the bodies of a few clients.
+  it('delay no call of other clients beyond its usual timeout', async () => {
+    const body = chunksBelow(BODY_LIMIT, 1);
+    for (let index = 0; index < 12; index += 1) void sendAndStay(gateway.callerAddress, chunked(`u${index}`) + body);
+    const answers = await Promise.all(Array.from({ length: 24 }, async (_, index) => {
+      await wait(index * 50);
+      return sendCall(gateway.callerAddress, '/safe/x');
+    }));
+    expect(answers.filter(({ body: text }) => text === 'done')).toHaveLength(24);
+    expect(Math.max(...answers.map(({ tookMs }) => tookMs))).toBeLessThan(600);
+  }, 40_000);
 });
