Discard a connection on which bytes behind a whole answer are unread

Callers saw: 502 for a sound call, where the server had sent a megabyte of empty lines and a second copy behind its last answer.

Cause: a connection went back to the pool at the end of an answer although more of its bytes had arrived. They are parsed in a later turn, and the copy in them ends the next call. Found while checking whether reading in slices makes late copies more likely.

Change: such a connection is discarded. The test in test/latecopies.test.ts failed before, with every second call a 502, on and on; no caller got another one's answer in either. It passes now, twice.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -125,6 +125,11 @@
     return this.wasClosed ? ConnectionState.Closed : ConnectionState.Open;
   }
 
+  /** Whether bytes have arrived that nobody has read. */
+  public get hasUnreadBytes(): boolean {
+    return (this.socket?.readableLength ?? 0) > 0;
+  }
+
   /** Number of bytes that were received on the connection. */
   public get bytesRead(): number {
     return this.socket?.bytesRead ?? 0;
@@ -347,7 +352,9 @@
   }
 
   private release(connection: Connection): void {
-    if (this.isDisposed || connection.wasReset || connection.wasClosed) this.discard(connection);
+    // Bytes behind a whole answer would be taken for the next one.
+    const isOver = connection.wasReset || connection.wasClosed || connection.hasUnreadBytes;
+    if (this.isDisposed || isOver) this.discard(connection);
     else if (this.all.has(connection)) this.idle.push(connection);
   }
 
--- a/test/latecopies.test.ts
+++ b/test/latecopies.test.ts
@@ -118,6 +118,18 @@
   });
 });
 
+describe('bytes behind a whole answer that take longer than a turn to read', () => {
+  // Guards against a call on a connection whose last answer is followed by bytes that were not read yet.
+  it('fail no later call', async () => {
+    answer = (socket, ids) => {
+      socket.write(ids.length === 1 ? `${answerTo(ids[0]!)}${'\r\n'.repeat(1_000_000)}${answerTo(ids[0]!)}` : answerTo(ids.at(-1)!));
+    };
+    const statuses: number[] = [];
+    for (let round = 0; round < 30; round += 1) statuses.push((await ask(`behind-${round}`)).status);
+    expect(statuses).toEqual(statuses.map(() => 200));
+  });
+});
+
 describe('a stream', () => {
   const talk = () => sendCall(gateway.callers, '/long/x', {
     method: 'POST', body: 'p', headers: { 'catkinscale-token-count': '100,9' },
