Wait for a store's copy from when its era is known, not from the first take-up

Callers would have seen: the first stream taken up after a drill is refused for 2.5 s, however long ago the store came back.

Cause: the era was noticed only by a read for a stream that is taken up. Change: each step of the record notices it. The era is checked after the changes of server records are read too, as the store may come back between the two reads.

test/streamrecords.test.ts, "goes on at the only version at once where the store came back long ago", failed before (`version_unknown`).

--- a/src/gateway/streamrecords.ts
+++ b/src/gateway/streamrecords.ts
@@ -99,8 +99,8 @@
   /** Versions that some gateway had written down at the last read. */
   private recorded = new ServiceVersions();
 
-  /** Era of the store's last answer here, and the monotonic time in ms of the first answer in it. */
-  private readEra = { number: 0, since: -Infinity };
+  /** Era of the store, and the monotonic time in ms since when it is known. */
+  private seenEra = { number: 0, since: -Infinity };
 
   /** Versions in the records of all gateways and among the servers, with the monotonic time in ms of the last sight. */
   private readonly seen = new Map<string, Map<string, number>>();
@@ -231,7 +231,8 @@
     }
     this.hasRead = true;
     this.adoptRecords(entries.data);
-    return this.hasBeenRewritten() && this.hasOneVersion() && this.deps.refreshServers(CALL_TIMEOUT_MS);
+    // The store may have come back from a copy between the two reads.
+    return this.hasOneVersion() && await this.deps.refreshServers(CALL_TIMEOUT_MS) && this.hasBeenRewritten();
   }
 
   /** Whether a service is known to have one version only, so that it matters whether that is all. */
@@ -241,10 +242,13 @@
 
   /** Whether the store has been back from its last copy long enough to have again what that lacked. */
   private hasBeenRewritten(): boolean {
-    const { clock, storeEra } = this.deps;
-    const number = storeEra();
-    if (number !== this.readEra.number) this.readEra = { number, since: clock.monotonic() };
-    return clock.monotonic() - this.readEra.since >= REWRITE_MS;
+    this.noticeEra();
+    return this.deps.clock.monotonic() - this.seenEra.since >= REWRITE_MS;
+  }
+
+  private noticeEra(): void {
+    const number = this.deps.storeEra();
+    if (number !== this.seenEra.number) this.seenEra = { number, since: this.deps.clock.monotonic() };
   }
 
   private adoptRecords(entries: readonly KeyValueEntry[]): void {
@@ -273,6 +277,7 @@
     const { clock, store, storeEra } = this.deps;
     const inUse = this.versionsInUse();
     const values = this.valuesOf(inUse);
+    this.noticeEra();
     if (this.era !== storeEra()) {
       // The store may have lost what was written last, and given the number of the lease to another process.
       this.era = storeEra();
--- a/test/streamrecords.test.ts
+++ b/test/streamrecords.test.ts
@@ -247,6 +247,15 @@
     expect(await originOf(node, 'b')).toBe('v1');
   });
 
+  // Guards against a wait that begins with the first stream that is taken up, long after the store was back.
+  it('goes on at the only version at once where the store came back long ago', async () => {
+    node = startNode(['v1']);
+    await clock.advance(500);
+    era += 1;
+    await clock.advance(4_000);
+    expect(await originOf(node, 'a')).toBe('v1');
+  });
+
   it('goes on where another gateway remembers where it began, also without the store', async () => {
     await beginAtOther({ isWritten: true });
     node.addServer('v2');
