--- a/test/leavinganswers.test.ts
+++ b/test/leavinganswers.test.ts
@@ -97,7 +97,7 @@
   let staying: ServerStandIn;
   let gateways: RunningGateway[];
   let respond: (res: ServerResponse, call: ReceivedCall) => void;
-  let port = 25_100;
+  let port = 25_300;
 
   const ask = (index: number, path = '/safe/x', headers: Record<string, string> = {}) => (
     sendCall(gateways[index]!.callers, path, { method: 'POST', body: 'p', headers })
--- a/test/streamversions.test.ts
+++ b/test/streamversions.test.ts
@@ -16,7 +16,7 @@
 import type { RunningGateway } from './support/gateway.js';
 import { waitUntil } from './support/waituntil.js';
 
-const FIRST_PORT = 24_200;
+const FIRST_PORT = 24_400;
 
 const STREAMS = 8;
 
