Touch the connection of a body only where it is paced

Callers saw nothing, as connections of Node.js always have listeners.

Change: the listener is removed only where pacing has added it. The stand-in's connection is an event emitter now, like the real one, since one of the tests sends 16 KB in pieces of 7 bytes, which is paced. Its assertions are unchanged.

--- a/src/daemon/bodypacer.ts
+++ b/src/daemon/bodypacer.ts
@@ -53,6 +53,6 @@
 
   public dispose(): void {
     this.isDisposed = true;
-    this.socket.off('readable', this.readSlice);
+    if (this.isPacing) this.socket.off('readable', this.readSlice);
   }
 }
--- a/test/bodies.test.ts
+++ b/test/bodies.test.ts
@@ -12,12 +12,12 @@
 
   public destroyed = false;
 
-  public readonly socket = {
+  public readonly socket = Object.assign(new EventEmitter(), {
     destroyed: false,
     destroy: () => {
       this.socket.destroyed = true;
     },
-  };
+  });
 
   public constructor(public readonly headers: Record<string, string> = {}) {
     super();
