Log sends on suspect parts, and whether a verdict was reached here

Change: suspect_sent for each send, of a prefill too, on a part under which two servers or more have ended since it was seen to work, with the number of ends known there; judged_here in part_quarantined. Hashes of prompts are computed only while any end is known.

--- a/src/gateway/openruns.ts
+++ b/src/gateway/openruns.ts
@@ -43,6 +43,10 @@
   recordAnswer(record: ServerRecord, sentAt: number): void;
   recordProof(record: ServerRecord, run: Run): void;
   recordEnd(record: ServerRecord, runs: readonly Run[]): void;
+  /** Whether any server has ended under a part that is remembered. */
+  readonly hasSuspects: boolean;
+  /** The part of a prompt under which most servers have ended since it was seen to work, and how many. */
+  suspicionOf(service: string, parts: readonly string[]): { readonly part: string; readonly ends: number } | null;
 }
 
 /** Runs that are open at one incarnation of a server; finds out from their ends whether the server has ended. */
--- a/src/gateway/quarantine/evidence.ts
+++ b/src/gateway/quarantine/evidence.ts
@@ -40,6 +40,12 @@
   readonly runs: ReadonlyMap<string, SuspectRun>;
 }
 
+/** Part of a prompt, and how many servers have ended under it since it was last seen to work. */
+export interface Suspicion {
+  readonly part: string;
+  readonly ends: number;
+}
+
 /** Parts and ends that have changed, by key and by incarnation. */
 export interface News {
   readonly ends: ReadonlyMap<string, EndState>;
@@ -126,6 +132,22 @@
     return this.parts.has(key) || this.suspects.has(key);
   }
 
+  /** Whether any end is known. */
+  public get hasSuspects(): boolean {
+    return this.suspects.size > 0;
+  }
+
+  /** Of some parts, the last one under which most servers have ended since it was seen to work. */
+  public likeliestSuspect(keys: readonly string[]): Suspicion | null {
+    let likeliest: Suspicion | null = null;
+    for (const key of keys) {
+      const { provenAt } = this.part(key);
+      const ends = (this.suspects.get(key) ?? []).filter((at) => at > provenAt).length;
+      if (ends > 0 && ends >= (likeliest?.ends ?? 0)) likeliest = { part: key, ends };
+    }
+    return likeliest;
+  }
+
   /** Everything that is known. */
   public all(): News {
     return { ends: this.ends, parts: this.parts };
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -7,7 +7,7 @@
 import {
   Evidence, isQuarantined, MAX_KEYS_PER_RUN, MAX_RUNS, nextTrialAt, Override, releasedVerdict,
 } from './evidence.js';
-import type { News, PartState } from './evidence.js';
+import type { News, PartState, Suspicion } from './evidence.js';
 import { WHOLE_PROMPT_MARK } from './verdict.js';
 import type { SuspectRun } from './verdict.js';
 
@@ -20,6 +20,8 @@
  */
 const MAX_REFUTATION_MS = 1_000;
 
+const NO_PARTS: ReadonlyMap<string, PartState> = new Map();
+
 /** Dependencies of {@link Quarantine}. */
 export interface QuarantineDependencies {
   readonly clock: Clock;
@@ -88,6 +90,16 @@
     return parts.map((part) => partKey(service, part)).find((key) => this.blocked.has(key)) ?? null;
   }
 
+  /** Whether any server has ended under a part that is remembered. */
+  public get hasSuspects(): boolean {
+    return this.evidence.hasSuspects;
+  }
+
+  /** Part of a prompt that is the likeliest cause of servers' ends, if there is any; it need not be in quarantine. */
+  public suspicionOf(service: string, parts: readonly string[]): Suspicion | null {
+    return this.evidence.likeliestSuspect(examinedIds(parts).map((part) => partKey(service, part)));
+  }
+
   /** Time in ms until a call may try a part in quarantine; 0 where one may now. */
   public trialDelayMs(key: string): number {
     return Math.max(0, nextTrialAt(this.evidence.part(key)) - this.deps.clock.monotonic());
@@ -169,9 +181,10 @@
     const merged = this.evidence.merge(news, now);
     const parts = new Map(merged.parts);
     for (const [key, part] of this.ownProofs(merged, now)) parts.set(key, part);
-    if (merged.ends.size > 0) for (const [key, part] of this.evidence.judge(now)) parts.set(key, part);
+    const judged = merged.ends.size > 0 ? this.evidence.judge(now) : NO_PARTS;
+    for (const [key, part] of judged) parts.set(key, part);
     if (merged.ends.size === 0 && parts.size === 0) return;
-    this.updateBlocked();
+    this.updateBlocked(judged);
     for (const listener of this.newsListeners) listener({ ends: merged.ends, parts });
   }
 
@@ -228,14 +241,19 @@
     return proofs.size === 0 ? proofs : this.evidence.merge({ ends: new Map(), parts: proofs }, now).parts;
   }
 
-  private updateBlocked(): void {
+  /** `judged` are the parts on which this gateway has reached a verdict itself. */
+  private updateBlocked(judged: ReadonlyMap<string, PartState> = NO_PARTS): void {
     const { log, meter } = this.deps;
     const { parts, ends } = this.evidence.all();
     const blocked = new Set([...parts].filter(([, part]) => isQuarantined(part)).map(([key]) => key));
     const added = new Set([...blocked].filter((key) => !this.blocked.has(key)));
     for (const key of added) {
       const under = [...ends].filter(([, { runs }]) => [...runs.values()].some(({ keys }) => keys.includes(key)));
-      log.warn('part_quarantined', { part: key, servers: under.map(([incarnation]) => incarnation).join(' ') });
+      log.warn('part_quarantined', {
+        part: key,
+        judged_here: judged.has(key),
+        servers: under.map(([incarnation]) => incarnation).join(' '),
+      });
     }
     for (const key of this.blocked) if (!blocked.has(key)) log.info('part_released', { part: key });
     this.blocked = blocked;
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -52,6 +52,9 @@
 /** Time in ms for the body of a refusal to arrive, after which its connection is closed. */
 const REFUSAL_BODY_MS = 500;
 
+/** Number of servers that have ended under a part from which each send on it is logged. */
+const MIN_LOGGED_ENDS = 2;
+
 /** Shortest deadline in ms that is sent to a backend server. */
 const MIN_SEND_MS = 5;
 
@@ -242,6 +245,7 @@
       written: () => {
         trace.writtenMs = Math.round(clock.monotonic() - sentAt);
         if (run !== null) backend.runs.written(run);
+        this.logSuspect(context, server, work);
       },
       chunk: () => {
         if (run === null) return;
@@ -294,6 +298,20 @@
     };
   }
 
+  /** Logs a send, of a prefill too, on a part under which several servers have ended. */
+  private logSuspect(
+    { call, body, trace }: CallContext,
+    server: ServerRecord,
+    work: SendPlan['work'],
+  ): void {
+    const { prompts, log } = this.deps;
+    const suspicion = prompts.hasSuspects ? prompts.suspicionOf(server.service, suspectIds(call, body)) : null;
+    if (suspicion === null || suspicion.ends < MIN_LOGGED_ENDS) return;
+    log.info('suspect_sent', {
+      request: call.id, server: server.id, work: work.type, sends: trace.sends.length, ...suspicion,
+    });
+  }
+
   /** Counts a call once, at the first sign that a server runs it. */
   private countBegin({ trace, caller }: CallContext): void {
     if (trace.begun) return;
