--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -120,6 +120,24 @@
     expect(deadlyCalls() - before).toBeLessThanOrEqual(3);
   });
 
+  // Guards against retries of callers that hide the part which their requests share.
+  it('reaches no engine once four have ended under requests that are tried twice each', async () => {
+    for (let call = 0; call < 50 && crashes() < 4; call += 1) {
+      const own = nextOwnPart();
+      for (let attempt = 0; attempt < 2 && crashes() < 4; attempt += 1) {
+        await ask(call + attempt, [FIRST_PART, SHARED_PART, DEADLY_PART], own);
+        await pause(20);
+      }
+    }
+    await pause(300);
+    const before = deadlyCalls();
+    for (let call = 0; call < 12; call += 1) {
+      expect((await ask(call, [FIRST_PART, SHARED_PART, DEADLY_PART])).status).toBe(503);
+      expect((await ask(call, [FIRST_PART, SHARED_PART])).status).toBe(200);
+    }
+    expect(deadlyCalls() - before).toBe(0);
+  });
+
   // Guards against a part that is never found because it stands late in a long prompt.
   it.each([9, 40, 300])('is found as the last of %i shared parts', async (count) => {
     const prompt = [...Array.from({ length: count - 1 }, (_, index) => (0x5c1e00 + index).toString(16)), DEADLY_PART];
--- a/test/quarantineverdict.test.ts
+++ b/test/quarantineverdict.test.ts
@@ -95,6 +95,18 @@
     expect(findCauses(ends, quarantined)).toEqual(['dead']);
   });
 
+  // Guards against a part that ends one engine after another because each request with it is tried at two of them.
+  it('names the part that two prompts share, each open at two ends, by the fourth end', () => {
+    const first = ['first', 'dead', '*w1'];
+    const second = ['first', 'dead', '*w2'];
+    const sound = ['first', 'other', '*s1'];
+    const ends = [end(100, [first]), end(150, [second], 90), end(260, [second, first]), end(370, [second, sound])];
+    expect(findCauses(ends.slice(0, 2), NOTHING_KNOWN)).toEqual([]);
+    expect(findCauses(ends, NOTHING_KNOWN)).toContain('dead');
+    const known = parts({ first: { provenAt: 300 }, '*w1': { isQuarantined: true }, '*w2': { isQuarantined: true } });
+    expect(findCauses(ends, known)).toEqual(['dead']);
+  });
+
   it('finds two parts that crash engines at the same time', () => {
     const ends = [end(100, [['dead']]), end(200, [['fatal']]), end(300, [['dead']]), end(400, [['fatal']])];
     expect([...findCauses(ends, NOTHING_KNOWN)].sort()).toEqual(['dead', 'fatal']);
