Give the three gateways of the quarantine tests names of their own

Gateways of a deployment have different names. startGateway takes a name now; assertions are unchanged.

--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -56,7 +56,9 @@
 
 function start(index: number): Promise<RunningGateway> {
   const seeds = Array.from({ length: GATEWAYS }, (_, peer) => `127.0.0.${2 + peer}:${port + 2}`);
-  return startGateway(store, port, { host: `127.0.0.${2 + index}`, seeds, exchangePort: port + 5 });
+  return startGateway(store, port, {
+    name: `g${index}`, host: `127.0.0.${2 + index}`, seeds, exchangePort: port + 5,
+  });
 }
 
 const crashes = (): number => engines.reduce((sum, engine) => sum + engine.crashes, 0);
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -60,6 +60,8 @@
 
 /** Options of {@link startGateway}. */
 export interface StartGatewayOptions {
+  /** Name of the gateway, which has to differ from those of its peers; by default after its first port. */
+  readonly name?: string;
   /** Peer addresses of other gateways. */
   readonly seeds?: readonly string[];
   /** Loopback address of the gateway. */
@@ -80,13 +82,13 @@
   firstPort: number,
   {
     seeds = [], host = '127.0.0.1', exchangePort, log = silentLog, codec = platformCodec, meter = new Metrics(), provider = null,
-    lines = [],
+    lines = [], name = `g${firstPort}`,
   }: StartGatewayOptions = {},
 ): Promise<RunningGateway> {
   const [callers, readiness, peers, directory, metrics] = [0, 1, 2, 3, 4].map((offset) => `${host}:${firstPort + offset}`);
   const exchange = `${host}:${exchangePort ?? 1}`;
   const settings = safeParseGatewaySettings([
-    '[gateway]', `name = g${firstPort}`, 'failure-domain = regina',
+    '[gateway]', `name = ${name}`, 'failure-domain = regina',
     '[listen]', `callers = ${callers}`, `readiness = ${readiness}`, `peers = ${peers}`, `directory = ${directory}`,
     `metrics = ${metrics}`, `exchange = ${exchange}`,
     '[peers]', `seeds = ${seeds.join(',')}`,
