Blame a part that no single prompt explains, although prompts with it are tried twice

Cause: an end counted for a part only if no whole prompt was open there that was open at an earlier one, and three such ends were asked for once any prompt came twice. The gateway's own resume and the client's retry bring each prompt to two engines, and with two such prompts there are one or two such ends, however many engines have ended. Class: evidence that an ordinary retry hides.

Change: for each whole prompt that was open at several ends, the ends at which it was not open must suffice by themselves, or one of them must be under another prompt that was open at as many ends. One prompt that comes again and again was open at all ends, so it still blames none of its parts; all ends that sufficed before still do.

--- a/src/gateway/quarantine/verdict.ts
+++ b/src/gateway/quarantine/verdict.ts
@@ -30,9 +30,6 @@
 /** The same for a part that was seen to work a short time before. */
 const ENDS_OF_PROVEN = 4;
 
-/** Further ends that a part needs where one whole prompt was open at several of its ends, which that one explains. */
-const ENDS_BESIDE_REPEATED_PROMPT = 1;
-
 /** First character of the id of a whole prompt; those of its parts are hexadecimal. */
 export const WHOLE_PROMPT_MARK = '*';
 
@@ -85,22 +82,28 @@
   return key.startsWith(WHOLE_PROMPT_MARK, key.lastIndexOf('/') + 1);
 }
 
-/** Of the ends under a part, those at which no whole prompt was open that was open with it at an earlier one. */
-function endsOfNewPrompts(ends: readonly ServerEnd[], positions: Candidate['positions']): readonly ServerEnd[] {
-  const seen = new Set<string>();
-  return ends.filter(({ runs }) => {
-    const prompts = runs.filter((run) => positions.has(run)).map(({ keys }) => keys.at(-1) ?? '').filter(isWholePrompt);
-    const isNew = !prompts.some((prompt) => seen.has(prompt));
-    for (const prompt of prompts) seen.add(prompt);
-    return isNew;
-  });
+/** Whole prompts with a part that were open at each of its ends. */
+function promptsByEnd({ ends, positions }: Candidate): readonly ReadonlySet<string>[] {
+  return ends.map(({ runs }) => new Set(
+    runs.filter((run) => positions.has(run)).map(({ keys }) => keys.at(-1) ?? '').filter(isWholePrompt),
+  ));
 }
 
-/** Whether a part is suspect although whole prompts with it may explain its ends. */
-function isSuspectBesidePrompts({ key, ends, positions }: Candidate, needed: number): boolean {
-  if (isWholePrompt(key)) return true;
-  const distinct = endsOfNewPrompts(ends, positions).length;
-  return distinct >= needed + (distinct < ends.length ? ENDS_BESIDE_REPEATED_PROMPT : 0);
+/**
+ * Whether a part is suspect although whole prompts with it may explain its ends. One prompt that was open at several of
+ * them must leave as many ends unexplained as a part needs by itself, or one under another prompt that was open at as
+ * many ends.
+ */
+function isSuspectBesidePrompts(candidate: Candidate, needed: number): boolean {
+  if (isWholePrompt(candidate.key)) return true;
+  const prompts = promptsByEnd(candidate);
+  const counts = new Map<string, number>();
+  for (const prompt of prompts.flatMap((open) => [...open])) counts.set(prompt, (counts.get(prompt) ?? 0) + 1);
+  const isRepeated = (prompt: string): boolean => (counts.get(prompt) ?? 0) >= needed;
+  return [...counts].filter(([, count]) => count > 1).every(([repeated]) => {
+    const others = prompts.filter((open) => !open.has(repeated));
+    return others.length >= needed || others.some((open) => [...open].some(isRepeated));
+  });
 }
 
 /** Whether each call with the part has the other one before it, so that at least as many requests have the other. */
