--- a/src/emulator/crashingengine.ts
+++ b/src/emulator/crashingengine.ts
@@ -26,6 +26,9 @@
   /** Number of times that it has crashed. */
   public crashes = 0;
 
+  /** Whether it refuses calls as if it were full. */
+  public isFull = false;
+
   private readonly server: ServerStandIn;
 
   private starts = 0;
@@ -34,7 +37,10 @@
 
   public constructor(public readonly id: string, private readonly opts: CrashingEngineOptions) {
     this.server = new ServerStandIn(id, (res, call) => {
-      if (partsOf(call).includes(opts.deadlyPart)) {
+      if (this.isFull) {
+        res.writeHead(503, { 'Catkinscale-Not-Executed': '1' });
+        res.end('full');
+      } else if (partsOf(call).includes(opts.deadlyPart)) {
         res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', 'Content-Type': 'text/event-stream' });
         res.flushHeaders();
         setTimeout(() => this.crash(), opts.crashAfterMs ?? 5);
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -140,6 +140,24 @@
     expect(deadlyCalls() - before).toBe(0);
   });
 
+  // Guards against refusals that count as answers, so that a part seems to work while engines are full.
+  it('is found although full engines refuse calls on it in between', async () => {
+    for (let call = 0; call < 100 && crashes() < 5; call += 1) {
+      const isFull = call % 2 === 1;
+      for (const engine of engines) engine.isFull = isFull;
+      await ask(call, [FIRST_PART, SHARED_PART, DEADLY_PART]);
+      await pause(20);
+    }
+    for (const engine of engines) engine.isFull = false;
+    await pause(300);
+    const before = deadlyCalls();
+    for (let call = 0; call < 12; call += 1) {
+      await ask(call, [FIRST_PART, SHARED_PART, DEADLY_PART]);
+      expect((await ask(call, [FIRST_PART, SHARED_PART])).status).toBe(200);
+    }
+    expect(deadlyCalls() - before).toBeLessThanOrEqual(3);
+  });
+
   // Guards against a part that is never found because it stands late in a long prompt.
   it.each([9, 40, 300])('is found as the last of %i shared parts', async (count) => {
     const prompt = [...Array.from({ length: count - 1 }, (_, index) => (0x5c1e00 + index).toString(16)), DEADLY_PART];
