Take only answers with status 200 for proofs that a prompt works

Cause: OpenRuns took the whole body of any answer for a proof of its prompt, also of a refusal: 503 of an engine that is full or starts, which has not executed the call. Engines refuse most while others are down, so each wave of ends was followed by proofs of the very part; ends before a proof do not count, and four are needed after it in place of two. Class: a refusal taken for an execution.

Change: a run is answered from the head of an answer with status 200 on; before that, neither chunks nor the end of a body prove it.

--- a/src/gateway/openruns.ts
+++ b/src/gateway/openruns.ts
@@ -20,7 +20,9 @@
   readonly parts: readonly string[];
   /** Monotonic time in ms at which the call was written; `null` while it is not. */
   sentAt: number | null;
-  /** Number of chunks of the answer's body so far. */
+  /** Whether the server has begun an answer with status 200; a refusal or an error proves nothing of the prompt. */
+  isAnswered: boolean;
+  /** Number of chunks of that answer's body so far. */
   chunks: number;
 }
 
@@ -63,7 +65,7 @@
   /** Creates a run that is not written yet. */
   public create(request: string | null, parts: readonly string[]): Run {
     return {
-      request, parts, sentAt: null, chunks: 0,
+      request, parts, sentAt: null, isAnswered: false, chunks: 0,
     };
   }
 
@@ -72,8 +74,14 @@
     run.sentAt = this.clock.monotonic();
   }
 
-  /** Records a chunk of the answer's body. */
+  /** Records that an answer with status 200 has begun. */
+  public answered(run: Run): void {
+    run.isAnswered = true;
+  }
+
+  /** Records a chunk of an answer's body. */
   public receivedChunk(run: Run): void {
+    if (!run.isAnswered) return;
     run.chunks += 1;
     if (run.chunks === PROOF_CHUNKS) this.listener.proven(run);
   }
@@ -83,7 +91,7 @@
     if (run.sentAt === null) return;
     switch (how) {
       case UpstreamEnd.Complete:
-        if (!isProven(run)) this.listener.proven(run);
+        if (run.isAnswered && !isProven(run)) this.listener.proven(run);
         break;
       case UpstreamEnd.Broken:
         this.broken.push(run);
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -247,6 +247,9 @@
         if (run !== null) backend.runs.written(run);
         this.logSuspect(context, server, work);
       },
+      answered: ({ status }) => {
+        if (run !== null && status === 200) backend.runs.answered(run);
+      },
       chunk: () => {
         if (run === null) return;
         backend.runs.receivedChunk(run);
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -47,6 +47,8 @@
   mayBeSent?(): boolean;
   /** The call is being written. */
   written?(): void;
+  /** The head of an answer to a call that the server has executed has arrived. */
+  answered?(head: AnswerHead): void;
   /** A chunk of the answer's body has arrived. */
   chunk?(): void;
   /** The answer has ended, before anybody else learns of it. */
@@ -197,7 +199,10 @@
       });
       // The body is read only so that the connection can be used for the next call.
       void this.collect(MAX_REFUSAL_BYTES);
-    } else this.finish({ type: 'answered', head });
+    } else {
+      this.observer.answered?.(head);
+      this.finish({ type: 'answered', head });
+    }
   }
 
   public data(chunk: Buffer): void {
--- a/test/openruns.test.ts
+++ b/test/openruns.test.ts
@@ -65,7 +65,10 @@
   it('takes a prompt for proven once its answer has gone on, or is complete', () => {
     const { runs, proven } = createRuns(new Set([1]));
     const [short, long] = ['a', 'b'].map((id) => runs.create(id, ['p'])) as [Run, Run];
-    for (const call of [short, long]) runs.written(call);
+    for (const call of [short, long]) {
+      runs.written(call);
+      runs.answered(call);
+    }
     runs.receivedChunk(long);
     expect(proven).toEqual([]);
     runs.receivedChunk(long);
@@ -74,4 +77,14 @@
     runs.end(long, UpstreamEnd.Complete);
     expect(proven).toEqual([long, short]);
   });
+
+  // Guards against parts that seem to work because engines refuse calls on them.
+  it('does not take a prompt for proven by the whole body of a refusal or an error', () => {
+    const { runs, proven } = createRuns(new Set([1]));
+    const refused = runs.create('a', ['p']);
+    runs.written(refused);
+    for (let chunk = 0; chunk < 3; chunk += 1) runs.receivedChunk(refused);
+    runs.end(refused, UpstreamEnd.Complete);
+    expect(proven).toEqual([]);
+  });
 });
