--- a/test/quarantineverdict.test.ts
+++ b/test/quarantineverdict.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { findCauses } from '../src/gateway/quarantine/verdict.js';
 import type { PartRecord, ServerEnd } from '../src/gateway/quarantine/verdict.js';
@@ -107,6 +108,18 @@
     expect(findCauses(ends, known)).toEqual(['dead']);
   });
 
+  // Guards against sound requests that are kept out because they were open beside one that ends engines.
+  it('names no part where one whole prompt was open at every end, whichever others were beside it', () => {
+    const beside = fc.array(fc.tuple(fc.constantFrom('p1', 'p2'), fc.integer({ min: 0, max: 3 })), { maxLength: 4 });
+    fc.assert(fc.property(fc.array(beside, { minLength: 2, maxLength: 8 }), (crowds) => {
+      const ends = crowds.map((crowd, index) => end(100 * (index + 1), [
+        ['first', 'p1', '*deadly'], ...crowd.map(([part, prompt]) => ['first', part, `*${part}s${prompt}`]),
+      ]));
+      const causes = findCauses(ends, parts({ '*deadly': { isQuarantined: true } }));
+      expect(causes.filter((key) => !key.startsWith('*'))).toEqual([]);
+    }), { seed: 53, numRuns: 300 });
+  });
+
   it('finds two parts that crash engines at the same time', () => {
     const ends = [end(100, [['dead']]), end(200, [['fatal']]), end(300, [['dead']]), end(400, [['fatal']])];
     expect([...findCauses(ends, NOTHING_KNOWN)].sort()).toEqual(['dead', 'fatal']);
