Blame no part that the prompt which explains an end does not have

Callers would see: sound calls refused for 30 s or more because two of their kind were open beside one prompt that ends engines again and again.

Cause: an end that a whole prompt in quarantine explains still counted for all parts that were open there, while it says something only of the parts of that prompt, which others may share.

Change: such an end counts for a part only if a prompt that explains it has the part. Two parts at once are still found although prompts with both are in quarantine (a second test).

--- a/src/gateway/quarantine/verdict.ts
+++ b/src/gateway/quarantine/verdict.ts
@@ -50,12 +50,15 @@
   readonly positions: ReadonlyMap<SuspectRun, number>;
 }
 
-/** Occurrences of each part, in the order of the ends. */
-function occurrencesByKey(ends: readonly ServerEnd[]): ReadonlyMap<string, readonly Occurrence[]> {
+/** Occurrences of each part that may explain an end, in the order of the ends. */
+function occurrencesByKey(
+  ends: readonly ServerEnd[],
+  mayExplain: (key: string, end: ServerEnd) => boolean,
+): ReadonlyMap<string, readonly Occurrence[]> {
   const byKey = new Map<string, Occurrence[]>();
   for (const end of ends) {
     for (const { keys, sentAt } of end.runs) {
-      for (const key of keys) {
+      for (const key of keys.filter((candidate) => mayExplain(candidate, end))) {
         const occurrences = byKey.get(key) ?? [];
         byKey.set(key, occurrences);
         const earlier = occurrences.at(-1)?.end === end ? occurrences.pop() : undefined;
@@ -126,11 +129,15 @@
   return byKey;
 }
 
-function findCandidates(ends: readonly ServerEnd[], parts: ReadonlyMap<string, PartRecord>): readonly Candidate[] {
+function findCandidates(
+  ends: readonly ServerEnd[],
+  parts: ReadonlyMap<string, PartRecord>,
+  mayExplain: (key: string, end: ServerEnd) => boolean,
+): readonly Candidate[] {
   const newestEndAt = ends.at(-1)?.at ?? -Infinity;
   const countedByKey = new Map<string, readonly ServerEnd[]>();
   const neededByKey = new Map<string, number>();
-  for (const [key, occurrences] of occurrencesByKey(ends)) {
+  for (const [key, occurrences] of occurrencesByKey(ends, mayExplain)) {
     const provenAt = parts.get(key)?.provenAt ?? -Infinity;
     const needed = newestEndAt - provenAt < PROOF_TTL_MS ? ENDS_OF_PROVEN : ENDS_OF_UNPROVEN;
     const counted = countedEnds(occurrences, provenAt);
@@ -172,6 +179,14 @@
   ));
 }
 
+/** Keys of the runs at each end that satisfy `isWanted`. */
+function keysOfRuns(
+  ends: readonly ServerEnd[],
+  isWanted: (run: SuspectRun) => boolean,
+): ReadonlyMap<ServerEnd, readonly ReadonlySet<string>[]> {
+  return new Map(ends.map((end) => [end, end.runs.filter(isWanted).map(({ keys }) => new Set(keys))]));
+}
+
 /**
  * Keys of the parts that are the most likely cause of servers' ends and are not in quarantine yet. Of the parts that
  * explain as many ends, the narrowest one is chosen, because it keeps out the fewest requests. Ends that a part in
@@ -188,14 +203,19 @@
   );
   const explainsByPart = explains((key) => isCause(key) && !isWholePrompt(key));
   const explainsByAny = explains(isCause);
-  // An end that a whole prompt explains still counts for the parts that this prompt shares with others.
   let unexplainedByParts = [...ends].sort((left, right) => left.at - right.at);
   while (true) {
     unexplainedByParts = unexplainedByParts.filter((end) => !explainsByPart(end));
     const unexplained = unexplainedByParts.filter((end) => !explainsByAny(end));
+    // An end that whole prompts explain still counts for their parts, but not for those of other prompts beside them.
+    const explaining = keysOfRuns(unexplainedByParts, ({ keys }) => keys.some(isCause));
+    const isPartOfCause = (key: string, end: ServerEnd): boolean => {
+      const prompts = explaining.get(end) ?? [];
+      return prompts.length === 0 || prompts.some((keys) => keys.has(key));
+    };
     const likeliest = likeliestOf([
-      ...findCandidates(unexplained, parts).filter(({ key }) => isWholePrompt(key)),
-      ...findCandidates(unexplainedByParts, parts).filter(({ key }) => !isWholePrompt(key)),
+      ...findCandidates(unexplained, parts, isWholePrompt),
+      ...findCandidates(unexplainedByParts, parts, (key, end) => !isWholePrompt(key) && isPartOfCause(key, end)),
     ]);
     const certain = likeliest.filter((candidate) => (
       candidate.ends.length >= ENDS_OF_AMBIGUOUS
--- a/test/quarantineverdict.test.ts
+++ b/test/quarantineverdict.test.ts
@@ -120,6 +120,13 @@
     }), { seed: 53, numRuns: 300 });
   });
 
+  it('finds two parts that crash engines at the same time although prompts with both are in quarantine', () => {
+    const ends = [100, 200, 300, 400].map((at) => end(at, [['dead', `*w${at < 250 ? 1 : 2}`], ['fatal', `*v${at % 200}`]]));
+    const prompts = ['*w1', '*w2', '*v0', '*v100'];
+    const known = parts(Object.fromEntries(prompts.map((key) => [key, { isQuarantined: true }])));
+    expect([...findCauses(ends, known)].sort()).toEqual(['dead', 'fatal']);
+  });
+
   it('finds two parts that crash engines at the same time', () => {
     const ends = [end(100, [['dead']]), end(200, [['fatal']]), end(300, [['dead']]), end(400, [['fatal']])];
     expect([...findCauses(ends, NOTHING_KNOWN)].sort()).toEqual(['dead', 'fatal']);
