Count a prompt's own ends when a part is judged beside it

Cause: how often a prompt was repeated was counted among the ends of the part, of which those are left out whose calls were sent before the end before. Two prompts that are tried side by side lose an end to each other in this way.

Change: a prompt's ends are counted by its own calls, each sent after its own end before; those of the part stay as they are, so that engines that end with their host still count once. test/quarantineverdict.test.ts (the ends of seed 24) failed before and passes.

--- a/src/gateway/quarantine/verdict.ts
+++ b/src/gateway/quarantine/verdict.ts
@@ -94,15 +94,19 @@
 
 /**
  * Whether a part is suspect although whole prompts with it may explain its ends. One prompt that was open at several of
- * them must leave as many ends unexplained as a part needs by itself, or one under another prompt that was open at as
- * many ends.
+ * them must leave as many ends unexplained as a part needs by itself, or one under another prompt that has as many ends
+ * of its own.
  */
-function isSuspectBesidePrompts(candidate: Candidate, needed: number): boolean {
+function isSuspectBesidePrompts(
+  candidate: Candidate,
+  needed: number,
+  endsOfPrompts: ReadonlyMap<string, readonly ServerEnd[]>,
+): boolean {
   if (isWholePrompt(candidate.key)) return true;
   const prompts = promptsByEnd(candidate);
   const counts = new Map<string, number>();
   for (const prompt of prompts.flatMap((open) => [...open])) counts.set(prompt, (counts.get(prompt) ?? 0) + 1);
-  const isRepeated = (prompt: string): boolean => (counts.get(prompt) ?? 0) >= needed;
+  const isRepeated = (prompt: string): boolean => (endsOfPrompts.get(prompt)?.length ?? 0) >= needed;
   return [...counts].filter(([, count]) => count > 1).every(([repeated]) => {
     const others = prompts.filter((open) => !open.has(repeated));
     return others.length >= needed || others.some((open) => [...open].some(isRepeated));
@@ -135,12 +139,15 @@
   mayExplain: (key: string, end: ServerEnd) => boolean,
 ): readonly Candidate[] {
   const newestEndAt = ends.at(-1)?.at ?? -Infinity;
+  const provenAt = (key: string): number => parts.get(key)?.provenAt ?? -Infinity;
+  const endsOfPrompts = new Map([...occurrencesByKey(ends, isWholePrompt)].map(([key, occurrences]) => (
+    [key, countedEnds(occurrences, provenAt(key))]
+  )));
   const countedByKey = new Map<string, readonly ServerEnd[]>();
   const neededByKey = new Map<string, number>();
   for (const [key, occurrences] of occurrencesByKey(ends, mayExplain)) {
-    const provenAt = parts.get(key)?.provenAt ?? -Infinity;
-    const needed = newestEndAt - provenAt < PROOF_TTL_MS ? ENDS_OF_PROVEN : ENDS_OF_UNPROVEN;
-    const counted = countedEnds(occurrences, provenAt);
+    const needed = newestEndAt - provenAt(key) < PROOF_TTL_MS ? ENDS_OF_PROVEN : ENDS_OF_UNPROVEN;
+    const counted = countedEnds(occurrences, provenAt(key));
     if (counted.length < needed) continue;
     countedByKey.set(key, counted);
     neededByKey.set(key, needed);
@@ -150,7 +157,9 @@
     const isCounted = new Set(counted.flatMap(({ runs }) => runs));
     const inCounted = [...positions.get(key) ?? []].filter(([run]) => isCounted.has(run));
     return { key, ends: counted, positions: new Map(inCounted) };
-  }).filter((candidate) => isSuspectBesidePrompts(candidate, neededByKey.get(candidate.key) ?? Infinity));
+  }).filter((candidate) => (
+    isSuspectBesidePrompts(candidate, neededByKey.get(candidate.key) ?? Infinity, endsOfPrompts)
+  ));
 }
 
 /**
--- a/test/quarantineverdict.test.ts
+++ b/test/quarantineverdict.test.ts
@@ -108,6 +108,15 @@
     expect(findCauses(ends, known)).toEqual(['dead']);
   });
 
+  // Guards against ends that are no evidence because the calls there were sent beside each other.
+  it('names the part that two prompts share, each sent to two engines side by side', () => {
+    const first = ['first', 'dead', '*w1'];
+    const second = ['first', 'dead', '*w2'];
+    const ends = [end(100, [first]), end(150, [second], 90), end(180, [first], 110), end(240, [second], 190)];
+    expect(findCauses(ends.slice(0, 3), NOTHING_KNOWN)).not.toContain('dead');
+    expect(findCauses(ends, parts({ first: { provenAt: 170 } }))).toContain('dead');
+  });
+
   // Guards against sound requests that are kept out because they were open beside one that ends engines.
   it('names no part where one whole prompt was open at every end, whichever others were beside it', () => {
     const beside = fc.array(fc.tuple(fc.constantFrom('p1', 'p2'), fc.integer({ min: 0, max: 3 })), { maxLength: 4 });
