Report no chunks of refusals, which counted as calls that an engine had begun to run

Operators would see usage of a workspace for calls that no engine has run: Sender counts a call as begun at the first chunk of its answer's body, and the body of a refusal (503, 429 or 421, not executed) has chunks too.

Change: Upstream reports chunks only of answers that are no refusal. test/upstream.test.ts failed before (2 chunks of a refusal) and passes.

--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -49,7 +49,7 @@
   written?(): void;
   /** The head of an answer to a call that the server has executed has arrived. */
   answered?(head: AnswerHead): void;
-  /** A chunk of the answer's body has arrived. */
+  /** A chunk of the body of such an answer has arrived. */
   chunk?(): void;
   /** The answer has ended, before anybody else learns of it. */
   ended?(end: AnswerEnd): void;
@@ -90,6 +90,9 @@
 
   private isAborted = false;
 
+  /** Whether the head of an answer has arrived that is no refusal. */
+  private isAnswered = false;
+
   /** Pause in ms that an answer asked for which may belong to another call; `null` if it did not. */
   private pauseMs: number | null = null;
 
@@ -200,6 +203,7 @@
       // The body is read only so that the connection can be used for the next call.
       void this.collect(MAX_REFUSAL_BYTES);
     } else {
+      this.isAnswered = true;
       this.observer.answered?.(head);
       this.finish({ type: 'answered', head });
     }
@@ -208,7 +212,7 @@
   public data(chunk: Buffer): void {
     if (this.bodyState !== 'open') return;
     this.receivedBytes += chunk.length;
-    this.observer.chunk?.();
+    if (this.isAnswered) this.observer.chunk?.();
     if (this.bodySink === null) {
       this.unreadChunks.push(chunk);
       this.unreadBytes += chunk.length;
