Send a call that tries a part in quarantine to one engine only

Cause: the gate exempts the call, and nothing looked at that after a send that had broken off or failed.

Change: a trial that may have run is not sent again.

--- a/src/emulator/crashingengine.ts
+++ b/src/emulator/crashingengine.ts
@@ -13,6 +13,8 @@
   readonly deadlyPart: string;
   /** Time in ms from the head of an answer on that part to the crash; 5 by default. */
   readonly crashAfterMs?: number;
+  /** Whether it crashes before the head of an answer on that part. */
+  readonly crashesBeforeHead?: boolean;
 }
 
 /** Ids of the prompt parts of a call. */
@@ -41,8 +43,10 @@
         res.writeHead(503, { 'Catkinscale-Not-Executed': '1' });
         res.end('full');
       } else if (partsOf(call).includes(opts.deadlyPart)) {
-        res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', 'Content-Type': 'text/event-stream' });
-        res.flushHeaders();
+        if (opts.crashesBeforeHead !== true) {
+          res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', 'Content-Type': 'text/event-stream' });
+          res.flushHeaders();
+        }
         setTimeout(() => this.crash(), opts.crashAfterMs ?? 5);
       } else sendSignedResponse(res, 'id: 1\n\nid: 2\n\n');
     });
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -360,6 +360,7 @@
   /** Sends a call to one server after another until one answers or the call must not be sent again. */
   private async obtainAnswer(context: CallContext, tried: Set<string>): Promise<ObtainedAnswer> {
     const { route, service, trace } = context;
+    const mayRunAgain = mayRunTwice(context) && !this.quarantineGate.isTrial(context);
     let prefilled: PrefilledPrompt | null = null;
     const prefillers = new Set<string>();
     if (this.needsPrefill(context)) {
@@ -398,7 +399,7 @@
       if (outcome.type === 'answered') {
         const { head } = outcome;
         if (prefilled !== null) this.deps.estimates.forService(service.name).recordContinuation(tookMs);
-        if (head.status < 500 || !mayRunTwice(context) || attempts + 1 >= route.maxAttempts) {
+        if (head.status < 500 || !mayRunAgain || attempts + 1 >= route.maxAttempts) {
           return {
             type: 'answer', upstream, head, server,
           };
@@ -408,7 +409,7 @@
       } else if (outcome.type === 'broken') {
         if (context.ended.aborted) return this.endResult(context);
         lastRefusal = { code: 'outcome_unknown', message: outcome.message };
-        if (!mayRunTwice(context)) return refused(lastRefusal);
+        if (!mayRunAgain) return refused(lastRefusal);
         if (prefilled !== null && attempts + 1 < route.maxAttempts) {
           // The decoder may have consumed the handle. If instead it could not fetch the KV cache, a new handle of the
           // same prefill engine may fail as well, so another engine is tried first.
--- a/src/gateway/quarantinegate.ts
+++ b/src/gateway/quarantinegate.ts
@@ -57,6 +57,11 @@
     return this.refusal(key);
   }
 
+  /** Whether a call tries a part in quarantine, so that it may end its server and must not run at a second one. */
+  public isTrial(context: CallContext): boolean {
+    return this.trialCalls.has(context);
+  }
+
   /** Refusal of a call whose prompt has a part in quarantine by now, or `null`. */
   public refusalOf(context: CallContext): Refusal | null {
     const key = this.trialCalls.has(context) ? null : this.findBlocked(context);
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -1,7 +1,7 @@
 import { platformCodec, PlatformStore } from '../../platform/index.js';
 import { openDatagramSocket } from '../../src/adapters/datagrams.js';
 import { SystemClock, SystemRandom } from '../../src/adapters/system.js';
-import type { Log } from '../../src/core/interfaces/index.js';
+import type { Clock, Log } from '../../src/core/interfaces/index.js';
 import { Secret } from '../../src/core/configuration/settings.js';
 import { Metrics } from '../../src/daemon/metrics.js';
 import { HttpPeerClient, PeerListener } from '../../src/daemon/peers.js';
@@ -69,6 +69,7 @@
   /** UDP port of all gateways; without it, no datagrams are exchanged. */
   readonly exchangePort?: number;
   readonly log?: Log;
+  readonly clock?: Clock;
   readonly codec?: Codec;
   readonly meter?: Metrics;
   readonly provider?: Provider | null;
@@ -82,7 +83,7 @@
   firstPort: number,
   {
     seeds = [], host = '127.0.0.1', exchangePort, log = silentLog, codec = platformCodec, meter = new Metrics(), provider = null,
-    lines = [], name = `g${firstPort}`,
+    lines = [], name = `g${firstPort}`, clock = new SystemClock(),
   }: StartGatewayOptions = {},
 ): Promise<RunningGateway> {
   const [callers, readiness, peers, directory, metrics] = [0, 1, 2, 3, 4].map((offset) => `${host}:${firstPort + offset}`);
@@ -107,7 +108,7 @@
   const datagrams = exchangePort === undefined ? null : await openDatagramSocket(exchange, log);
   if (datagrams?.success === false) throw new Error(datagrams.error.message);
   const gateway = new Gateway({
-    clock: new SystemClock(),
+    clock,
     random: new SystemRandom(),
     log,
     meter,
