--- a/test/quarantinetrials.test.ts
+++ b/test/quarantinesends.test.ts
@@ -46,11 +46,10 @@
 
 const deadlyCalls = (): number => engines.reduce((sum, engine) => sum + engine.deadlyCalls, 0);
 
-beforeEach(async () => {
-  store = new StoreStandIn();
-  await store.start();
+/** Starts engines and a gateway with a route of `attempts` for streams that may be resumed. */
+async function start(attempts: number, crashesBeforeHead: boolean): Promise<void> {
   engines = Array.from({ length: ENGINES }, (_, index) => new CrashingEngine(`e${index}`, {
-    store, service: 'engine', deadlyPart: DEADLY_PART, crashesBeforeHead: true,
+    store, service: 'engine', deadlyPart: DEADLY_PART, crashesBeforeHead,
   }));
   for (const engine of engines) await engine.start();
   store.put('op/config', configuration({
@@ -61,7 +60,7 @@
       kind: 'streaming',
       resumable: true,
       service: 'engine',
-      'max-attempts': 3,
+      'max-attempts': attempts,
       'timeout-ms': 2_000,
       'target-latency-ms': 100,
     }],
@@ -70,6 +69,11 @@
   gateway = await startGateway(store, 27_900, { clock });
   await waitUntil(() => gateway.gateway.ready()
     && (gateway.gateway.dump().servers as { list: readonly unknown[] }).list.length === ENGINES);
+}
+
+beforeEach(async () => {
+  store = new StoreStandIn();
+  await store.start();
 });
 
 afterEach(async () => {
@@ -78,9 +82,19 @@
   store.stop();
 });
 
+describe('a call whose answer begins and ends its server', () => {
+  // Guards against resumes that end an engine each, and make one prompt the only evidence.
+  it('is sent to as many servers as its route has attempts, resumes included', async () => {
+    await start(2, false);
+    expect((await ask()).status).toBe(502);
+    expect(deadlyCalls()).toBe(2);
+  });
+});
+
 describe('a call that tries a part in quarantine', () => {
   // Guards against trials that end an engine for each attempt of their route.
   it('is sent to one engine only', async () => {
+    await start(3, true);
     for (let call = 0; call < 60; call += 1) {
       if ((await ask()).body.includes('quarantined')) break;
       await pause(200);
