Send a call to no third server after two have ended under it

Cause: a resume begins with all attempts of its route, and a call whose answers begin and end their servers is resumed each time. One request ended four engines within 220 ms, and as it was open at all ends, nothing pointed to the part that it shares. Class: evidence that an ordinary retry hides.

Change: once two servers have ended under a call whose answer has not gone on, one after the other, it is not sent again. A connection that breaks by itself does not count, nor a server that ends under an answer that went on, so that other streams go on as before. The wait of 11 ms, until it is known whether the server has ended, comes only from the second broken answer on.

--- a/src/emulator/quarantinegroup.ts
+++ b/src/emulator/quarantinegroup.ts
@@ -56,7 +56,7 @@
 /** Run that was written at a time in ms and has no answer. */
 export function openRun(parts: readonly string[], sentAt: number, request = `r${sentAt}`): Run {
   return {
-    request, parts, sentAt, isAnswered: false, chunks: 0,
+    request, parts, sentAt, isAnswered: false, chunks: 0, serverEnded: null,
   };
 }
 
--- a/src/gateway/callcontext.ts
+++ b/src/gateway/callcontext.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { ForwardingService, Route } from './configuration.js';
 import type { Call } from './codec.js';
+import type { Run } from './openruns.js';
 import type { Refusal } from './outcome.js';
 import type { AnswerEnd } from './upstream.js';
 import type { Caller } from './workspaces.js';
@@ -28,6 +29,8 @@
   /** Steps of the call with the time since its arrival. */
   readonly steps: string[];
   readonly sends: SendTrace[];
+  /** Runs of the call at servers, without prefills. */
+  readonly runs: Run[];
   /** Time from the arrival of the call to the first bytes of the answer's body. */
   firstMs: number | null;
   /** Rank with which the call got its slot; absent where calls are not ranked. */
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Disposable, Meter, Random } from '../core/interfaces/index.js';
+import { sleep } from '../core/time.js';
 import { reportUnexpected } from '../core/unexpected.js';
 import { readBytes, waitForSocketReads } from '../daemon/http.js';
 import type { AnswerMemory } from './answermemory.js';
@@ -10,6 +11,7 @@
 import { isEventStream, ResumableStream } from './events.js';
 import type { ExplainedRefusal, Explanation } from './explanation.js';
 import type { Occupancy } from './occupancy.js';
+import { CONFIRM_MS, isProven } from './openruns.js';
 import { refusalAnswer } from './outcome.js';
 import type { Refusal } from './outcome.js';
 import type { PlaceExchange } from './places/index.js';
@@ -64,6 +66,9 @@
 
 const RETRY_AFTER_MS = 250;
 
+/** Number of servers that may end under one call whose answer has not gone on; a further one is likely to end too. */
+const MAX_ENDED_SERVERS = 2;
+
 /** Retry delay in ms for calls that this process refuses because it stops: another gateway can take them at once. */
 const OTHER_GATEWAY_RETRY_MS = 20;
 
@@ -75,6 +80,8 @@
   readonly priority: number;
 }
 
+const SERVERS_ENDED = 'servers have ended under this call';
+
 const OCCUPIED: Refusal = { code: 'occupied', retryAfterMs: RETRY_AFTER_MS };
 
 /** Explanation of a call without a route or a caller. */
@@ -187,6 +194,7 @@
       begun: false,
       steps: [],
       sends: [],
+      runs: [],
       firstMs: null,
       pauseMs: 0,
       passedBytes: 0,
@@ -363,6 +371,7 @@
     const mayRunAgain = mayRunTwice(context) && !this.quarantineGate.isTrial(context);
     let prefilled: PrefilledPrompt | null = null;
     const prefillers = new Set<string>();
+    if (await this.hasEndedServers(context)) return refused({ code: 'outcome_unknown', message: SERVERS_ENDED });
     if (this.needsPrefill(context)) {
       const result = await this.sender.prefill(context, prefillers, tried.size > 0);
       if (result.type === 'refused') return context.ended.aborted ? this.endResult(context) : result;
@@ -409,7 +418,7 @@
       } else if (outcome.type === 'broken') {
         if (context.ended.aborted) return this.endResult(context);
         lastRefusal = { code: 'outcome_unknown', message: outcome.message };
-        if (!mayRunAgain) return refused(lastRefusal);
+        if (!mayRunAgain || await this.hasEndedServers(context)) return refused(lastRefusal);
         if (prefilled !== null && attempts + 1 < route.maxAttempts) {
           // The decoder may have consumed the handle. If instead it could not fetch the KV cache, a new handle of the
           // same prefill engine may fail as well, so another engine is tried first.
@@ -428,6 +437,14 @@
     return refuse();
   }
 
+  /** Whether so many servers have ended under a call, whose answer has not gone on, that it must not be sent again. */
+  private async hasEndedServers({ trace }: CallContext): Promise<boolean> {
+    const broken = trace.runs.filter((run) => !isProven(run) && run.serverEnded !== false);
+    if (broken.length < MAX_ENDED_SERVERS) return false;
+    if (broken.some(({ serverEnded }) => serverEnded === null)) await sleep(this.deps.clock, CONFIRM_MS + 1);
+    return broken.filter(({ serverEnded }) => serverEnded === true).length >= MAX_ENDED_SERVERS;
+  }
+
   /** Whether another engine prefills the prompt of a call before a decoder continues from it. */
   private needsPrefill({ call: { generation }, route, service }: CallContext): boolean {
     return service.engine !== null && generation !== null
--- a/src/gateway/openruns.ts
+++ b/src/gateway/openruns.ts
@@ -8,7 +8,7 @@
  * Time in ms after a broken answer within which the other connections to a server that has ended break too. All of them
  * are reset at the same moment.
  */
-const CONFIRM_MS = 10;
+export const CONFIRM_MS = 10;
 
 /** Number of chunks of an answer after which its prompt counts as proven: the answer has begun and gone on. */
 const PROOF_CHUNKS = 2;
@@ -24,6 +24,8 @@
   isAnswered: boolean;
   /** Number of chunks of that answer's body so far. */
   chunks: number;
+  /** Whether the answer broke off with all connections to its server; `null` until that is known. */
+  serverEnded: boolean | null;
 }
 
 /** Whether the answer of a run has begun and gone on, so that its prompt is not why the server ended. */
@@ -65,7 +67,7 @@
   /** Creates a run that is not written yet. */
   public create(request: string | null, parts: readonly string[]): Run {
     return {
-      request, parts, sentAt: null, isAnswered: false, chunks: 0,
+      request, parts, sentAt: null, isAnswered: false, chunks: 0, serverEnded: null,
     };
   }
 
@@ -88,6 +90,7 @@
 
   /** Records the end of a run. */
   public end(run: Run, how: UpstreamEnd): void {
+    run.serverEnded = how === UpstreamEnd.Broken && run.sentAt !== null ? null : false;
     if (run.sentAt === null) return;
     switch (how) {
       case UpstreamEnd.Complete:
@@ -109,7 +112,9 @@
     this.clock.after(CONFIRM_MS, () => {
       const runs = this.broken;
       this.broken = [];
-      if (!this.pool.hasOpenConnection(newest)) this.listener.ended(runs);
+      const hasEnded = !this.pool.hasOpenConnection(newest);
+      for (const run of runs) run.serverEnded = hasEnded;
+      if (hasEnded) this.listener.ended(runs);
     });
   }
 }
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -232,6 +232,7 @@
     // A prefill writes no answer.
     const run = work.type === 'prefill'
       ? null : backend.runs.create(context.call.id, suspectIds(context.call, context.body));
+    if (run !== null) context.trace.runs.push(run);
     const upstream = new Upstream(context.call, platformCodec, backend.pool, {
       server,
       deadlineMs: Math.max(MIN_SEND_MS, context.deadline - sentAt - this.opts.transitMs),
--- a/test/quarantinesends.test.ts
+++ b/test/quarantinesends.test.ts
@@ -84,7 +84,7 @@
 
 describe('a call whose answer begins and ends its server', () => {
   // Guards against resumes that end an engine each, and make one prompt the only evidence.
-  it('is sent to as many servers as its route has attempts, resumes included', async () => {
+  it('is sent to two servers at the most, resumes included', async () => {
     await start(2, false);
     expect((await ask()).status).toBe(502);
     expect(deadlyCalls()).toBe(2);
