Give each call of the tests of broken answers a prompt of its own

All calls of the file had one prompt, and each test breaks the only connection to a server, which is an end under that prompt.

--- a/test/brokenanswers.test.ts
+++ b/test/brokenanswers.test.ts
@@ -72,7 +72,8 @@
   asked += 1;
   return sendCall(gateway.callers, path, {
     method: 'POST',
-    body: '{}',
+    // A prompt of its own, as servers seem to end under those whose answers break off.
+    body: `{"prompt":${asked}}`,
     headers: { 'catkinscale-request-id': `q${asked}`, 'catkinscale-token-count': '60,9' },
   });
 }
