Judge whole prompts only once other gateways have told of the same ends

A sound call and the one that ended its engines were open at the same two engines, at two gateways; the gateway of the sound one judged at 4.377 s, before it had heard of the other call, and blamed the sound prompt.

Cause: a verdict on partial evidence. Each gateway reports its own calls at an end, and the others have them after 10 ms of collection and one or more hops; verdicts are not taken back by evidence that comes later.

Change: for whole prompts, only ends that are 50 ms old count, and each end is judged again by then. Parts are judged at once as before: they need ends under different prompts, and waiting costs engines.

test/quarantineexchange.test.ts ("before others have told theirs") failed before and passes.

--- a/src/gateway/quarantine/evidence.ts
+++ b/src/gateway/quarantine/evidence.ts
@@ -172,8 +172,11 @@
     return { ends: newEnds, parts: newParts };
   }
 
-  /** Puts the parts that are now the most likely causes into quarantine and returns their states. */
-  public judge(now: number): ReadonlyMap<string, PartState> {
+  /**
+   * Puts the parts that are now the most likely causes into quarantine and returns their states. For whole prompts,
+   * only ends until `settledAt` count.
+   */
+  public judge(now: number, settledAt: number): ReadonlyMap<string, PartState> {
     const ends: ServerEnd[] = [...this.ends].flatMap(([incarnation, { at, refuted, runs }]) => (
       refuted ? [] : [{ incarnation, at, runs: [...runs.values()] }]
     ));
@@ -181,7 +184,7 @@
       [key, { provenAt: part.provenAt, isQuarantined: isQuarantined(part) }]
     )));
     const judged = new Map<string, PartState>();
-    for (const key of findCauses(ends, records)) {
+    for (const key of findCauses(ends, records, settledAt)) {
       if (this.part(key).override !== Override.None) continue;
       const part = this.part(key);
       judged.set(key, { ...part, verdict: part.verdict + 1, quarantinedAt: now });
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -20,6 +20,12 @@
  */
 const MAX_REFUTATION_MS = 1_000;
 
+/**
+ * Time in ms after an end until whole prompts are judged by it. A sound call is often at two ends together with the one
+ * that causes them, and one gateway may have only the sound one.
+ */
+const SETTLE_MS = 50;
+
 const NO_PARTS: ReadonlyMap<string, PartState> = new Map();
 
 /** Dependencies of {@link Quarantine}. */
@@ -181,13 +187,23 @@
     const merged = this.evidence.merge(news, now);
     const parts = new Map(merged.parts);
     for (const [key, part] of this.ownProofs(merged, now)) parts.set(key, part);
-    const judged = merged.ends.size > 0 ? this.evidence.judge(now) : NO_PARTS;
+    const judged = merged.ends.size > 0 ? this.evidence.judge(now, now - SETTLE_MS) : NO_PARTS;
     for (const [key, part] of judged) parts.set(key, part);
     if (merged.ends.size === 0 && parts.size === 0) return;
+    if (merged.ends.size > 0) this.deps.clock.after(SETTLE_MS, () => this.judgeSettled());
     this.updateBlocked(judged);
     for (const listener of this.newsListeners) listener({ ends: merged.ends, parts });
   }
 
+  /** Judges whole prompts once other gateways have told which calls they had open at the same ends. */
+  private judgeSettled(): void {
+    const now = this.deps.clock.monotonic();
+    const judged = this.evidence.judge(now, now - SETTLE_MS);
+    if (judged.size === 0) return;
+    this.updateBlocked(judged);
+    for (const listener of this.newsListeners) listener({ ends: new Map(), parts: judged });
+  }
+
   /** Everything that is known, for another gateway. */
   public all(): News {
     return this.evidence.all();
--- a/src/gateway/quarantine/verdict.ts
+++ b/src/gateway/quarantine/verdict.ts
@@ -199,11 +199,13 @@
 /**
  * Keys of the parts that are the most likely cause of servers' ends and are not in quarantine yet. Of the parts that
  * explain as many ends, the narrowest one is chosen, because it keeps out the fewest requests. Ends that a part in
- * quarantine explains do not count against others.
+ * quarantine explains do not count against others. For whole prompts, only ends until `settledAt`, in ms, count,
+ * because the calls of other gateways at later ones may not be known yet.
  */
 export function findCauses(
   ends: readonly ServerEnd[],
   parts: ReadonlyMap<string, PartRecord>,
+  settledAt = Infinity,
 ): readonly string[] {
   const causes = new Set<string>();
   const isCause = (key: string): boolean => causes.has(key) || parts.get(key)?.isQuarantined === true;
@@ -223,7 +225,7 @@
       return prompts.length === 0 || prompts.some((keys) => keys.has(key));
     };
     const likeliest = likeliestOf([
-      ...findCandidates(unexplained, parts, isWholePrompt),
+      ...findCandidates(unexplained, parts, (key, { at }) => isWholePrompt(key) && at <= settledAt),
       ...findCandidates(unexplainedByParts, parts, (key, end) => !isWholePrompt(key) && isPartOfCause(key, end)),
     ]);
     const certain = likeliest.filter((candidate) => (
--- a/test/quarantineexchange.test.ts
+++ b/test/quarantineexchange.test.ts
@@ -191,6 +191,25 @@
     expect(quarantine.findBlocked('engine', ['dead'])).toBeNull();
   });
 
+  // Guards against sound calls that are kept out because their gateway is the first to judge two ends.
+  it('does not blame the one prompt that this gateway had open at ends before others have told theirs', async () => {
+    const { clock, quarantine } = alone();
+    for (const server of ['s1', 's2']) {
+      const at = clock.monotonic();
+      quarantine.recordEnd(engineRecord(server), [openRun(['p', '*sound'], at - 5, 'mine')]);
+      await clock.advance(20);
+      const keys = ['p', 'dead', '*deadly'].map((id) => partKey('engine', id));
+      const runs = new Map([['theirs', { keys, sentAt: at - 5 }]]);
+      quarantine.learn({ ends: new Map([[`${server}@1`, { at, refuted: false, runs }]]), parts: new Map() });
+      await clock.advance(80);
+    }
+    expect(quarantine.findBlocked('engine', ['*sound'])).toBeNull();
+    quarantine.recordEnd(engineRecord('s3'), [openRun(['p', 'dead', '*deadly'], clock.monotonic(), 'other')]);
+    await clock.advance(100);
+    expect(quarantine.findBlocked('engine', ['*sound'])).toBeNull();
+    expect(quarantine.findBlocked('engine', ['*deadly'])).not.toBeNull();
+  });
+
   // Guards against ends that are taken back because the server has started again under its id and old record.
   it('keeps the end of a server that answers only after a while', async () => {
     const { clock, quarantine } = alone();
