--- a/src/emulator/linkproxy.ts
+++ b/src/emulator/linkproxy.ts
@@ -10,6 +10,8 @@
 
   private isSilent = false;
 
+  private isRefusing = false;
+
   private readonly server = createServer((inner) => this.acceptConnection(inner));
 
   /** `target` is an IP address and port. */
@@ -25,9 +27,21 @@
     for (const socket of this.sockets) socket.pause();
   }
 
+  /** Resets new connections at once; open ones live on. */
+  public refuse(): void {
+    this.isRefusing = true;
+  }
+
   /** Forwards new connections again; connections that were silenced stay silent. */
   public heal(): void {
     this.isSilent = false;
+    this.isRefusing = false;
+  }
+
+  /** Forwards on open connections too, from where they were silenced. */
+  public resume(): void {
+    this.heal();
+    for (const socket of this.sockets) socket.resume();
   }
 
   /** Resets all open connections. */
@@ -42,6 +56,10 @@
 
   private acceptConnection(clientSocket: Socket): void {
     this.track(clientSocket);
+    if (this.isRefusing) {
+      clientSocket.resetAndDestroy();
+      return;
+    }
     if (this.isSilent) {
       clientSocket.pause();
       return;
--- /dev/null
+++ b/test/support/partition.ts
@@ -0,0 +1,145 @@
+import { ServerStandIn, sendSignedResponse } from '../../src/emulator/backend.js';
+import { LinkProxy } from '../../src/emulator/linkproxy.js';
+import { StoreStandIn } from '../../src/emulator/platformstore.js';
+import { sendCall } from '../../src/emulator/sendcall.js';
+import type { Answer } from '../../src/emulator/sendcall.js';
+import { configuration, startGateway } from './gateway.js';
+import type { RunningGateway } from './gateway.js';
+import { waitUntil } from './waituntil.js';
+
+/** How the links between a gateway and all backend servers fail. */
+export enum Cut {
+  /** Open and new connections hang. */
+  Hang = 'hang',
+  /** Open connections are reset, and new ones at once. */
+  Reset = 'reset',
+  /** Open connections live on, and new ones are reset at once. */
+  RefuseNew = 'refuse new',
+}
+
+/** Time in ms that a server works on a call. */
+const WORK_MS = 20;
+
+/** Time in ms between two calls of the background load, which go to the gateways in turn. */
+const LOAD_PERIOD_MS = 15;
+
+/**
+ * Gateways whose links to the backend servers can fail one gateway at a time. Each gateway has a store of its own, in
+ * which the servers have the addresses of its own proxies.
+ */
+export class PartitionGroup {
+  public readonly gateways: RunningGateway[] = [];
+
+  /** Calls that each server has received, by its index. */
+  public readonly servers: ServerStandIn[] = [];
+
+  private readonly stores: StoreStandIn[] = [];
+
+  /** Proxies of each gateway before the servers. */
+  private readonly proxies: LinkProxy[][] = [];
+
+  private load: NodeJS.Timeout | null = null;
+
+  private sent = 0;
+
+  /** Starts gateways on five ports from `port` on, with a plain service, and a load of calls that may be repeated. */
+  public async start(gateways: number, servers: number, port: number): Promise<void> {
+    for (let index = 0; index < servers; index += 1) {
+      const server = new ServerStandIn(`s${index}`, (res) => {
+        setTimeout(() => sendSignedResponse(res, 'ok'), WORK_MS);
+      });
+      await server.start();
+      this.servers.push(server);
+    }
+    const seeds = Array.from({ length: gateways }, (_, index) => `127.0.0.${2 + index}:${port + 2}`);
+    for (let index = 0; index < gateways; index += 1) {
+      const store = new StoreStandIn();
+      await store.start();
+      this.stores.push(store);
+      this.proxies.push([]);
+      for (const server of this.servers) await this.register(store, server, index);
+      store.put('op/config', configuration());
+      this.gateways.push(await startGateway(store, port, {
+        name: `g${index}`, host: `127.0.0.${2 + index}`, seeds, exchangePort: port + 5,
+      }));
+    }
+    await waitUntil(async () => {
+      const named = await Promise.all(this.gateways.map((_, index) => this.named(index)));
+      return named.every((addresses) => addresses.length === gateways);
+    });
+    this.load = setInterval(() => {
+      this.sent += 1;
+      void this.call(this.sent % gateways);
+    }, LOAD_PERIOD_MS);
+  }
+
+  /** Cuts a gateway off from all servers. */
+  public cut(gateway: number, how: Cut): void {
+    for (const proxy of this.proxies[gateway]!) {
+      switch (how) {
+        case Cut.Hang:
+          proxy.silence();
+          break;
+        case Cut.Reset:
+          proxy.refuse();
+          proxy.reset();
+          break;
+        case Cut.RefuseNew:
+          proxy.refuse();
+          break;
+        default: how satisfies never;
+      }
+    }
+  }
+
+  public heal(gateway: number): void {
+    for (const proxy of this.proxies[gateway]!) proxy.heal();
+  }
+
+  /** Silences all servers for all gateways for a while, as if they stood still. */
+  public async pauseServers(forMs: number): Promise<void> {
+    for (const proxy of this.proxies.flat()) proxy.silence();
+    await new Promise((resolve) => {
+      setTimeout(resolve, forMs);
+    });
+    for (const proxy of this.proxies.flat()) proxy.resume();
+  }
+
+  /** Addresses for callers that a gateway names. */
+  public async named(gateway: number): Promise<readonly string[]> {
+    const { status, body } = await sendCall(this.gateways[gateway]!.directory, '/resolve?name=x&region=r&zone=z');
+    return status === 200 ? (JSON.parse(body) as { addresses: string[] }).addresses : [];
+  }
+
+  /** Indexes of the gateways by which a gateway is named. */
+  public async namedBy(gateway: number): Promise<readonly number[]> {
+    const { callers } = this.gateways[gateway]!;
+    const named = await Promise.all(this.gateways.map((_, index) => this.named(index)));
+    return named.flatMap((addresses, index) => (addresses.includes(callers) ? [index] : []));
+  }
+
+  public async isReady(gateway: number): Promise<boolean> {
+    return (await sendCall(this.gateways[gateway]!.readiness, '/ready')).status === 200;
+  }
+
+  public call(gateway: number, path = '/safe/x'): Promise<Answer> {
+    return sendCall(this.gateways[gateway]!.callers, path);
+  }
+
+  public async stop(): Promise<void> {
+    if (this.load !== null) clearInterval(this.load);
+    await Promise.all(this.gateways.map((gateway) => gateway.stop()));
+    for (const proxy of this.proxies.flat()) proxy.stop();
+    for (const server of this.servers) server.stop();
+    for (const store of this.stores) store.stop();
+  }
+
+  private async register(store: StoreStandIn, server: ServerStandIn, gateway: number): Promise<void> {
+    const proxy = new LinkProxy(server.address);
+    await proxy.start();
+    this.proxies[gateway]!.push(proxy);
+    store.put(`servers/${server.id}`, JSON.stringify({
+      ...JSON.parse(server.serverRecord('ledger', { slots: 16 })) as object, address: proxy.address,
+    }));
+  }
+}
