Name no gateway to callers that reaches no backend server while others do

Cause: readiness and the directory went by membership and configuration only, and nobody compared what a gateway reaches with what others reach. Class: a process that can do less than others and counts as healthy.

If others reach two and it reaches none, it says so to all gateways by an announcement: nobody names it, it is not ready, and calls there are refused at once with a closed connection, also those that wait or may be repeated. All servers down, all gateways cut, a pause of all servers or of the process are no such case (docs/design/reach.md).

--- a/src/gateway/callcontext.ts
+++ b/src/gateway/callcontext.ts
@@ -71,6 +71,7 @@
   Quarantined = 'a part of the prompt is in quarantine',
   Failed = 'the call failed unexpectedly',
   Stopped = 'the grace period is over',
+  OutOfReach = 'no backend server is in reach',
 }
 
 /** What the caller received. */
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -12,6 +12,8 @@
 export interface PeerGateway {
   readonly member: Pick<Member, 'callerAddress' | 'leaving' | 'revision'>;
   readonly suspected: boolean;
+  /** Whether it has said that it reaches no backend server. */
+  readonly isCutOff: boolean;
   /** Time in ms since its last message, or `null` where it has sent none to this gateway. */
   readonly lastMessageAgeMs: number | null;
 }
@@ -20,13 +22,15 @@
  * Addresses that callers may use. A gateway that stopped a moment ago is still a member, but its messages stop at once,
  * so gateways without a recent message are left out. Membership alone decides where no gateway has sent a recent
  * message, because this process may have been paused, and where there are so many gateways that not all of them send
- * messages to this one.
+ * messages to this one. Gateways that reach no backend server are named only where there is no other one.
  */
 export function selectCallerAddresses(
   own: { readonly callerAddress: string; readonly ready: boolean; readonly configured: boolean },
   peers: readonly PeerGateway[],
 ): readonly string[] {
-  const remaining = peers.filter(({ member, suspected }) => !member.leaving && member.revision > 0 && !suspected);
+  const running = peers.filter(({ member, suspected }) => !member.leaving && member.revision > 0 && !suspected);
+  const inReach = running.filter(({ isCutOff }) => !isCutOff);
+  const remaining = inReach.length > 0 || own.ready ? inReach : running;
   const recentSenders = remaining.filter(
     ({ lastMessageAgeMs }) => lastMessageAgeMs !== null && lastMessageAgeMs < MAX_MESSAGE_AGE_MS,
   );
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -18,6 +18,7 @@
 import { promptSize } from './placement.js';
 import { QuarantineGate } from './quarantinegate.js';
 import type { QuarantineGateDependencies } from './quarantinegate.js';
+import type { ServerReach } from './reach/index.js';
 import { rankOf } from './shares/index.js';
 import type { WorkLedger } from './shares/index.js';
 import { SlotAllocator } from './slotallocator.js';
@@ -51,6 +52,8 @@
   readonly endsAt: () => number | null;
   /** Age in ms of the server records. */
   readonly recordsAgeMs: () => number;
+  /** Whether this gateway reaches no backend server while others do. */
+  readonly reach: Pick<ServerReach, 'answered' | 'failed' | 'isCutOff'>;
   /** Whether the keys of callers were read so long ago that one of them may have been taken away. */
   readonly keysAreTooOld: () => boolean;
 }
@@ -69,7 +72,7 @@
 /** Number of servers that may end under one call whose answer has not gone on; a further one is likely to end too. */
 const MAX_ENDED_SERVERS = 2;
 
-/** Retry delay in ms for calls that this process refuses because it stops: another gateway can take them at once. */
+/** Retry delay in ms for calls that this process refuses although another gateway can take them at once. */
 const OTHER_GATEWAY_RETRY_MS = 20;
 
 /** Route and service that were chosen for a call, and who sends it. */
@@ -80,6 +83,8 @@
   readonly priority: number;
 }
 
+const OUT_OF_REACH: Refusal = { code: 'out_of_reach', retryAfterMs: OTHER_GATEWAY_RETRY_MS };
+
 const SERVERS_ENDED = 'servers have ended under this call';
 
 const OCCUPIED: Refusal = { code: 'occupied', retryAfterMs: RETRY_AFTER_MS };
@@ -113,8 +118,8 @@
 export class Forwarder implements Disposable {
   private activeCalls = 0;
 
-  /** Aborts the calls that are served now. */
-  private readonly served = new Set<AbortController>();
+  /** Calls that are served now, by what aborts them. */
+  private readonly served = new Map<AbortController, CallContext>();
 
   private readonly retriedCalls = new RetriedCallDetector();
 
@@ -137,7 +142,14 @@
 
   /** Ends all calls at the end of a planned stop; those that were not sent are refused, and no answer looks whole. */
   public cutOff(): void {
-    for (const ended of [...this.served]) ended.abort(AbortReason.Stopped);
+    for (const ended of [...this.served.keys()]) ended.abort(AbortReason.Stopped);
+  }
+
+  /** Ends the calls that other gateways can serve: those that were not sent and those that may run twice. */
+  public releaseCalls(): void {
+    for (const [ended, context] of [...this.served]) {
+      if (context.trace.countedSends === 0 || mayRunTwice(context)) ended.abort(AbortReason.OutOfReach);
+    }
   }
 
   public dispose(): void {
@@ -269,8 +281,8 @@
     if (endsAt !== null && trace.arrivedAt + waitMs > endsAt) {
       return refused({ code: 'stopping', retryAfterMs: OTHER_GATEWAY_RETRY_MS });
     }
+    if (this.deps.reach.isCutOff) return refused(OUT_OF_REACH);
     const ended = new AbortController();
-    this.served.add(ended);
     const onCallerLeft = (): void => {
       if (!res.writableFinished) ended.abort(AbortReason.CallerLeft);
     };
@@ -290,6 +302,7 @@
       res,
       ended: ended.signal,
     };
+    this.served.set(ended, context);
     const watch = this.quarantineGate.watch(context, () => ended.abort(AbortReason.Quarantined));
     try {
       await waitForSocketReads();
@@ -488,6 +501,10 @@
         ? { code: 'outcome_unknown', message: AbortReason.Stopped }
         : { code: 'stopping', retryAfterMs: OTHER_GATEWAY_RETRY_MS });
     }
+    if (ended.reason === AbortReason.OutOfReach) {
+      return refused(trace.countedSends > 0
+        ? { code: 'outcome_unknown', message: AbortReason.OutOfReach } : OUT_OF_REACH);
+    }
     // A call of which only the prefill was sent was not executed.
     return refused(trace.countedSends > 0 ? { code: 'timeout' } : { code: 'expired', retryAfterMs: RETRY_AFTER_MS });
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -38,6 +38,7 @@
 import { Quarantine, QuarantineExchange, Trials } from './quarantine/index.js';
 import { Records } from './records.js';
 import { RelayedSource } from './relays.js';
+import { CutOffGateways, ServerReach } from './reach/index.js';
 import { RoleBalancer } from './rolebalancer.js';
 import { ServerRegistry } from './serverregistry.js';
 import { WorkLedger } from './shares/index.js';
@@ -126,6 +127,8 @@
 
   private readonly peers: PeerGateways;
 
+  private readonly reach: ServerReach;
+
   private readonly fleet: BackendFleet;
 
   private readonly configuration: Records;
@@ -196,7 +199,7 @@
         incarnation: this.membership.self().incarnation,
       },
       leaseMs: settings.authority.lease,
-      isCandidate: () => this.ready() && this.isAuthorityCandidate(),
+      isCandidate: () => this.isRunning() && this.isAuthorityCandidate(),
     });
     this.registry = this.disposables.add(new ServerRegistry({ clock, log: deps.log, contact }));
     const leaving = this.disposables.add(new LeavingAnswers({
@@ -209,7 +212,22 @@
     this.occupancy = new Occupancy({
       clock, members: this.membership, datagrams: deps.datagrams, ledger: this.ledger,
     });
-    this.peers = new PeerGateways({ membership: this.membership, occupancy: this.occupancy, log: deps.log });
+    const cutOff = this.disposables.add(new CutOffGateways({ clock, announcements: this.membership }));
+    this.peers = new PeerGateways({
+      membership: this.membership, occupancy: this.occupancy, cutOff, log: deps.log,
+    });
+    this.reach = new ServerReach({
+      ...deps,
+      client,
+      server,
+      members: this.membership,
+      cutOff,
+      servers: () => this.registry.all().filter((record) => !this.registry.isLeaving(record)),
+      probe: async (record) => (
+        await control.send(this.fleet.serverFor(record).pool, record, deps.codec.reportRequest(), 'reach') !== null
+      ),
+    });
+    this.disposables.add(this.reach.onCutOff(() => this.forwarder.releaseCalls()));
     this.quarantine = new Quarantine(deps);
     const quarantineDeps = {
       ...deps, client, server, members: this.membership, quarantine: this.quarantine,
@@ -289,6 +307,7 @@
       leaving,
       pauses,
       control,
+      reach: this.reach,
       quarantine: this.quarantine,
       exchange: this.quarantineExchange,
       trials: this.trials,
@@ -311,7 +330,7 @@
 
   /** Whether callers may be sent to this gateway. */
   public ready(): boolean {
-    return !this.stopping && this.routes !== null && this.servers.isComplete;
+    return this.isRunning() && !this.reach.isCutOff;
   }
 
   /** Opens the listeners and starts to follow the store and the other gateways; fails if an address can't be bound. */
@@ -361,6 +380,7 @@
       roles: this.roles,
       occupancy: this.occupancy,
       quarantine: this.quarantineExchange,
+      reach: this.reach,
       streams: this.streamRecords,
       ...this.duties.loops,
     };
@@ -406,6 +426,7 @@
       membership: this.membership.dump(),
       authority: this.authority.dump(),
       occupancy: this.occupancy.dump(),
+      reach: this.reach.dump(),
       places: { owned: this.placesAreOwned(), ...this.places.dump() },
       shares: this.ledger.dump(),
       streams: { bound: this.bindings.size, ...this.streamRecords.dump() },
@@ -416,6 +437,10 @@
     };
   }
 
+  private isRunning(): boolean {
+    return !this.stopping && this.routes !== null && this.servers.isComplete;
+  }
+
   /** Tokens that an engine can hold; unlimited while nothing is known of it. */
   private cacheTokens(engine: string): number {
     const service = this.registry.get(engine)?.service;
@@ -443,7 +468,7 @@
   }
 
   private async forward(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    if (this.stopping) res.setHeader('connection', 'close');
+    if (this.stopping || this.reach.isCutOff) res.setHeader('connection', 'close');
     await this.forwarder.handle(req, res);
   }
 
--- a/src/gateway/outcome.ts
+++ b/src/gateway/outcome.ts
@@ -21,6 +21,8 @@
   | { readonly code: 'quarantined'; readonly part: string; readonly retryAfterMs: number }
   /** This process stops before the end of the call is certain; another gateway can serve it. */
   | { readonly code: 'stopping'; readonly retryAfterMs: number }
+  /** This process reaches no backend server, and other gateways do. */
+  | { readonly code: 'out_of_reach'; readonly retryAfterMs: number }
   /** It is not known at which version of the software the stream began that the caller takes up. */
   | { readonly code: 'version_unknown'; readonly retryAfterMs: number }
   /** No backend server has the version of the software at which the stream began that the caller takes up. */
@@ -53,6 +55,7 @@
     case 'not_executed':
     case 'quarantined':
     case 'stopping':
+    case 'out_of_reach':
     case 'version_unknown':
     case 'version_gone':
     case 'expired': return { status: 503, retryAfterMs: refusal.retryAfterMs };
--- a/src/gateway/peergateways.ts
+++ b/src/gateway/peergateways.ts
@@ -3,6 +3,7 @@
 import { lowestByRendezvous } from '../core/rendezvous.js';
 import { selectCallerAddresses } from './directory.js';
 import type { Occupancy } from './occupancy.js';
+import type { CutOffGateways } from './reach/index.js';
 
 /**
  * Smallest number of gateways among which a shared budget is divided, because a gateway that has just started does not
@@ -14,6 +15,7 @@
 export interface PeerGatewaysDependencies {
   readonly membership: Membership;
   readonly occupancy: Occupancy;
+  readonly cutOff: Pick<CutOffGateways, 'has'>;
   readonly log: Log;
 }
 
@@ -30,10 +32,11 @@
 
   /** Addresses of this gateway and of the others that callers may use. */
   public callerAddresses(own: Parameters<typeof selectCallerAddresses>[0]): readonly string[] {
-    const { membership, occupancy } = this.deps;
+    const { membership, occupancy, cutOff } = this.deps;
     return selectCallerAddresses(own, membership.live().map((member) => ({
       member,
       suspected: membership.isSuspect(member.incarnation),
+      isCutOff: cutOff.has(member.incarnation),
       lastMessageAgeMs: occupancy.lastMessageAgeMs(member.id),
     })));
   }
--- a/src/gateway/sending.ts
+++ b/src/gateway/sending.ts
@@ -13,6 +13,7 @@
 import type { Refusal } from './outcome.js';
 import type { ServerPauses } from './pauses.js';
 import { promptSize, suspectIds } from './placement.js';
+import type { ServerReach } from './reach/index.js';
 import type { ServerRecord } from './serverregistry.js';
 import type { ReservedServer } from './reservedserver.js';
 import type { SlotAllocator } from './slotallocator.js';
@@ -31,6 +32,7 @@
   readonly prompts: PromptObserver;
   readonly leaving: Pick<LeavingAnswers, 'record'>;
   readonly pauses: Pick<ServerPauses, 'record'>;
+  readonly reach: Pick<ServerReach, 'answered' | 'failed'>;
   readonly control: Pick<ControlClient, 'send'>;
   /** This process's share of the retry budget of a service. */
   readonly budget: (service: string) => RetryBudget;
@@ -52,6 +54,9 @@
 /** Time in ms for the body of a refusal to arrive, after which its connection is closed. */
 const REFUSAL_BODY_MS = 500;
 
+/** Time in ms without the head of an answer after which a send may be a sign that no server is in reach. */
+const UNANSWERED_MS = 400;
+
 /** Number of servers that have ended under a part from which each send on it is logged. */
 const MIN_LOGGED_ENDS = 2;
 
@@ -272,6 +277,7 @@
       const isRepeatable = mayRunTwice(context) && this.slotAllocator.hasOtherServer(context, server.id);
       if (work.type === 'prefill' || isRepeatable) upstream.abort('no answer in the usual time');
     });
+    const unanswered = clock.after(UNANSWERED_MS, () => this.deps.reach.failed(server));
     let answered = false;
     void upstream.closed.then((how) => {
       if (run !== null) backend.runs.end(run, how);
@@ -284,6 +290,7 @@
     const outcome = await upstream.outcome;
     answered = outcome.type === 'answered' && outcome.head.status === 200;
     silence.dispose();
+    unanswered.dispose();
     const { serverLeaves, pauseMs } = statementsOf(outcome);
     if (serverLeaves) this.deps.leaving.record(server, work.type);
     if (pauseMs !== null) this.deps.pauses.record(server, pauseMs, work.type);
@@ -295,6 +302,7 @@
     if (context.service.engine === null && mayHaveRun) this.countBegin(context);
     if (outcome.type === 'answered') this.deps.prompts.recordAnswer(server, sentAt);
     recordHealth(backend, outcome, context.ended.aborted);
+    this.recordReach(server, outcome, context.ended.aborted);
     const pause = pauseMs === null ? '' : `:pause=${Math.round(pauseMs)}`;
     addStep(context.trace, `${work.type}:${server.id}:${outcome.type}${pause}`, clock.monotonic());
     return {
@@ -316,6 +324,23 @@
     });
   }
 
+  private recordReach(server: ServerRecord, outcome: SendOutcome, isGivenUp: boolean): void {
+    const { reach } = this.deps;
+    switch (outcome.type) {
+      case 'answered':
+      case 'not_executed':
+        reach.answered(server);
+        break;
+      case 'not_sent':
+      case 'broken':
+        if (!isGivenUp) reach.failed(server);
+        break;
+      case 'withheld':
+        break;
+      default: assertNever(outcome);
+    }
+  }
+
   /** Counts a call once, at the first sign that a server runs it. */
   private countBegin({ trace, caller }: CallContext): void {
     if (trace.begun) return;
--- a/test/occupancy.test.ts
+++ b/test/occupancy.test.ts
@@ -193,6 +193,7 @@
   const peer = (address: string, changes: Partial<PeerGateway> = {}): PeerGateway => ({
     member: { callerAddress: address, leaving: false, revision: 1 },
     suspected: false,
+    isCutOff: false,
     lastMessageAgeMs: 100,
     ...changes,
   });
@@ -224,6 +225,16 @@
     expect(selectCallerAddresses(own, many)).toHaveLength(41);
   });
 
+  // Guards against callers that are sent to gateways at which no call can be served, and against a list of none.
+  it('lists gateways that reach no server only if there is no other gateway', () => {
+    const cutOff = [peer('a', { isCutOff: true }), peer('b', { isCutOff: true })];
+    expect(selectCallerAddresses(own, [...cutOff, peer('c')])).toEqual(['own:80', 'c']);
+    expect(selectCallerAddresses(own, cutOff)).toEqual(['own:80']);
+    expect(selectCallerAddresses({ ...own, ready: false }, [...cutOff, peer('c')])).toEqual(['c']);
+    expect(selectCallerAddresses({ ...own, ready: false }, cutOff)).toEqual(['a', 'b']);
+    expect(selectCallerAddresses({ ...own, ready: false }, [])).toEqual(['own:80']);
+  });
+
   it('lists its own address while it stops only if there is no other gateway', () => {
     const stopping = { ...own, ready: false };
     expect(selectCallerAddresses(stopping, [peer('a')])).toEqual(['a']);
