Ask servers for a sign of life on connections of their own

A gateway whose open connections went silent for good, while new ones worked, was taken for cut off from all servers in one run of three of a new test: its probes went out on the silent connections too.

Change: each probe opens a connection and closes it. Other gateways log what a gateway says of its reach (gateway_out_of_reach).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { RouteTable } from './configuration.js';
 import { StoreContact } from './contact.js';
 import type { Codec } from './codec.js';
+import { ConnectionPool } from './connections.js';
 import { ControlClient } from './control.js';
 import { MAX_ADDRESSES, sampleAddresses } from './directory.js';
 import { Discovery } from './discovery.js';
@@ -212,7 +213,7 @@
     this.occupancy = new Occupancy({
       clock, members: this.membership, datagrams: deps.datagrams, ledger: this.ledger,
     });
-    const cutOff = this.disposables.add(new CutOffGateways({ clock, announcements: this.membership }));
+    const cutOff = this.disposables.add(new CutOffGateways({ ...deps, announcements: this.membership }));
     this.peers = new PeerGateways({
       membership: this.membership, occupancy: this.occupancy, cutOff, log: deps.log,
     });
@@ -223,9 +224,13 @@
       members: this.membership,
       cutOff,
       servers: () => this.registry.all().filter((record) => !this.registry.isLeaving(record)),
-      probe: async (record) => (
-        await control.send(this.fleet.serverFor(record).pool, record, deps.codec.reportRequest(), 'reach') !== null
-      ),
+      probe: async (record) => {
+        // A new connection, as open ones may have gone silent although the link works.
+        const pool = new ConnectionPool(record.address);
+        const answer = await control.send(pool, record, deps.codec.reportRequest(), 'reach');
+        pool.dispose();
+        return answer !== null;
+      },
     });
     this.disposables.add(this.reach.onCutOff(() => this.forwarder.releaseCalls()));
     this.quarantine = new Quarantine(deps);
--- a/src/gateway/reach/peers.ts
+++ b/src/gateway/reach/peers.ts
@@ -1,4 +1,4 @@
-import type { Clock, Disposable } from '../../core/interfaces/index.js';
+import type { Clock, Disposable, Log } from '../../core/interfaces/index.js';
 import type { Membership } from '../../core/membership/index.js';
 
 const TOPIC = 'reaches_no_server';
@@ -22,6 +22,7 @@
 /** Dependencies of {@link CutOffGateways}. */
 export interface CutOffGatewaysDependencies {
   readonly clock: Clock;
+  readonly log: Log;
   readonly announcements: Pick<Membership, 'publish' | 'onAnnouncement' | 'self'>;
 }
 
@@ -67,6 +68,7 @@
     this.statements.set(incarnation, {
       number: Number(number), isCutOff: cutOff === '1', heardAt: this.deps.clock.monotonic(),
     });
+    this.deps.log.info('gateway_out_of_reach', { incarnation, reaches_servers: cutOff === '0' });
     const [oldest] = this.statements.keys();
     if (this.statements.size > MAX_GATEWAYS && oldest !== undefined) this.statements.delete(oldest);
     return true;
--- a/test/reach.test.ts
+++ b/test/reach.test.ts
@@ -86,6 +86,19 @@
     await paused;
   });
 
+  // Guards against a gateway that is left out although only its old connections have gone silent.
+  it('stays named while its open connections hang and new ones work', async () => {
+    await pause(500);
+    // Calls that run at this moment leave several connections to each server.
+    await Promise.all(Array.from({ length: 24 }, () => group.call(0)));
+    group.cut(0, Cut.HangOpen);
+    for (let check = 0; check < 40; check += 1) {
+      expect(await group.namedBy(0)).toEqual([0, 1, 2]);
+      await pause(50);
+    }
+    expect((await group.call(0)).status).toBe(200);
+  });
+
   it('stays named while its open connections live on and new ones are refused', async () => {
     await pause(500);
     group.cut(0, Cut.RefuseNew);
--- a/test/serverreach.test.ts
+++ b/test/serverreach.test.ts
@@ -75,6 +75,7 @@
       const view = members.view(`${name}:1`, name);
       const cutOff = new CutOffGateways({
         clock: this.clock,
+        log: log.forEntry(name),
         announcements: {
           self: () => view.self(),
           publish: (_topic, key, value) => this.announcements.forEach((hear) => hear(key, value)),
--- a/test/support/partition.ts
+++ b/test/support/partition.ts
@@ -15,6 +15,8 @@
   Reset = 'reset',
   /** Open connections live on, and new ones are reset at once. */
   RefuseNew = 'refuse new',
+  /** Open connections hang for good, and new ones work. */
+  HangOpen = 'hang open',
 }
 
 /** Time in ms that a server works on a call. */
@@ -84,6 +86,10 @@
           proxy.refuse();
           proxy.reset();
           break;
+        case Cut.HangOpen:
+          proxy.silence();
+          proxy.heal();
+          break;
         case Cut.RefuseNew:
           proxy.refuse();
           break;
