--- a/test/reach.test.ts
+++ b/test/reach.test.ts
@@ -9,6 +9,9 @@
 
 const SERVERS = 4;
 
+/** Callers that keep answers of the directory. */
+const CALLERS = 24;
+
 /** Time in ms within which callers must not be sent to a gateway any more that reaches no server. */
 const CONTACT_MS = 3_000;
 
@@ -47,6 +50,20 @@
 
   it('is named by nobody and not ready while its links are reset', () => expectLeftOut(Cut.Reset));
 
+  // Guards against callers of cut gateways that are served far worse than others, by the users' rule.
+  it.each([
+    [Cut.Hang, [0]], [Cut.Reset, [0]], [Cut.RefuseNew, [0]], [Cut.Hang, [0, 1]], [Cut.Reset, [0, 1]],
+  ])('has callers served elsewhere (%s, gateways %j)', async (how, cut) => {
+    const tries = group.firstTries(cut, CALLERS, { forMs: CONTACT_MS + 4_500, uncountedMs: CONTACT_MS + 500 });
+    await pause(500);
+    for (const gateway of cut) group.cut(gateway, how);
+    const { watched, others } = await tries;
+    const failed = watched.sent - watched.served;
+    const isWorse = watched.served / watched.sent < (2 / 3) * (others.served / others.sent);
+    expect(isWorse && failed > 10 + (watched.sent + others.sent) / 50 ? { watched, others } : null).toBeNull();
+    expect(others.served / others.sent).toBeGreaterThan(0.9);
+  });
+
   // Guards against calls of callers that keep an old address and hang until their timeout.
   it('refuses calls at once, so that callers go elsewhere', async () => {
     await pause(500);
--- a/test/support/partition.ts
+++ b/test/support/partition.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { ServerStandIn, sendSignedResponse } from '../../src/emulator/backend.js';
 import { LinkProxy } from '../../src/emulator/linkproxy.js';
 import { StoreStandIn } from '../../src/emulator/platformstore.js';
@@ -7,6 +8,18 @@
 import type { RunningGateway } from './gateway.js';
 import { waitUntil } from './waituntil.js';
 
+/** Time in ms for which callers keep an answer of the directory, as long as those of the users' deployments. */
+const DIRECTORY_TTL_MS = 1_000;
+
+/** Time in ms between the calls of one caller. */
+const CALLER_PAUSE_MS = 40;
+
+/** First tries of callers at some gateways, and at the others. */
+export interface FirstTries {
+  readonly watched: { readonly sent: number; readonly served: number };
+  readonly others: { readonly sent: number; readonly served: number };
+}
+
 /** How the links between a gateway and all backend servers fail. */
 export enum Cut {
   /** Open and new connections hang. */
@@ -105,9 +118,7 @@
   /** Silences all servers for all gateways for a while, as if they stood still. */
   public async pauseServers(forMs: number): Promise<void> {
     for (const proxy of this.proxies.flat()) proxy.silence();
-    await new Promise((resolve) => {
-      setTimeout(resolve, forMs);
-    });
+    await pause(forMs);
     for (const proxy of this.proxies.flat()) proxy.resume();
   }
 
@@ -124,6 +135,42 @@
     return named.flatMap((addresses, index) => (addresses.includes(callers) ? [index] : []));
   }
 
+  /**
+   * Has callers send calls for a while, each to an address that it picks at random from what a directory named up to a
+   * second ago, or up to three seconds for one caller in three. Counts the first tries at the given gateways and at the
+   * others, those of the first `uncountedMs` left out.
+   */
+  public async firstTries(
+    gateways: readonly number[],
+    callers: number,
+    { forMs, uncountedMs }: { readonly forMs: number; readonly uncountedMs: number },
+  ): Promise<FirstTries> {
+    const countFrom = performance.now() + uncountedMs;
+    const watched = new Set(gateways.map((index) => this.gateways[index]!.callers));
+    const tries = { watched: { sent: 0, served: 0 }, others: { sent: 0, served: 0 } };
+    const endsAt = performance.now() + forMs;
+    await Promise.all(Array.from({ length: callers }, async (_, caller) => {
+      const keepMs = caller % 3 === 0 ? 3 * DIRECTORY_TTL_MS : DIRECTORY_TTL_MS;
+      let known: readonly string[] = [];
+      let askedAt = -Infinity;
+      for (let turn = 0; performance.now() < endsAt; turn += 1) {
+        if (performance.now() - askedAt > keepMs) {
+          askedAt = performance.now();
+          known = await this.named((caller + turn) % this.gateways.length);
+        }
+        const address = known[Math.floor(Math.random() * known.length)]!;
+        const path = turn % 2 === 0 ? '/safe/x' : '/order/x';
+        const count = watched.has(address) ? tries.watched : tries.others;
+        const isCounted = performance.now() >= countFrom;
+        const { status } = await sendCall(address, path);
+        if (isCounted) count.sent += 1;
+        if (isCounted && status === 200) count.served += 1;
+        await pause(CALLER_PAUSE_MS);
+      }
+    }));
+    return tries;
+  }
+
   public async isReady(gateway: number): Promise<boolean> {
     return (await sendCall(this.gateways[gateway]!.readiness, '/ready')).status === 200;
   }
