--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -141,7 +141,7 @@
   }
 
   /** Ends all calls at the end of a planned stop; those that were not sent are refused, and no answer looks whole. */
-  public cutOff(): void {
+  public endAll(): void {
     for (const ended of [...this.served.keys()]) ended.abort(AbortReason.Stopped);
   }
 
@@ -450,8 +450,9 @@
     return refuse();
   }
 
-  /** Whether so many servers have ended under a call, whose answer has not gone on, that it must not be sent again. */
-  private async hasEndedServers({ trace }: CallContext): Promise<boolean> {
+  /** Whether so many engines have ended under a call, whose answer has not gone on, that it must not be sent again. */
+  private async hasEndedServers({ call, trace }: CallContext): Promise<boolean> {
+    if (call.generation === null) return false;
     const broken = trace.runs.filter((run) => !isProven(run) && run.serverEnded !== false);
     if (broken.length < MAX_ENDED_SERVERS) return false;
     if (broken.some(({ serverEnded }) => serverEnded === null)) await sleep(this.deps.clock, CONFIRM_MS + 1);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -414,7 +414,7 @@
     if (this.listener !== null) await withTimeout(clock, Math.max(1, leftMs() - EXIT_BEFORE_MS), this.listener.close());
     await withTimeout(clock, Math.max(1, leftMs() - EXIT_BEFORE_MS / 2), this.duties.handOver());
     void this.membership.depart();
-    this.forwarder.cutOff();
+    this.forwarder.endAll();
     // The last answers leave the process in the next turns of the event loop.
     await sleep(clock, CUT_OFF_MS);
     log.info('stopped', { running: this.forwarder.running, took_ms: Math.round(clock.monotonic() - startedAt) });
