Let answers that have begun go on at a gateway that is cut off

Callers would have seen streams end in the middle: a gateway that found itself cut off ended all calls that may be repeated, also those whose answers were coming in over connections that lived on while new ones were refused.

--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -145,10 +145,15 @@
     for (const ended of [...this.served.keys()]) ended.abort(AbortReason.Stopped);
   }
 
-  /** Ends the calls that other gateways can serve: those that were not sent and those that may run twice. */
+  /**
+   * Ends the calls without an answer that other gateways can serve: those not sent and those that may run twice. An
+   * answer that has begun may go on over its open connection.
+   */
   public releaseCalls(): void {
     for (const [ended, context] of [...this.served]) {
-      if (context.trace.countedSends === 0 || mayRunTwice(context)) ended.abort(AbortReason.OutOfReach);
+      const { res, trace } = context;
+      const mayBeServedElsewhere = trace.countedSends === 0 || mayRunTwice(context);
+      if (!res.headersSent && mayBeServedElsewhere) ended.abort(AbortReason.OutOfReach);
     }
   }
 
--- a/test/reach.test.ts
+++ b/test/reach.test.ts
@@ -2,7 +2,7 @@
 import {
   afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
-import { Cut, PartitionGroup } from './support/partition.js';
+import { Cut, PartitionGroup, STREAM_EVENTS } from './support/partition.js';
 import { waitUntil } from './support/waituntil.js';
 
 const GATEWAYS = 3;
@@ -78,6 +78,20 @@
     }
   });
 
+  // Guards against streams that are cut although their connections live on.
+  it('goes on with answers that have begun', async () => {
+    group.unloaded.add(0);
+    const stream = group.call(0, '/watch/x');
+    // Idle connections have been closed by then, so that new calls need new ones.
+    await pause(1_300);
+    group.cut(0, Cut.RefuseNew);
+    group.unloaded.delete(0);
+    await waitUntil(async () => !await group.isReady(0));
+    const { status, broken, body } = await stream;
+    expect({ status, broken }).toEqual({ status: 200, broken: false });
+    expect(body.match(/id: /g)).toHaveLength(STREAM_EVENTS);
+  });
+
   // Guards against a fleet that names nobody because all servers are down or all gateways are cut off.
   it('stays named and ready while no other gateway reaches any either', async () => {
     await pause(500);
--- a/test/support/partition.ts
+++ b/test/support/partition.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 import { ServerStandIn, sendSignedResponse } from '../../src/emulator/backend.js';
 import { LinkProxy } from '../../src/emulator/linkproxy.js';
@@ -35,6 +36,31 @@
 /** Time in ms that a server works on a call. */
 const WORK_MS = 20;
 
+/** Number of events of a stream, and time in ms between two of them. */
+export const STREAM_EVENTS = 30;
+
+const EVENT_PERIOD_MS = 100;
+
+function streamEvents(res: ServerResponse): void {
+  res.writeHead(200, { 'Catkinscale-Server-Signature': 's1', 'Content-Type': 'text/event-stream' });
+  let sent = 0;
+  const timer = setInterval(() => {
+    sent += 1;
+    res.write(`id: ${sent}\n\n`);
+    if (sent === STREAM_EVENTS) res.end();
+  }, EVENT_PERIOD_MS);
+  res.on('close', () => clearInterval(timer));
+}
+
+/** The usual configuration with streams of the plain service that may be resumed. */
+function configurationWithStreams(): string {
+  const { routes, ...rest } = JSON.parse(configuration()) as { routes: object[] };
+  const watch = {
+    ...routes[0], name: 'watch', 'path-prefix': '/watch/', kind: 'streaming', resumable: true, 'timeout-ms': 10_000,
+  };
+  return JSON.stringify({ ...rest, routes: [...routes, watch] });
+}
+
 /** Time in ms between two calls of the background load, which go to the gateways in turn. */
 const LOAD_PERIOD_MS = 15;
 
@@ -45,8 +71,10 @@
 export class PartitionGroup {
   public readonly gateways: RunningGateway[] = [];
 
-  /** Calls that each server has received, by its index. */
-  public readonly servers: ServerStandIn[] = [];
+  /** Gateways that the load leaves out. */
+  public readonly unloaded = new Set<number>();
+
+  private readonly servers: ServerStandIn[] = [];
 
   private readonly stores: StoreStandIn[] = [];
 
@@ -60,8 +88,9 @@
   /** Starts gateways on five ports from `port` on, with a plain service, and a load of calls that may be repeated. */
   public async start(gateways: number, servers: number, port: number): Promise<void> {
     for (let index = 0; index < servers; index += 1) {
-      const server = new ServerStandIn(`s${index}`, (res) => {
-        setTimeout(() => sendSignedResponse(res, 'ok'), WORK_MS);
+      const server = new ServerStandIn(`s${index}`, (res, { url }) => {
+        if (url.startsWith('/watch/')) streamEvents(res);
+        else setTimeout(() => sendSignedResponse(res, 'ok'), WORK_MS);
       });
       await server.start();
       this.servers.push(server);
@@ -73,7 +102,7 @@
       this.stores.push(store);
       this.proxies.push([]);
       for (const server of this.servers) await this.register(store, server, index);
-      store.put('op/config', configuration());
+      store.put('op/config', configurationWithStreams());
       this.gateways.push(await startGateway(store, port, {
         name: `g${index}`, host: `127.0.0.${2 + index}`, seeds, exchangePort: port + 5,
       }));
@@ -84,7 +113,7 @@
     });
     this.load = setInterval(() => {
       this.sent += 1;
-      void this.call(this.sent % gateways);
+      if (!this.unloaded.has(this.sent % gateways)) void this.call(this.sent % gateways);
     }, LOAD_PERIOD_MS);
   }
 
