--- a/test/serverreach.test.ts
+++ b/test/serverreach.test.ts
@@ -149,6 +149,30 @@
     expect(all.isCutOff()).toEqual([]);
   });
 
+  // Guards against callers that are moved each time links come and go.
+  it('stays cut off for a second although its probes are answered at once', async () => {
+    const group = new ReachGroup(names);
+    await group.play(500);
+    group.reaching.delete('a');
+    for (let tries = 0; tries < 20 && group.isCutOff().length === 0; tries += 1) await group.play(200);
+    group.reaching.add('a');
+    await group.play(600);
+    expect(group.isCutOff()).toEqual(['a']);
+    await group.play(1_400);
+    expect(group.isCutOff()).toEqual([]);
+  });
+
+  // Guards against a gateway that is left out for good because others have missed that it reaches servers again.
+  it('is believed for half a minute after its last statement', async () => {
+    const group = new ReachGroup(['a', 'b']);
+    group.cutOff.get('a')!.announce(true);
+    group.cutOff.get('a')!.dispose();
+    await group.clock.advance(25_000);
+    expect(group.cutOff.get('b')!.has('a')).toBe(true);
+    await group.clock.advance(10_000);
+    expect(group.cutOff.get('b')!.has('a')).toBe(false);
+  });
+
   // Guards against servers that are only slow for the calls of one gateway.
   it('does not find a gateway cut off whose probes are answered', async () => {
     const group = new ReachGroup(names);
